--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures and the demo, run against real processes on loopback."""
--- /dev/null
+++ b/src/jacinthpath/peer.capnp
@@ -0,0 +1,239 @@
+@0xd3b1f06a5c9e4471;
+# Frames between the processes of one system.
+#
+# Fields and union members are only ever added, with new numbers, so that hosts of
+# two releases work side by side during a rolling replacement.
+
+struct Frame {
+  id @0 :UInt64;        # Pairs a request with its answer; 0 for a one-way message.
+  body :union {
+    unset @1 :Void;
+    error @2 :Error;
+    done @3 :Void;      # Answer without content.
+    hello @4 :Hello;
+    challenge @5 :Challenge;
+    proof @6 :Proof;
+    digest @7 :Digest;
+    fetch @8 :Fetch;
+    publish @9 :Publish;
+    vouch @10 :Vouch;
+    inquire @11 :Vouch;
+    vouched @12 :Vouched;
+    relayStore @13 :StoreCall;
+    storeAnswer @14 :StoreAnswer;
+    claim @15 :Claim;
+    claimed @16 :Claimed;
+    settle @17 :Settle;
+    lookup @18 :Claim;
+    transfer @19 :Transfer;
+    records @20 :Records;
+    lease @21 :Lease;
+    leased @22 :Leased;
+    report @23 :Report;
+    status @24 :Void;
+    statusAnswer @25 :Text;   # JSON.
+    subscribe @26 :Subscribe;
+  }
+}
+
+struct Error {
+  kind @0 :Text;
+  message @1 :Text;
+}
+
+struct Hello {
+  release @0 :UInt32;
+  host @1 :Text;
+  dataCentre @2 :Text;
+  role @3 :Text;
+  processId @4 :Text;   # Random at each start.
+  keyId @5 :Data;       # First bytes of the SHA-256 of the cluster key in use.
+  nonce @6 :Data;
+}
+
+struct Challenge {
+  nonce @0 :Data;
+  proof @1 :Data;
+  host @2 :Text;
+  dataCentre @3 :Text;
+  processId @4 :Text;
+  release @5 :UInt32;
+}
+
+struct Proof {
+  proof @0 :Data;
+}
+
+struct TopicVersion {
+  name @0 :Text;
+  version @1 :UInt64;
+}
+
+struct Topic {
+  name @0 :Text;
+  version @1 :UInt64;
+  content @2 :Data;
+  baseVersion @3 :UInt64;   # Not 0: content is a delta on top of this version.
+}
+
+struct Digest {
+  topics @0 :List(TopicVersion);
+  confirmedAgeMs @1 :UInt32;   # Age of the newest proof that the store was read.
+  storeDown @2 :Bool;
+  sender @3 :Text;
+  incarnation @4 :UInt64;
+  leaving @5 :Bool;
+  suspects @6 :List(Text);
+}
+
+struct Fetch {
+  names @0 :List(Text);
+}
+
+struct Publish {
+  topics @0 :List(Topic);
+  hops @1 :UInt8;
+}
+
+struct Subscribe {
+  role @0 :Text;
+  topics @1 :List(TopicVersion);
+}
+
+struct Vouch {
+  service @0 :Text;
+  holder @1 :Text;      # Process identity of the coordinator or candidate.
+  epoch @2 :UInt64;
+  durationMs @3 :UInt32;
+}
+
+struct Vouched {
+  granted @0 :Bool;
+  reason @1 :Text;
+  remainingMs @2 :UInt32;   # Of a live vouch for another holder, else 0.
+  highestEpoch @3 :UInt64;
+  holder @4 :Text;
+}
+
+struct StoreCall {
+  method @0 :Text;
+  path @1 :Text;
+  body @2 :Data;
+}
+
+struct StoreAnswer {
+  status @0 :UInt16;    # HTTP status, 0 when the store could not be reached.
+  body @1 :Data;
+  sent @2 :Bool;        # Whether the call may have reached the store.
+}
+
+struct Claim {
+  account @0 :Text;
+  service @1 :Text;
+  idempotencyKey @2 :Text;
+  requestDigest @3 :Data;
+  entry @4 :Text;           # Process identity of the claiming entry process.
+  attempt @5 :UInt64;       # Random identity of this claim.
+  deadlineMs @6 :UInt32;
+}
+
+enum RecordState {
+  new @0;
+  running @1;
+  settled @2;
+  unknown @3;
+  cannotTell @4;
+  mismatch @5;
+}
+
+struct Claimed {
+  state @0 :RecordState;
+  status @1 :UInt16;
+  headers @2 :List(Header);
+  body @3 :Data;
+  bodyKept @4 :Bool;
+  ageMs @5 :UInt32;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Settle {
+  account @0 :Text;
+  service @1 :Text;
+  idempotencyKey @2 :Text;
+  attempt @3 :UInt64;
+  state @4 :RecordState;    # settled, unknown, or new to withdraw the claim.
+  status @5 :UInt16;
+  headers @6 :List(Header);
+  body @7 :Data;
+  bodyKept @8 :Bool;
+}
+
+struct Transfer {
+  requester @0 :Text;
+  after @1 :UInt64;         # Cursor of the previous page.
+}
+
+struct Record {
+  claim @0 :Claim;
+  result @1 :Claimed;
+}
+
+struct Records {
+  records @0 :List(Record);
+  next @1 :UInt64;          # Cursor of the next page, 0 at the end.
+}
+
+struct Lease {
+  service @0 :Text;
+  router @1 :Text;
+  stampMs @2 :UInt64;       # On the router's clock.
+  tableVersion @3 :UInt64;
+}
+
+struct Leased {
+  granted @0 :Bool;
+  epoch @1 :UInt64;
+  tableVersion @2 :UInt64;
+  stampMs @3 :UInt64;       # Echo of the request's stamp.
+  termMs @4 :UInt32;
+}
+
+struct KeyLoad {
+  keyHash @0 :UInt64;
+  requests @1 :UInt64;
+  error @2 :UInt64;         # Upper bound of the overestimate.
+}
+
+struct SliceLoad {
+  sliceIndex @0 :UInt32;
+  requests @1 :UInt64;
+}
+
+struct Report {
+  service @0 :Text;
+  router @1 :Text;
+  windowMs @2 :UInt32;
+  sliceLoads @3 :List(SliceLoad);
+  hotKeys @4 :List(KeyLoad);
+}
+
+struct HotKey {
+  keyHash @0 :UInt64;
+  server @1 :UInt16;        # Index into servers.
+}
+
+struct SliceTable {
+  service @0 :Text;
+  version @1 :UInt64;
+  epoch @2 :UInt64;
+  servers @3 :List(Text);
+  owners @4 :List(UInt16);  # One for each slice; 65535 for no owner.
+  hotKeys @5 :List(HotKey);
+  coordinator @6 :Text;     # Control address of the coordinator.
+  addresses @7 :List(Text); # One for each server.
+  fencing @8 :Text;
+}
