Add grants: terms on the server's own clock

A server that freezes must not serve on renewals that waited in its socket buffer, and a coordinator must know when a server that it cannot reach has stopped. Both need terms that never depend on a comparison of two clocks.

GrantHolder runs each term from the stamp that the grant echoes; TermTracker keeps the upper bound on the coordinator's clock and shortens terms to its authority. A grant with term 0 and unchanged slices is an inquiry: it fences lower epochs and leaves the holdings and their term alone, so that a successor can ask without a gap. A renewal refers only to slices of its own epoch, so it cannot extend holdings that another coordinator set.

Ruled out: keeping only the bound of the newest process of a server. A process restarted beside a frozen one would let the old one's term be forgotten.

Before: no grants.

--- /dev/null
+++ b/src/jacinthpath/grants.py
@@ -0,0 +1,414 @@
+"""Fenced, time-bounded grants of ownership, on the server and the coordinator side.
+
+A server may serve a key while a grant for the key's slice is in force. The term of
+a grant runs from a timestamp (stamp) of the server's own clock that the grant
+echoes, so a grant that was delayed on its way grants correspondingly less.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "Grant",
+    "GrantAnswer",
+    "GrantHolder",
+    "TermTracker",
+    "decode_answer",
+    "decode_grant",
+    "drift_margin_s",
+    "encode_answer",
+    "encode_grant",
+    "holdings_digest",
+]
+
+import math
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from xxhash import xxh3_64_hexdigest
+
+from .errors import FrameError
+from .hashing import slice_of
+from .slices import MAX_HOT_KEYS, MAX_SLICES
+
+TERM_MS = 400
+MAX_TERM_MS = 10_000
+# Bound on how far two clocks diverge over a term; the fixed part covers rounding.
+DRIFT_RATIO = 0.005
+DRIFT_FLOOR_S = 0.005
+
+_MAX_NAME_CHARACTERS = 200
+_MAX_INTEGER = 2**64 - 1
+_UNCHANGED = "unchanged"
+
+
+def drift_margin_s(duration_s: float) -> float:
+    """Return the margin for clock drift over a duration, in seconds."""
+    return duration_s * DRIFT_RATIO + DRIFT_FLOOR_S
+
+
+class Grant(NamedTuple):
+    """One message of a coordinator to a server.
+
+    A grant with ``slices=None`` and ``term_ms=0`` is an inquiry: it fences lower
+    epochs and asks what the server holds, and changes nothing else.
+
+    :param service: service whose keys are granted.
+    :param epoch: fencing epoch of the coordinator.
+    :param sequence: grows with every grant of the epoch, over all servers.
+    :param incarnation: process of the server that the grant is for; an inquiry
+        may leave it empty.
+    :param echoed_stamp_ms: newest stamp that the coordinator received from it.
+    :param term_ms: how long the grant holds from the echoed stamp.
+    :param slices: slices owned from now on, or ``None`` for unchanged.
+    :param hot_keys: key hashes that are placed alone; true when the server owns
+        the key, false when another server owns it. Ignored when unchanged.
+    :param slice_count: slices of the service's hash space.
+    """
+
+    service: str
+    epoch: int
+    sequence: int
+    incarnation: str
+    echoed_stamp_ms: int
+    term_ms: int
+    slices: tuple[int, ...] | None
+    hot_keys: Mapping[int, bool] = {}
+    slice_count: int = 1024
+
+    @property
+    def is_inquiry(self) -> bool:
+        """Whether the grant only asks what the server holds."""
+        return self.slices is None and self.term_ms == 0
+
+
+class GrantAnswer(NamedTuple):
+    """Answer of a server to a grant, accepted or not.
+
+    :param stamp_ms: the server's clock when it answered.
+    :param incarnation: process of the server.
+    :param epoch: highest epoch that it has accepted.
+    :param sequence: highest sequence that it has accepted in that epoch.
+    :param held_epoch: epoch of the grant that set the held slices.
+    :param held_sequence: sequence of the grant that set the held slices.
+    :param digest: digest of the held slices and hot keys.
+    :param held: the held slices, in answers to inquiries, else ``None``.
+    :param held_hot_keys: the held hot keys, in answers to inquiries.
+    :param term_left_ms: remaining term of what is held; 0 when it has ended.
+    :param accepted: whether the grant was accepted.
+    :param reason: why it was refused; empty when accepted.
+    """
+
+    stamp_ms: int
+    incarnation: str
+    epoch: int
+    sequence: int
+    held_epoch: int
+    held_sequence: int
+    digest: str
+    held: tuple[int, ...] | None
+    held_hot_keys: Mapping[int, bool]
+    term_left_ms: int
+    accepted: bool
+    reason: str = ""
+
+
+def holdings_digest(slices: Iterable[int], hot_keys: Mapping[int, bool]) -> str:
+    """Return a digest of held slices and hot keys, the same on both sides."""
+    parts = [",".join(map(str, sorted(slices)))]
+    parts += [f"{key}:{int(owned)}" for key, owned in sorted(hot_keys.items())]
+    return xxh3_64_hexdigest(";".join(parts).encode())
+
+
+class GrantHolder:
+    """Server side: accepts or refuses grants and knows which keys are owned.
+
+    Each process makes one holder at its start. The clock must be monotonic and
+    keep advancing while the process is frozen (``CLOCK_BOOTTIME`` on Linux).
+
+    :param service: service that the server belongs to.
+    :param incarnation: identity of this process, random at each start.
+    """
+
+    def __init__(self, service: str, incarnation: str) -> None:
+        self.service = service
+        self.incarnation = incarnation
+        self.epoch = 0
+        self.sequence = 0
+        self._held_epoch = 0
+        self._held_sequence = 0
+        self._slices: frozenset[int] = frozenset()
+        self._hot_keys: Mapping[int, bool] = {}
+        self._slice_count = 1
+        self._term_end_ms = 0
+        self._digest = holdings_digest((), {})
+
+    def receive(self, grant: Grant, now_ms: int) -> GrantAnswer:
+        """Accept or refuse a grant.
+
+        :param now_ms: the server's clock, read when the grant is handled.
+        """
+        reason = self._refusal(grant, now_ms)
+        if not reason:
+            self._accept(grant)
+        return self._answer(grant, now_ms, reason)
+
+    def owns(self, hash_value: int, now_ms: int) -> bool:
+        """Whether this process may serve the key with this hash now."""
+        if now_ms >= self._term_end_ms:
+            return False
+        owned = self._hot_keys.get(hash_value)
+        if owned is not None:
+            return owned
+        return slice_of(hash_value, self._slice_count) in self._slices
+
+    def owned_slices(self, now_ms: int) -> frozenset[int]:
+        """Return the slices that this process may serve now."""
+        return self._slices if now_ms < self._term_end_ms else frozenset()
+
+    def _refusal(self, grant: Grant, now_ms: int) -> str:
+        if grant.service != self.service:
+            return "other-service"
+        if grant.incarnation != self.incarnation and (
+            grant.incarnation or not grant.is_inquiry
+        ):
+            return "other-incarnation"
+        if grant.epoch < self.epoch:
+            return "stale-epoch"
+        if grant.epoch == self.epoch and grant.sequence <= self.sequence:
+            return "stale-sequence"
+        if grant.echoed_stamp_ms > now_ms:
+            return "stamp-in-future"
+        if grant.slices is None and grant.term_ms and grant.epoch != self._held_epoch:
+            # "Unchanged" refers to slices of the same epoch only.
+            return "nothing-to-renew"
+        return ""
+
+    def _accept(self, grant: Grant) -> None:
+        self.epoch = grant.epoch
+        self.sequence = grant.sequence
+        if grant.is_inquiry:
+            return
+        self._term_end_ms = grant.echoed_stamp_ms + grant.term_ms
+        if grant.slices is None:
+            return
+        self._held_epoch = grant.epoch
+        self._held_sequence = grant.sequence
+        self._slices = frozenset(grant.slices)
+        self._hot_keys = dict(grant.hot_keys)
+        self._slice_count = grant.slice_count
+        self._digest = holdings_digest(self._slices, self._hot_keys)
+
+    def _answer(self, grant: Grant, now_ms: int, reason: str) -> GrantAnswer:
+        asked = grant.is_inquiry
+        return GrantAnswer(
+            stamp_ms=now_ms,
+            incarnation=self.incarnation,
+            epoch=self.epoch,
+            sequence=self.sequence,
+            held_epoch=self._held_epoch,
+            held_sequence=self._held_sequence,
+            digest=self._digest,
+            held=tuple(sorted(self._slices)) if asked else None,
+            held_hot_keys=self._hot_keys if asked else {},
+            term_left_ms=max(0, self._term_end_ms - now_ms),
+            accepted=not reason,
+            reason=reason,
+        )
+
+
+class _Stamp(NamedTuple):
+    incarnation: str
+    stamp_ms: int
+    arrival_s: float
+
+
+class TermTracker:
+    """Coordinator side: upper bounds of the servers' terms on its own clock.
+
+    A stamp was taken no later than it arrived, so a term that runs from it has
+    ended at ``arrival + term``, plus a margin for drift.
+    """
+
+    def __init__(self) -> None:
+        self._stamps: dict[str, _Stamp] = {}
+        self._bounds: dict[str, dict[str, float]] = {}
+
+    def stamp_received(
+        self, server: str, incarnation: str, stamp_ms: int, now: float
+    ) -> None:
+        """Note a stamp, unless a newer one of the same process is known."""
+        known = self._stamps.get(server)
+        if (
+            known is None
+            or known.incarnation != incarnation
+            or stamp_ms > known.stamp_ms
+        ):
+            self._stamps[server] = _Stamp(incarnation, stamp_ms, now)
+
+    def incarnation(self, server: str) -> str:
+        """Return the process that answered last, or an empty string."""
+        known = self._stamps.get(server)
+        return known.incarnation if known else ""
+
+    def next_term(
+        self, server: str, authority_end: float, term_ms: int = TERM_MS
+    ) -> tuple[int, int]:
+        """Return the stamp to echo and the longest term to grant, in ms.
+
+        The term is shortened so that its upper bound lies before the end of the
+        coordinator's authority. It is 0 when no term is left to grant.
+        """
+        known = self._stamps[server]
+        available_s = authority_end - known.arrival_s - DRIFT_FLOOR_S
+        capped_ms = math.floor(available_s / (1 + DRIFT_RATIO) * 1000)
+        return known.stamp_ms, max(0, min(term_ms, capped_ms))
+
+    def granted(self, server: str, term_ms: int) -> None:
+        """Note that a grant with this term from the newest stamp is being sent."""
+        known = self._stamps[server]
+        term_s = term_ms / 1000
+        bound = known.arrival_s + term_s + drift_margin_s(term_s)
+        bounds = self._bounds.setdefault(server, {})
+        bounds[known.incarnation] = max(bound, bounds.get(known.incarnation, bound))
+
+    def bound(self, server: str, *, excluding: str = "") -> float:
+        """Return when all terms of a server have ended, ``-inf`` if it has none.
+
+        :param excluding: process whose own terms are left out.
+        """
+        bounds = self._bounds.get(server, {})
+        ends = [end for process, end in bounds.items() if process != excluding]
+        return max(ends, default=-math.inf)
+
+    def lapsed(self, server: str, now: float, *, excluding: str = "") -> bool:
+        """Whether every term of a server has provably ended.
+
+        The terms of an earlier process count as well: a new process on the same
+        address does not prove that the old one has stopped.
+        """
+        return now >= self.bound(server, excluding=excluding)
+
+
+def encode_grant(grant: Grant) -> dict[str, Any]:
+    """Return the JSON document of a grant.
+
+    Key hashes are hexadecimal strings, since many JSON readers keep only 53 bits
+    of an integer.
+    """
+    document = grant._asdict()
+    document["slices"] = _UNCHANGED if grant.slices is None else list(grant.slices)
+    document["hot_keys"] = _encode_hot_keys(grant.hot_keys)
+    return document
+
+
+def decode_grant(document: Any) -> Grant:
+    """Return the grant in a JSON document.
+
+    :raises FrameError: the document is no grant, or is out of bounds.
+    """
+    reader = _Reader(document, "grant")
+    slice_count = reader.integer("slice_count", MAX_SLICES)
+    if slice_count == 0:
+        raise reader.fault("slice_count")
+    unchanged = reader.fields.get("slices") == _UNCHANGED
+    return Grant(
+        service=reader.text("service"),
+        epoch=reader.integer("epoch"),
+        sequence=reader.integer("sequence"),
+        incarnation=reader.text("incarnation"),
+        echoed_stamp_ms=reader.integer("echoed_stamp_ms"),
+        term_ms=reader.integer("term_ms", MAX_TERM_MS),
+        slices=None if unchanged else reader.slices("slices", slice_count),
+        hot_keys=reader.hot_keys("hot_keys"),
+        slice_count=slice_count,
+    )
+
+
+def encode_answer(answer: GrantAnswer) -> dict[str, Any]:
+    """Return the JSON document of an answer to a grant."""
+    document = answer._asdict()
+    document["held"] = None if answer.held is None else list(answer.held)
+    document["held_hot_keys"] = _encode_hot_keys(answer.held_hot_keys)
+    return document
+
+
+def decode_answer(document: Any) -> GrantAnswer:
+    """Return the answer in a JSON document.
+
+    :raises FrameError: the document is no answer, or is out of bounds.
+    """
+    reader = _Reader(document, "answer to a grant")
+    absent = reader.fields.get("held") is None
+    return GrantAnswer(
+        stamp_ms=reader.integer("stamp_ms"),
+        incarnation=reader.text("incarnation"),
+        epoch=reader.integer("epoch"),
+        sequence=reader.integer("sequence"),
+        held_epoch=reader.integer("held_epoch"),
+        held_sequence=reader.integer("held_sequence"),
+        digest=reader.text("digest"),
+        held=None if absent else reader.slices("held", MAX_SLICES),
+        held_hot_keys=reader.hot_keys("held_hot_keys"),
+        term_left_ms=reader.integer("term_left_ms"),
+        accepted=reader.flag("accepted"),
+        reason=reader.text("reason"),
+    )
+
+
+def _encode_hot_keys(hot_keys: Mapping[int, bool]) -> dict[str, bool]:
+    return {f"{key:016x}": owned for key, owned in sorted(hot_keys.items())}
+
+
+class _Reader:
+    def __init__(self, document: Any, kind: str) -> None:
+        self.kind = kind
+        if not isinstance(document, dict):
+            raise self.fault("document")
+        self.fields = document
+
+    def fault(self, name: str) -> FrameError:
+        return FrameError(
+            f"The field {name!r} of a {self.kind} is missing or out of bounds.",
+            "Check the sender's release.",
+        )
+
+    def integer(self, name: str, maximum: int = _MAX_INTEGER) -> int:
+        value = self.fields.get(name)
+        if type(value) is not int or not 0 <= value <= maximum:
+            raise self.fault(name)
+        return value
+
+    def text(self, name: str) -> str:
+        value = self.fields.get(name)
+        if not isinstance(value, str) or len(value) > _MAX_NAME_CHARACTERS:
+            raise self.fault(name)
+        return value
+
+    def flag(self, name: str) -> bool:
+        value = self.fields.get(name)
+        if not isinstance(value, bool):
+            raise self.fault(name)
+        return value
+
+    def slices(self, name: str, slice_count: int) -> tuple[int, ...]:
+        values = self.fields.get(name)
+        if not isinstance(values, list) or len(values) > slice_count:
+            raise self.fault(name)
+        for value in values:
+            if type(value) is not int or not 0 <= value < slice_count:
+                raise self.fault(name)
+        return tuple(values)
+
+    def hot_keys(self, name: str) -> dict[int, bool]:
+        values = self.fields.get(name)
+        if not isinstance(values, dict) or len(values) > MAX_HOT_KEYS:
+            raise self.fault(name)
+        decoded = {}
+        for key, owned in values.items():
+            if len(key) != 16 or not isinstance(owned, bool):
+                raise self.fault(name)
+            try:
+                decoded[int(key, 16)] = owned
+            except ValueError:
+                raise self.fault(name) from None
+        return decoded
