Add authority and the coordinator state machine

Ownership needs one process that may decide at a time, through store outages and partitions, and a handoff that never overlaps.

StoreLease acquires and renews the store lease and settles lost answers by reading back an identity that is new with each acquisition.

The store lease alone does not exclude a majority of vouches when the store is reachable for a minority only, so a lease holder also holds vouches in enough data centres that the others are no majority, and a candidate without the store asks every listed host of a majority.

Ruled out: one shared vouch slot per host. A dead lease holder's vouch would block its successor for 2 s although its lease has ended.

--- a/src/jacinthpath/grants.py
+++ b/src/jacinthpath/grants.py
@@ -280,6 +280,24 @@
         ends = [end for process, end in bounds.items() if process != excluding]
         return max(ends, default=-math.inf)
 
+    def inherited(
+        self, server: str, incarnation: str, term_left_ms: int, now: float
+    ) -> None:
+        """Note a term that a predecessor granted and that the server reported."""
+        term_s = term_left_ms / 1000
+        bounds = self._bounds.setdefault(server, {})
+        bound = now + term_s + drift_margin_s(term_s)
+        bounds[incarnation] = max(bound, bounds.get(incarnation, bound))
+
+    def process_lapsed(self, server: str, incarnation: str, now: float) -> bool:
+        """Whether every term of one process has provably ended."""
+        bounds = self._bounds.get(server, {})
+        return now >= bounds.get(incarnation, -math.inf)
+
+    def forget(self, server: str, incarnation: str) -> None:
+        """Drop the bound of a process whose terms have ended."""
+        self._bounds.get(server, {}).pop(incarnation, None)
+
     def lapsed(self, server: str, now: float, *, excluding: str = "") -> bool:
         """Whether every term of a server has provably ended.
 
--- /dev/null
+++ b/src/jacinthpath/leases.py
@@ -0,0 +1,278 @@
+"""The coordinator's lease in the platform's store, as a call-by-call machine."""
+
+from __future__ import annotations
+
+__all__ = ["LeaseCall", "LeaseResult", "LeaseView", "StoreLease"]
+
+import math
+from typing import NamedTuple
+
+from .grants import drift_margin_s
+
+LEASE_TTL_S = 0.6
+LEASE_RENEWAL_S = 0.15
+CALL_LIMIT_S = 0.1
+POLL_S = 0.1  # Fallback beside the watch; bounds the delay after a lost event.
+RETRY_S = 0.05
+# One failure may be a lost packet; the second one has gone through a peer.
+FAILURES_TO_UNREACHABLE = 2
+
+_LEASE_VALID_S = LEASE_TTL_S - drift_margin_s(LEASE_TTL_S)
+
+
+class LeaseView(NamedTuple):
+    """What a read of the lease and its generation record shows.
+
+    :param version: version of the generation record, for compare-and-swap.
+    :param generation: newest generation; 0 when the service had no coordinator.
+    :param raised_by: identity that raised the generation last.
+    :param live_holder: identity that holds the lease; empty when it is free.
+    :param term_left_ms: terms that may still have run when the last holder
+        released the lease.
+    """
+
+    version: int
+    generation: int
+    raised_by: str
+    live_holder: str
+    term_left_ms: int = 0
+
+
+class LeaseCall(NamedTuple):
+    """One call to the store.
+
+    ``read`` returns a :class:`LeaseView`. ``acquire`` creates the lease if it is
+    free. ``raise`` replaces the generation record if it has ``version``.
+    ``renew`` extends the lease if ``identity`` holds it. ``release`` deletes the
+    lease if ``identity`` holds it, and first notes ``term_left_ms`` in the record.
+
+    :param sent: when the call was made.
+    :param relay: whether to send the call through a peer.
+    """
+
+    kind: str
+    sent: float
+    identity: str
+    version: int = 0
+    generation: int = 0
+    term_left_ms: int = 0
+    relay: bool = False
+
+
+class LeaseResult(NamedTuple):
+    """Result of a store call.
+
+    :param outcome: ``done``, ``conflict``, ``unavailable`` (it had no effect) or
+        ``unknown`` (it may have taken effect).
+    """
+
+    outcome: str
+    view: LeaseView | None = None
+
+
+class StoreLease:
+    """Holds or seeks the store lease of one service.
+
+    Authority counts from the moment before a call was made. A lost answer is
+    settled by reading back the identity, which is new with each acquisition: a
+    restarted process, or a late call of an earlier acquisition, never matches.
+
+    :param process: identity of this process, random at its start.
+    """
+
+    def __init__(self, process: str) -> None:
+        self.end = -math.inf
+        self.generation = 0
+        self._process = process
+        self._acquisitions = 0
+        self._phase = "watching"
+        self._view: LeaseView | None = None
+        self._view_time = -math.inf
+        self._acquire_sent = -math.inf
+        self._outstanding: LeaseCall | None = None
+        self._next_time = -math.inf
+        self._failures = 0
+        self._renewed = -math.inf
+        self._least_generation = 0
+
+    @property
+    def identity(self) -> str:
+        """Identity of the current acquisition in the store."""
+        return f"{self._process}:{self._acquisitions}"
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the store answered of late, directly or through a peer."""
+        return self._failures < FAILURES_TO_UNREACHABLE
+
+    @property
+    def occupied(self) -> bool:
+        """Whether the lease is held, or may be held, in the store."""
+        return self._phase != "watching"
+
+    @property
+    def founding(self) -> bool:
+        """Whether the service never had a coordinator before this one."""
+        return self._view is not None and self._view.generation == 0
+
+    def held(self, now: float) -> bool:
+        """Whether the lease is held under a generation of its own."""
+        return self.generation > 0 and now < self.end
+
+    def doubtful(self, now: float, limit_s: float) -> bool:
+        """Whether the lease was not renewed for this long."""
+        return now >= self._renewed + limit_s
+
+    def seen_free(self, now: float) -> bool:
+        """Whether a candidacy has a chance: free, or the store is unreachable."""
+        if not self.reachable:
+            return True
+        fresh = self._view is not None and now < self._view_time + 3 * POLL_S
+        return fresh and not self._view.live_holder
+
+    @property
+    def seen_taken(self) -> bool:
+        """Whether another process was last seen to hold the lease."""
+        seen = self._view is not None and not self.occupied and self.reachable
+        return seen and self._view.live_holder not in ("", self.identity)
+
+    def abandon_generation(self) -> None:
+        """Raise the generation again before the lease confers authority."""
+        if self._phase == "held":
+            self._least_generation = self.generation + 1
+            self.generation = 0
+            self._phase = "acquired"
+            self._next_time = -math.inf
+
+    def changed(self) -> None:
+        """Note that a watch reported a change of the lease."""
+        if self._phase == "watching":
+            self._next_time = -math.inf
+
+    def next_call(self, now: float, *, wanted: bool, acquire: bool) -> LeaseCall | None:
+        """Return the call that is due, if any; there is one at a time.
+
+        :param wanted: whether this process takes part; otherwise it only gives
+            back a lease whose acquisition took effect late.
+        :param acquire: whether a free lease may be acquired now.
+        """
+        if self._outstanding is not None:
+            if now < self._outstanding.sent + CALL_LIMIT_S:
+                return None
+            self.answered(self._outstanding, LeaseResult("unknown"), now)
+        if self._phase in ("held", "acquired") and now >= self.end:
+            self._lose()
+        if self._phase == "watching" and acquire and self.seen_free(now):
+            if self.reachable and self._view is not None:
+                return self._acquire(now)
+        if now < self._next_time or (self._phase == "watching" and not wanted):
+            return None
+        return self._call(now)
+
+    def answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
+        """Take the result of a call; late and doubled results are harmless."""
+        if call == self._outstanding:
+            self._outstanding = None
+            failed = result.outcome in ("unknown", "unavailable")
+            self._failures = self._failures + 1 if failed else 0
+            self._next_time = now + RETRY_S if failed else -math.inf
+        if call.identity != self.identity:
+            return
+        getattr(self, f"_{call.kind}_answered")(call, result, now)
+
+    def release(self, now: float, term_left_ms: int) -> LeaseCall | None:
+        """Give up the lease; return the call that frees it in the store."""
+        if self._phase == "watching":
+            return None
+        call = LeaseCall(
+            "release", now, self.identity, term_left_ms=term_left_ms, relay=False
+        )
+        self._acquisitions += 1
+        self._outstanding = None
+        self._lose()
+        return call
+
+    def _call(self, now: float) -> LeaseCall:
+        kind = {"held": "renew", "acquired": "raise"}.get(self._phase, "read")
+        view = self._view
+        call = LeaseCall(
+            kind,
+            now,
+            self.identity,
+            version=view.version if view else 0,
+            generation=view.generation + 1 if view else 0,
+            relay=self._failures > 0,
+        )
+        self._outstanding = call
+        return call
+
+    def _acquire(self, now: float) -> LeaseCall:
+        self._acquisitions += 1
+        self._acquire_sent = now
+        call = LeaseCall("acquire", now, self.identity, relay=self._failures > 0)
+        self._outstanding = call
+        return call
+
+    def _lose(self) -> None:
+        self._phase = "watching"
+        self._view = None
+        self._next_time = -math.inf
+        self.end = -math.inf
+        self.generation = 0
+
+    def _extend(self, sent: float) -> None:
+        self.end = max(self.end, sent + _LEASE_VALID_S)
+        self._renewed = max(self._renewed, sent)
+
+    def _read_answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
+        view = result.view
+        if result.outcome != "done" or view is None:
+            return
+        if call.sent >= self._view_time:
+            self._view = view
+            self._view_time = call.sent
+        if self._phase == "watching":
+            self._next_time = now + POLL_S
+            return
+        if self._phase != "unsure":
+            return
+        if view.live_holder != self.identity:
+            self._lose()
+            self._view = view
+            return
+        self._extend(self._acquire_sent)
+        raised = view.raised_by == self.identity
+        raised = raised and view.generation >= self._least_generation
+        self._phase = "held" if raised else "acquired"
+        self.generation = view.generation if raised else 0
+
+    def _acquire_answered(
+        self, call: LeaseCall, result: LeaseResult, now: float
+    ) -> None:
+        if self._phase not in ("watching", "unsure"):
+            return
+        if result.outcome == "done":
+            self._phase = "acquired"
+            self._extend(call.sent)
+        elif result.outcome == "unknown":
+            self._phase = "unsure"
+        else:
+            self._lose()
+
+    def _raise_answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
+        if self._phase not in ("acquired", "unsure"):
+            return
+        if result.outcome == "done":
+            self._phase = "held"
+            self.generation = call.generation
+        elif result.outcome in ("unknown", "conflict"):
+            self._phase = "unsure"
+
+    def _renew_answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
+        if self._phase != "held":
+            return
+        if result.outcome == "done":
+            self._extend(call.sent)
+            self._next_time = call.sent + LEASE_RENEWAL_S
+        elif result.outcome == "conflict":
+            self._lose()
--- /dev/null
+++ b/src/jacinthpath/vouches.py
@@ -0,0 +1,235 @@
+"""Epochs, and the vouches that control processes give to one coordinator."""
+
+from __future__ import annotations
+
+__all__ = [
+    "VouchAnswer",
+    "VouchLedger",
+    "VouchRequest",
+    "generation_of",
+    "make_epoch",
+    "round_of",
+]
+
+import math
+from typing import NamedTuple
+
+VOUCH_S = 2.0
+VOUCH_RENEWAL_S = 0.5
+# Longer than the lag of the host list plus a vouch, so that a process that has
+# forgotten its vouches, or that candidates do not yet see listed, gives none.
+VOUCH_MIN_UPTIME_S = 60.0
+
+_ROUND_BITS = 32
+
+
+def make_epoch(generation: int, round_: int = 0) -> int:
+    """Return the epoch of a generation in the store and a round of vouches.
+
+    Round 0 stands for authority under the store lease.
+    """
+    return generation << _ROUND_BITS | round_
+
+
+def generation_of(epoch: int) -> int:
+    """Return the generation that an epoch belongs to."""
+    return epoch >> _ROUND_BITS
+
+
+def round_of(epoch: int) -> int:
+    """Return the round of an epoch; 0 under the store lease."""
+    return epoch & (1 << _ROUND_BITS) - 1
+
+
+class VouchRequest(NamedTuple):
+    """One request of a coordinator or candidate to a control process.
+
+    :param kind: ``inquire``, ``vouch`` or ``release``.
+    :param host: host that is asked.
+    :param epoch: epoch of the requester; its round is above 0 when the vouch
+        is to stand in for the store lease.
+    :param sent: when the request was made, on the requester's clock.
+    :param terms_ms: with ``release``, how long granted terms may still run.
+    """
+
+    kind: str
+    host: str
+    service: str
+    holder: str
+    epoch: int
+    sent: float
+    terms_ms: int = 0
+
+
+class VouchAnswer(NamedTuple):
+    """Answer to a request.
+
+    :param granted: whether the request was granted.
+    :param reason: ``other-holder``, ``young``, ``new-service`` or
+        ``store-reachable``; ``young`` also marks a grant to a founding
+        coordinator.
+    :param remaining_ms: when refused for another holder, how long that lasts;
+        when granted, how long terms of a released holder may still run.
+    :param highest_epoch: highest epoch that the host was told of.
+    :param holder: whom the host is committed to.
+    """
+
+    granted: bool
+    reason: str
+    remaining_ms: int
+    highest_epoch: int
+    holder: str
+
+
+class _Commitment(NamedTuple):
+    """What this process has promised to one holder.
+
+    :param vouched_generation: generation under which it vouched, 0 when it has
+        only answered an inquiry.
+    """
+
+    until: float
+    vouched_generation: int
+
+
+class _Service:
+    def __init__(self, now: float) -> None:
+        self.known_since = now
+        self.highest_epoch = 0
+        self.terms_until = -math.inf
+        # Keyed by the holder and whether it is to stand in for the store lease.
+        self.commitments: dict[tuple[str, bool], _Commitment] = {}
+
+    def blocking(self, holder: str, outage: bool, now: float) -> tuple[str, float]:
+        """Return the live holder that excludes a request, and until when."""
+        for key, commitment in list(self.commitments.items()):
+            other, other_outage = key
+            if now >= commitment.until:
+                del self.commitments[key]
+            elif other != holder and (outage or other_outage):
+                return other, commitment.until
+        return "", -math.inf
+
+
+class VouchLedger:
+    """Host side: the commitments of this process for each service.
+
+    A commitment is made by answering an inquiry or by vouching, and binds until
+    it ends on this process's clock. One that stands in for the store lease
+    excludes every other holder. Others may stand beside each other, since the
+    store lease itself is exclusive.
+
+    :param started: when this process started.
+    :param min_uptime_s: younger processes commit to nobody.
+    """
+
+    def __init__(
+        self, started: float, min_uptime_s: float = VOUCH_MIN_UPTIME_S
+    ) -> None:
+        self._started = started
+        self._min_uptime_s = min_uptime_s
+        self._services: dict[str, _Service] = {}
+
+    def answer(
+        self, request: VouchRequest, now: float, *, store_reachable: bool
+    ) -> VouchAnswer:
+        """Answer a request of any kind.
+
+        :param store_reachable: whether this process reached the store of late.
+        """
+        service = self._service(request.service, now)
+        if request.kind == "release":
+            return self._release(service, request, now)
+        reason = self._refusal(service, request, now, store_reachable)
+        founding = request.kind == "vouch" and request.epoch == make_epoch(1)
+        granted = not reason or (reason == "young" and founding)
+        if granted:
+            self._commit(service, request, now)
+        return self._reply(service, request, now, granted, reason)
+
+    def table_seen(self, service: str, epoch: int, now: float) -> None:
+        """Note the epoch of a table that reached this process."""
+        entry = self._service(service, now)
+        entry.highest_epoch = max(entry.highest_epoch, epoch)
+
+    def may_keep(self, service: str, holder: str, now: float) -> bool:
+        """Whether a table copy of this coordinator may count as kept here.
+
+        A process that is committed to a candidate keeps no further table of the
+        predecessor: the candidate has read the tables already and would miss it.
+        """
+        return not self._service(service, now).blocking(holder, True, now)[0]
+
+    def _service(self, name: str, now: float) -> _Service:
+        if name not in self._services:
+            self._services[name] = _Service(now)
+        return self._services[name]
+
+    def _refusal(
+        self,
+        service: _Service,
+        request: VouchRequest,
+        now: float,
+        store_reachable: bool,
+    ) -> str:
+        outage = round_of(request.epoch) > 0
+        if service.blocking(request.holder, outage, now)[0]:
+            return "other-holder"
+        if now - self._started < self._min_uptime_s:
+            return "young"
+        if not outage:
+            return ""
+        if store_reachable:
+            return "store-reachable"
+        # Young processes may vouch for the founder of a service, in generation 1.
+        # By this age of the service none of those vouches is left.
+        generation = generation_of(max(request.epoch, service.highest_epoch))
+        age_s = now - service.known_since
+        if generation <= 1 and age_s < 2 * self._min_uptime_s:
+            return "new-service"
+        return ""
+
+    def _commit(self, service: _Service, request: VouchRequest, now: float) -> None:
+        generation = 0
+        if request.kind == "vouch":
+            generation = generation_of(request.epoch)
+            service.highest_epoch = max(service.highest_epoch, request.epoch)
+            self._forget_predecessors(service, generation)
+        key = request.holder, round_of(request.epoch) > 0
+        service.commitments[key] = _Commitment(now + VOUCH_S, generation)
+
+    def _forget_predecessors(self, service: _Service, generation: int) -> None:
+        """Drop vouches beside leases that a later generation has replaced."""
+        for key, commitment in list(service.commitments.items()):
+            outage = key[1]
+            if not outage and 0 < commitment.vouched_generation < generation:
+                del service.commitments[key]
+
+    def _release(
+        self, service: _Service, request: VouchRequest, now: float
+    ) -> VouchAnswer:
+        for outage in (False, True):
+            if service.commitments.pop((request.holder, outage), None) is not None:
+                terms_until = now + request.terms_ms / 1000
+                service.terms_until = max(service.terms_until, terms_until)
+        return self._reply(service, request, now, True, "")
+
+    def _reply(
+        self,
+        service: _Service,
+        request: VouchRequest,
+        now: float,
+        granted: bool,
+        reason: str,
+    ) -> VouchAnswer:
+        holder, until = request.holder, service.terms_until
+        if reason == "other-holder":
+            outage = round_of(request.epoch) > 0
+            holder, until = service.blocking(holder, outage, now)
+        return VouchAnswer(
+            granted=granted,
+            reason=reason,
+            remaining_ms=math.ceil(max(0.0, until - now) * 1000) if now < until else 0,
+            highest_epoch=service.highest_epoch,
+            holder=holder,
+        )
--- /dev/null
+++ b/tests/ownership_world.py
@@ -0,0 +1,562 @@
+"""Deterministic world of hosts, servers and a store, for the ownership tests.
+
+Processes have clocks of their own with drift. A frozen process keeps its input
+and handles it on waking; its clock goes on. Faults are switches of the world.
+"""
+
+import heapq
+import random
+from collections import Counter
+from itertools import count
+from typing import Any, NamedTuple
+
+from jacinthpath.authority import AuthorityTracker
+from jacinthpath.configuration import Endpoint
+from jacinthpath.coordination import Coordinator
+from jacinthpath.coordination_events import (
+    AuthorityExtended,
+    AuthorityGained,
+    AuthorityLost,
+    EpochSeen,
+    GrantAnswered,
+    PublishTable,
+    ReleaseRequested,
+    ReleaseRole,
+    SendGrant,
+    ServersChanged,
+    TableKept,
+    TableWritten,
+    Tick,
+    WriteTable,
+)
+from jacinthpath.grants import (
+    GrantHolder,
+    decode_answer,
+    decode_grant,
+    encode_answer,
+    encode_grant,
+)
+from jacinthpath.leases import LEASE_TTL_S, LeaseCall, LeaseResult, LeaseView
+from jacinthpath.slices import NO_OWNER
+from jacinthpath.vouches import VouchLedger, VouchRequest, round_of
+
+SERVICE = "preview"
+SLICES = 8
+TICK_S = 0.025
+MIN_UPTIME_S = 4.0
+CENTRES = ("d1", "d2", "d3", "d4")
+
+
+class Unit(NamedTuple):
+    kind: str
+    index: int
+
+
+class Move(NamedTuple):
+    unit: Unit
+    target: str
+
+
+class Plan(NamedTuple):
+    moves: tuple[Move, ...] = ()
+    splits: dict = {}
+    merges: tuple = ()
+    urgent: bool = False
+
+
+def simple_planner(table, servers, loads):
+    """Replace lost owners, else move one slice from the fullest server."""
+    usable = sorted(name for name, e in servers.items() if e.state == "active")
+    if not usable:
+        return Plan()
+    held = Counter({name: 0 for name in usable})
+    held.update(owner for owner in table.owners if owner in usable)
+    moves = []
+    for index, owner in enumerate(table.owners):
+        if owner not in usable:
+            target = min(usable, key=lambda name: (held[name], name))
+            held[target] += 1
+            moves.append(Move(Unit("slice", index), target))
+    if moves:
+        return Plan(tuple(moves), urgent=True)
+    fullest = max(usable, key=lambda name: (held[name], name))
+    emptiest = min(usable, key=lambda name: (held[name], name))
+    if held[fullest] - held[emptiest] < 2:
+        return Plan()
+    return Plan((Move(Unit("slice", table.owners.index(fullest)), emptiest),))
+
+
+def table_order(table):
+    return (table.epoch, table.version) if table else (-1, -1)
+
+
+class Process:
+    """A process with a clock, an inbox that outlives a freeze, and faults."""
+
+    def __init__(self, world, name, data_centre):
+        self.world = world
+        self.name = name
+        self.data_centre = data_centre
+        self.rate = 1 + world.random.uniform(-0.002, 0.002)
+        self.offset = world.random.uniform(1000, 9000)
+        self.frozen = False
+        self.alive = True
+        self.pause_at_send = False
+        self.inbox = []
+        self.outbox = []
+
+    @property
+    def clock(self):
+        return self.offset + self.world.now * self.rate
+
+    def send(self, target, message):
+        if self.pause_at_send:
+            self.frozen = True
+        if self.frozen:
+            self.outbox.append((target, message))
+        else:
+            self.world.send(self, target, message)
+
+    def deliver(self, sender, message):
+        if not self.alive:
+            return
+        if self.frozen:
+            self.inbox.append((sender, message))
+        else:
+            self.receive(sender, message)
+
+    def wake(self):
+        self.frozen = self.pause_at_send = False
+        outbox, self.outbox = self.outbox, []
+        for target, message in outbox:
+            self.world.send(self, target, message)
+        inbox, self.inbox = self.inbox, []
+        for sender, message in inbox:
+            self.deliver(sender, message)
+
+
+class Server(Process):
+    def __init__(self, world, name, data_centre, incarnation):
+        super().__init__(world, name, data_centre)
+        self.holder = GrantHolder(SERVICE, incarnation)
+
+    @property
+    def clock_ms(self):
+        return int(self.clock * 1000)
+
+    def receive(self, sender, message):
+        answer = self.holder.receive(decode_grant(message), self.clock_ms)
+        self.send(sender, ("answer", self.name, encode_answer(answer)))
+
+    def owned(self):
+        return self.holder.owned_slices(self.clock_ms) if self.alive else ()
+
+
+class Host(Process):
+    def __init__(self, world, name, data_centre, identity, age_s):
+        super().__init__(world, name, data_centre)
+        started = self.clock - age_s
+        self.ledger = VouchLedger(started, MIN_UPTIME_S)
+        self.tracker = AuthorityTracker(
+            SERVICE, identity, CENTRES, started, min_uptime_s=MIN_UPTIME_S
+        )
+        self.coordinator = Coordinator(
+            SERVICE,
+            simple_planner,
+            data_centre=data_centre,
+            data_centres=CENTRES,
+            slice_count=SLICES,
+        )
+        self.table = None
+        self.session = ""
+        self.found = []
+        self.store_read = ""
+        self.wanted = True
+        self.handle(ServersChanged(world.listed_servers()))
+
+    def tick(self):
+        self.tracker.hosts_changed(self.world.listed_hosts(), self.clock)
+        jitter = self.world.random.random()
+        requests = self.tracker.tick(self.clock, jitter, wanted=self.wanted)
+        self.handle(Tick())
+        self.dispatch(requests)
+        self.sync()
+
+    def dispatch(self, requests):
+        for request in requests:
+            if isinstance(request, LeaseCall):
+                self.send("store", ("lease", request))
+            else:
+                if request.kind == "inquire" and self.found[:1] != [request.holder]:
+                    self.found = [request.holder, self.table]
+                self.send(request.host, ("vouch", request))
+
+    def receive(self, sender, message):
+        kind, *parts = message
+        getattr(self, f"on_{kind}")(sender, *parts)
+        self.sync()
+
+    def on_vouch(self, sender, request):
+        reachable = self.world.store_reachable(self)
+        answer = self.ledger.answer(request, self.clock, store_reachable=reachable)
+        self.send(sender, ("vouched", request, answer, self.table))
+
+    def on_vouched(self, sender, request, answer, table):
+        if self.found[:1] == [request.holder]:
+            self.found.append(table)
+        self.tracker.vouch_answered(request, answer, self.clock)
+
+    def on_leased(self, sender, call, result):
+        self.tracker.lease_answered(call, result, self.clock)
+
+    def on_answer(self, sender, server, document):
+        self.handle(GrantAnswered(server, decode_answer(document)))
+
+    def on_written(self, sender, table):
+        self.handle(TableWritten(table.epoch, table.version))
+
+    def on_read(self, sender, session, table):
+        if session == self.session:
+            self.found.append(table)
+            self.store_read = session
+
+    def on_keep(self, sender, holder, table):
+        if not self.ledger.may_keep(SERVICE, holder, self.clock):
+            return
+        if self.keep(table):
+            self.send(sender, ("kept", table, self.data_centre))
+
+    def on_kept(self, sender, table, data_centre):
+        self.handle(TableKept(table.epoch, table.version, data_centre))
+
+    def on_publish(self, sender, table):
+        self.keep(table)
+
+    def keep(self, table):
+        if table_order(table) < table_order(self.table):
+            return False
+        self.table = table
+        self.ledger.table_seen(SERVICE, table.epoch, self.clock)
+        self.tracker.epoch_seen(table.epoch)
+        return True
+
+    def sync(self):
+        """Pass every change of authority on at once."""
+        authority = self.tracker.authority(self.clock)
+        holder = self.tracker.holder if authority else ""
+        if holder != self.session:
+            if self.coordinator.acting:
+                self.handle(AuthorityLost())
+            self.session = holder
+            self.store_read = ""
+        if authority is None:
+            return
+        if self.coordinator.acting:
+            self.handle(AuthorityExtended(authority.epoch, authority.end))
+            return
+        was_read = self.store_read == holder
+        if not was_read and round_of(authority.epoch) == 0:
+            self.send("store", ("read", holder))
+            return
+        table = max(self.found[1:], key=table_order, default=None)
+        certain = was_read or (table is not None and round_of(table.epoch) > 0)
+        self.world.gained(self, table, certain)
+        inherited = authority.inherited_until
+        self.handle(
+            AuthorityGained(authority.epoch, authority.end, inherited, table, certain)
+        )
+
+    def handle(self, event):
+        for effect in self.coordinator.handle(event, self.clock):
+            self.carry_out(effect)
+
+    def carry_out(self, effect):
+        if isinstance(effect, SendGrant):
+            self.send(effect.server, encode_grant(effect.grant))
+        elif isinstance(effect, WriteTable):
+            self.keep(effect.table)
+            self.send("store", ("write", effect.table))
+            for host in self.world.hosts.values():
+                if host is not self:
+                    message = ("keep", self.tracker.holder, effect.table)
+                    self.send(host.name, message)
+        elif isinstance(effect, PublishTable):
+            self.world.acknowledged(effect.table)
+            for host in self.world.hosts.values():
+                self.send(host.name, ("publish", effect.table))
+        elif isinstance(effect, EpochSeen):
+            self.tracker.epoch_seen(effect.epoch)
+        elif isinstance(effect, ReleaseRole):
+            self.dispatch(self.tracker.release(self.clock, effect.terms_until))
+
+
+class Store(Process):
+    """The platform's store: a lease, a generation record and the table."""
+
+    def __init__(self, world):
+        super().__init__(world, "store", "store")
+        self.holder, self.expires = "", 0.0
+        self.version, self.generation, self.raised_by, self.left = 0, 0, "", 0
+        self.table = None
+
+    def receive(self, sender, message):
+        kind, value = message
+        if self.world.store_down:
+            if kind == "lease":
+                self.send(sender, ("leased", value, LeaseResult("unavailable")))
+            return
+        if kind == "lease":
+            result = getattr(self, f"do_{value.kind}")(value)
+            self.send(sender, ("leased", value, result))
+        elif kind == "read":
+            self.send(sender, ("read", value, self.table))
+        elif table_order(value) >= table_order(self.table):
+            self.table = value
+            self.send(sender, ("written", value))
+
+    def live_holder(self):
+        return self.holder if self.world.now < self.expires else ""
+
+    def view(self):
+        return LeaseView(
+            self.version, self.generation, self.raised_by, self.live_holder(), self.left
+        )
+
+    def do_read(self, call):
+        return LeaseResult("done", self.view())
+
+    def do_acquire(self, call):
+        if self.live_holder() not in ("", call.identity):
+            return LeaseResult("conflict")
+        self.holder, self.expires = call.identity, self.world.now + LEASE_TTL_S
+        return LeaseResult("done")
+
+    def do_raise(self, call):
+        if self.version != call.version or self.live_holder() != call.identity:
+            return LeaseResult("conflict")
+        self.version += 1
+        self.generation, self.raised_by = call.generation, call.identity
+        self.left = 0
+        return LeaseResult("done")
+
+    def do_renew(self, call):
+        if self.live_holder() != call.identity:
+            return LeaseResult("conflict")
+        self.expires = self.world.now + LEASE_TTL_S
+        return LeaseResult("done")
+
+    def do_release(self, call):
+        if self.live_holder() == call.identity:
+            self.version += 1
+            self.left = call.term_left_ms
+            self.expires = 0.0
+        return LeaseResult("done")
+
+
+class World:
+    def __init__(self, seed=1, hosts_per_centre=1, servers=3):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.order = count()
+        self.incarnations = count(1)
+        self.store_down = False
+        self.cuts = set()
+        self.loss = 0.0
+        self.doubling = 0.0
+        self.late = 0.0
+        self.hosts: dict[str, Host] = {}
+        self.servers: dict[str, Server] = {}
+        self.zombies: list[Server] = []
+        self.draining: set[str] = set()
+        self.newest_acknowledged: Any = None
+        self.unserved_since = 0.0
+        self.longest_gap = 0.0
+        self.store = Store(self)
+        for index in range(servers):
+            self.start_server(f"s{index + 1}", CENTRES[index % len(CENTRES)])
+        for centre in CENTRES:
+            for letter in "abcdef"[:hosts_per_centre]:
+                self.start_host(f"{centre}{letter}", centre, age_s=100.0)
+
+    # Processes
+
+    def start_server(self, name, centre):
+        incarnation = f"{name}-{next(self.incarnations)}"
+        self.servers[name] = Server(self, name, centre, incarnation)
+
+    def start_host(self, name, centre, age_s=0.0):
+        identity = f"{name}-{next(self.incarnations)}"
+        self.hosts[name] = Host(self, name, centre, identity, age_s)
+        delay = self.random.uniform(0, TICK_S)
+        self.at(self.now + delay, ("tick", self.hosts[name]))
+
+    def restart(self, name):
+        """Start a process anew; a frozen one stays beside it as a zombie."""
+        old = self.process(name)
+        if isinstance(old, Server):
+            if old.frozen and old.alive:
+                self.zombies.append(old)
+            else:
+                old.alive = False
+            self.start_server(name, old.data_centre)
+        else:
+            old.alive = False
+            self.start_host(name, old.data_centre)
+
+    def process(self, name):
+        if name == "store":
+            return self.store
+        return self.hosts.get(name) or self.servers[name]
+
+    def coordinator(self):
+        acting = [h for h in self.hosts.values() if self.is_coordinator(h)]
+        return max(acting, key=lambda host: host.coordinator._epoch, default=None)
+
+    def is_coordinator(self, host):
+        live = host.alive and not host.frozen and host.coordinator.acting
+        return live and host.clock < host.coordinator._end
+
+    def listed_hosts(self):
+        return {name: host.data_centre for name, host in self.hosts.items()}
+
+    def listed_servers(self):
+        return {
+            name: Endpoint(
+                name,
+                f"{name}:1",
+                server.data_centre,
+                "draining" if name in self.draining else "active",
+            )
+            for name, server in self.servers.items()
+        }
+
+    def servers_changed(self):
+        for host in self.hosts.values():
+            if host.alive and not host.frozen:
+                host.handle(ServersChanged(self.listed_servers()))
+
+    def release(self, host):
+        host.wanted = False
+        host.handle(ReleaseRequested())
+        host.sync()
+
+    # Network
+
+    def cut(self, left, right):
+        for a in left:
+            self.cuts |= {(a, b) for b in right} | {(b, a) for b in right}
+
+    def heal(self):
+        self.cuts = set()
+
+    def centre(self, *centres):
+        names = {**self.hosts, **self.servers}
+        return [name for name in names if names[name].data_centre in centres]
+
+    def connected(self, a, b):
+        return (a, b) not in self.cuts
+
+    def store_reachable(self, host):
+        return not self.store_down and self.connected(host.name, "store")
+
+    def send(self, sender, target, message):
+        if not self.connected(sender.name, target):
+            if target != "store" or not self.relay(sender, message):
+                return
+        copies = 1 + (self.random.random() < self.doubling)
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            delay = self.random.uniform(0.0005, 0.003)
+            if self.random.random() < self.late:
+                delay = self.random.uniform(0.05, 1.5)
+            self.at(self.now + delay, ("message", sender.name, target, message))
+
+    def relay(self, sender, message):
+        if message[0] == "lease" and not message[1].relay:
+            return False
+        return any(
+            host.alive
+            and not host.frozen
+            and self.connected(sender.name, host.name)
+            and self.connected(host.name, "store")
+            for host in self.hosts.values()
+        )
+
+    # Time
+
+    def at(self, time, event):
+        heapq.heappush(self.events, (time, next(self.order), event))
+
+    def run_for(self, duration_s):
+        end = self.now + duration_s
+        while self.events and self.events[0][0] <= end:
+            self.now, _, event = heapq.heappop(self.events)
+            self.step(event)
+            self.check()
+        self.now = end
+        self.check()
+
+    def step(self, event):
+        if event[0] == "tick":
+            host = event[1]
+            if not host.alive:
+                return
+            if not host.frozen:
+                host.tick()
+            self.at(self.now + TICK_S, event)
+            return
+        _, sender, target, message = event
+        self.process(target).deliver(sender, message)
+
+    # Checks
+
+    def check(self):
+        """Never two owners of a slice, by the servers' own clocks."""
+        owners: dict[int, Server] = {}
+        for server in (*self.servers.values(), *self.zombies):
+            for index in server.owned():
+                other = owners.setdefault(index, server)
+                if other is not server:
+                    raise TwoOwners(
+                        f"slice {index} at {self.now:.3f} s: "
+                        f"{other.holder.incarnation}, {server.holder.incarnation}"
+                    )
+        if len(owners) == SLICES:
+            self.unserved_since = self.now
+        self.longest_gap = max(self.longest_gap, self.now - self.unserved_since)
+
+    def acknowledged(self, table):
+        if table_order(table) > table_order(self.newest_acknowledged):
+            self.newest_acknowledged = table
+
+    def gained(self, host, table, certain):
+        """A recovery that is sure of its table has the newest acknowledged one."""
+        if certain and table_order(table) < table_order(self.newest_acknowledged):
+            raise LostAssignment(f"{host.name} at {self.now:.3f} s")
+
+    def served(self):
+        return sum(len(server.owned()) for server in self.servers.values()) == SLICES
+
+    def gap_over(self, duration_s):
+        """Run, and return the longest time that any slice had no owner."""
+        self.unserved_since = self.now
+        self.longest_gap = 0.0
+        self.run_for(duration_s)
+        return self.longest_gap
+
+    def owner_names(self):
+        table = self.newest_acknowledged
+        return set(table.owners) - {NO_OWNER} if table else set()
+
+
+class TwoOwners(AssertionError):
+    pass
+
+
+class LostAssignment(AssertionError):
+    pass
+
+
+__all__ = ["LostAssignment", "TwoOwners", "VouchRequest", "World"]
