Test authority, hot keys and router-held exclusivity

The fault world now also splits, moves and merges hot keys and checks their owners. A key joins its slice again as soon as one server holds both, not only at the next table.

--- a/src/jacinthpath/coordination.py
+++ b/src/jacinthpath/coordination.py
@@ -345,6 +345,7 @@
         table = self._table
         if not self._durable or table is None:
             return
+        self._holdings.untrack_settled(table.hot_keys)
         up = {name: e for name, e in self._servers.items() if self._is_up(name, now)}
         usable = {name for name, e in up.items() if e.state == "active"}
         owners = {*table.owners, *table.hot_keys.values()}
@@ -390,7 +391,6 @@
         if not self._durable or self._published == self._table.version:
             return []
         self._published = self._table.version
-        self._holdings.untrack_settled(self._table.hot_keys)
         return [PublishTable(self._table)]
 
     def _renewals(self, now: float, *, force: bool = False) -> list[Effect]:
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -19,6 +19,7 @@
     AuthorityLost,
     EpochSeen,
     GrantAnswered,
+    LoadsChanged,
     PublishTable,
     ReleaseRequested,
     ReleaseRole,
@@ -44,6 +45,8 @@
 SLICES = 8
 TICK_S = 0.025
 MIN_UPTIME_S = 4.0
+# Keys that tests place alone; all three are in slices that others keys share.
+HOT_KEYS = (5, 1 << 61, (1 << 61) + 9)
 CENTRES = ("d1", "d2", "d3", "d4")
 
 
@@ -77,8 +80,14 @@
             target = min(usable, key=lambda name: (held[name], name))
             held[target] += 1
             moves.append(Move(Unit("slice", index), target))
+    for key, owner in table.hot_keys.items():
+        if owner not in usable:
+            moves.append(Move(Unit("key", key), usable[0]))
     if moves:
         return Plan(tuple(moves), urgent=True)
+    hot_plan = plan_hot_keys(table, usable, loads or {})
+    if hot_plan != Plan():
+        return hot_plan
     fullest = max(usable, key=lambda name: (held[name], name))
     emptiest = min(usable, key=lambda name: (held[name], name))
     if held[fullest] - held[emptiest] < 2:
@@ -86,6 +95,23 @@
     return Plan((Move(Unit("slice", table.owners.index(fullest)), emptiest),))
 
 
+def plan_hot_keys(table, usable, wanted):
+    """Place the wanted keys alone, and take others back into their slice."""
+    splits, merges, moves = {}, [], []
+    plain = table._replace(hot_keys={})
+    for key, server in wanted.items():
+        if key not in table.hot_keys:
+            splits[key] = table.owner_of(key)
+        elif server in usable and table.hot_keys[key] != server:
+            moves.append(Move(Unit("key", key), server))
+    for key in table.hot_keys.keys() - wanted.keys():
+        if table.hot_keys[key] == plain.owner_of(key):
+            merges.append(key)
+        else:
+            moves.append(Move(Unit("key", key), plain.owner_of(key)))
+    return Plan(tuple(moves), splits, tuple(merges))
+
+
 def table_order(table):
     return (table.epoch, table.version) if table else (-1, -1)
 
@@ -152,6 +178,11 @@
     def owned(self):
         return self.holder.owned_slices(self.clock_ms) if self.alive else ()
 
+    def owned_hot_keys(self):
+        if not self.alive:
+            return ()
+        return [key for key in HOT_KEYS if self.holder.owns(key, self.clock_ms)]
+
 
 class Host(Process):
     def __init__(self, world, name, data_centre, identity, age_s):
@@ -174,6 +205,7 @@
         self.store_read = ""
         self.wanted = True
         self.handle(ServersChanged(world.listed_servers()))
+        self.handle(LoadsChanged(dict(world.wanted_hot_keys)))
 
     def tick(self):
         self.tracker.hosts_changed(self.world.listed_hosts(), self.clock)
@@ -370,6 +402,7 @@
         self.servers: dict[str, Server] = {}
         self.zombies: list[Server] = []
         self.draining: set[str] = set()
+        self.wanted_hot_keys: dict[int, str] = {}
         self.newest_acknowledged: Any = None
         self.unserved_since = 0.0
         self.longest_gap = 0.0
@@ -436,6 +469,7 @@
         for host in self.hosts.values():
             if host.alive and not host.frozen:
                 host.handle(ServersChanged(self.listed_servers()))
+                host.handle(LoadsChanged(dict(self.wanted_hot_keys)))
 
     def release(self, host):
         host.wanted = False
@@ -517,20 +551,23 @@
     # Checks
 
     def check(self):
-        """Never two owners of a slice, by the servers' own clocks."""
+        """Never two owners of a key, by the servers' own clocks."""
         owners: dict[int, Server] = {}
+        key_owners: dict[int, Server] = {}
         for server in (*self.servers.values(), *self.zombies):
             for index in server.owned():
-                other = owners.setdefault(index, server)
-                if other is not server:
-                    raise TwoOwners(
-                        f"slice {index} at {self.now:.3f} s: "
-                        f"{other.holder.incarnation}, {server.holder.incarnation}"
-                    )
+                self.check_one(owners.setdefault(index, server), server, index)
+            for key in server.owned_hot_keys():
+                self.check_one(key_owners.setdefault(key, server), server, key)
         if len(owners) == SLICES:
             self.unserved_since = self.now
         self.longest_gap = max(self.longest_gap, self.now - self.unserved_since)
 
+    def check_one(self, owner, server, item):
+        if owner is not server:
+            names = f"{owner.holder.incarnation}, {server.holder.incarnation}"
+            raise TwoOwners(f"{item} at {self.now:.3f} s: {names}")
+
     def acknowledged(self, table):
         if table_order(table) > table_order(self.newest_acknowledged):
             self.newest_acknowledged = table
@@ -541,7 +578,10 @@
             raise LostAssignment(f"{host.name} at {self.now:.3f} s")
 
     def served(self):
-        return sum(len(server.owned()) for server in self.servers.values()) == SLICES
+        servers = self.servers.values()
+        slices = sum(len(server.owned()) for server in servers)
+        keys = sum(len(server.owned_hot_keys()) for server in servers)
+        return slices == SLICES and keys == len(HOT_KEYS)
 
     def gap_over(self, duration_s):
         """Run, and return the longest time that any slice had no owner."""
@@ -567,4 +607,4 @@
     """An acknowledged table was not found by a successor that is sure of its own."""
 
 
-__all__ = ["CENTRES", "SLICES", "Violation", "World"]
+__all__ = ["CENTRES", "HOT_KEYS", "SLICES", "Violation", "World", "simple_planner"]
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -1,6 +1,7 @@
 import ast
 import inspect
 import os
+import random
 from importlib import import_module
 
 import pytest
@@ -13,11 +14,32 @@
 )
 
 from jacinthpath import coordination
+from jacinthpath.configuration import Endpoint
+from jacinthpath.coordination import Coordinator
+from jacinthpath.coordination_events import (
+    AuthorityGained,
+    LeaseRouter,
+    PublishTable,
+    RouterAsked,
+    ServersChanged,
+    TableWritten,
+    Tick,
+    WriteTable,
+)
 from jacinthpath.grants import GrantHolder, TermTracker
 from jacinthpath.holdings import Holdings
 from jacinthpath.quorums import VouchQuorum
+from jacinthpath.router_leases import RouterLeases
+from jacinthpath.slices import NO_OWNER
 from jacinthpath.vouches import VouchLedger, round_of
-from tests.ownership_world import CENTRES, SLICES, Violation, World
+from tests.ownership_world import (
+    CENTRES,
+    HOT_KEYS,
+    SLICES,
+    Violation,
+    World,
+    simple_planner,
+)
 
 LONG = os.environ.get("JACINTHPATH_LONG") == "1"
 HOSTS = [f"{centre}{letter}" for centre in CENTRES for letter in "ab"]
@@ -118,6 +140,15 @@
         self.world.draining ^= {name}
         self.world.servers_changed()
 
+    @rule(
+        wanted=st.dictionaries(
+            st.sampled_from(HOT_KEYS), st.sampled_from(SERVERS), max_size=2
+        )
+    )
+    def change_hot_keys(self, wanted):
+        self.world.wanted_hot_keys = wanted
+        self.world.servers_changed()
+
     def everybody(self):
         world = self.world
         return [*world.hosts.values(), *world.servers.values(), *world.zombies]
@@ -312,6 +343,24 @@
     assert world.owner_names() == {"s2", "s3"}
 
 
+def test_hot_key_moves_away_from_its_slice_and_back():
+    """Guards against a key that two servers hold, one by its slice."""
+    world = settled()
+    key = HOT_KEYS[0]
+    slice_owner = world.newest_acknowledged.owner_of(key)
+    for target in ("s2", "s3"):
+        world.wanted_hot_keys = {key: target}
+        world.servers_changed()
+        world.run_for(1.0)
+        assert key in world.servers[target].owned_hot_keys()
+    world.wanted_hot_keys = {}
+    world.servers_changed()
+    world.run_for(1.5)
+    assert key in world.servers[slice_owner].owned_hot_keys()
+    assert world.newest_acknowledged.hot_keys == {}
+    assert not world.coordinator().coordinator._holdings.tracked
+
+
 def test_graceful_release_leaves_no_gap():
     """Guards against a successor that waits for the terms of the predecessor."""
     world = settled()
@@ -421,6 +470,121 @@
             assert kept[index] == owners[index]
 
 
+class Router:
+    """Sends under a lease of its own clock; its tables arrive late."""
+
+    def __init__(self, name, offset):
+        self.name = name
+        self.offset = offset
+        self.table = None
+        self.lease_end_ms = 0
+
+    def clock_ms(self, now):
+        return int((now + self.offset) * 1000)
+
+    def ask(self, now):
+        version = self.table.version if self.table else 0
+        return RouterAsked(self.name, self.clock_ms(now), version)
+
+    def leased(self, lease):
+        if lease.granted and self.table.version == lease.table_version:
+            self.lease_end_ms = lease.stamp_ms + lease.term_ms
+
+    def target(self, index, now):
+        live = self.table and self.clock_ms(now) < self.lease_end_ms
+        return self.table.owners[index] if live else NO_OWNER
+
+
+DEADLINE_S = 0.3
+
+
+def route_through_handoffs(seed):
+    """Return the requests for each slice as (start, server), over two drains."""
+    choice = random.Random(seed)
+    coordinator = Coordinator(
+        "preview",
+        simple_planner,
+        data_centre="d1",
+        data_centres=CENTRES,
+        slice_count=4,
+        fencing="router",
+        longest_deadline_s=DEADLINE_S,
+    )
+    routers = [Router(f"r{index}", 50.0 * index) for index in range(3)]
+    arrivals = []
+    sent = {index: [] for index in range(4)}
+    draining = {2.0: {"s1"}, 4.0: {"s2"}}
+    handle(coordinator, ServersChanged(endpoints(set())), 0.0, routers)
+    handle(coordinator, AuthorityGained(1, 99.0, 0.0, None, True), 0.0, routers)
+    for step in range(700):
+        now = step / 100
+        events = [Tick(), *(router.ask(now) for router in routers if step % 10 == 0)]
+        if now in draining:
+            events.append(ServersChanged(endpoints(draining[now])))
+        for event in events:
+            for table in handle(coordinator, event, now, routers):
+                for router in routers:
+                    delay_s = choice.choice([0.01, 0.05, 0.8])
+                    arrivals.append((now + delay_s, router, table))
+        for time, router, table in arrivals:
+            newer = router.table is None or table.version > router.table.version
+            if time <= now and newer:
+                router.table, router.lease_end_ms = table, 0
+        for router in routers:
+            for index in sent:
+                server = router.target(index, now)
+                if server != NO_OWNER:
+                    sent[index].append((now, server))
+    return sent
+
+
+def endpoints(draining):
+    return {
+        name: Endpoint(name, name, state="draining" if name in draining else "active")
+        for name in ("s1", "s2", "s3")
+    }
+
+
+def handle(coordinator, event, now, routers):
+    """Carry out the effects of an event; return the published tables."""
+    published = []
+    for effect in coordinator.handle(event, now):
+        if isinstance(effect, WriteTable):
+            written = TableWritten(effect.table.epoch, effect.table.version)
+            published += handle(coordinator, written, now, routers)
+        elif isinstance(effect, PublishTable):
+            published.append(effect.table)
+        elif isinstance(effect, LeaseRouter):
+            router = next(r for r in routers if r.name == effect.router)
+            router.leased(effect.lease)
+    return published
+
+
+def overlapping(sent):
+    """Whether requests of one slice may run at two servers at one time."""
+    for requests in sent.values():
+        last = {}
+        for start, server in requests:
+            for other, time in last.items():
+                if other != server and start < time + DEADLINE_S:
+                    return True
+            last[server] = start
+    return False
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_routers_exclude_each_other_where_servers_do_not_check(monkeypatch, seed):
+    """Guards against two servers that run requests of one key at a time."""
+    sent = route_through_handoffs(seed)
+    assert not overlapping(sent)
+    assert {server for requests in sent.values() for _, server in requests[-3:]} == {
+        "s1",
+        "s3",
+    }
+    monkeypatch.setattr(RouterLeases, "cleared", lambda self, version, now: True)
+    assert overlapping(route_through_handoffs(seed))
+
+
 def test_decision_modules_read_no_clock_and_no_randomness():
     """Guards against jumps of the wall clock: time comes in as an argument."""
     names = (
