Split the coordinator into draft, schedule and planning

TableDraft follows a table until it is durable and published, GrantSchedule decides which grant is due, planning holds what a planner must offer. Targets are kept until the table or the hot keys change, and grants are compared only when a renewal is due or something changed.

--- /dev/null
+++ b/src/jacinthpath/drafts.py
@@ -0,0 +1,102 @@
+"""The newest table of a coordinator, from its draft to its publication."""
+
+from __future__ import annotations
+
+__all__ = ["TableDraft"]
+
+import math
+from collections.abc import Iterable, Mapping
+
+from .holdings import key_item
+from .slices import NO_OWNER, SliceTable
+
+WRITE_REPEAT_S = 0.1
+
+
+class TableDraft:
+    """Follows one table until it is durable and published.
+
+    A table is durable once the store has it, or once hosts in a majority of data
+    centres have it. Any successor asks hosts in enough data centres to meet one
+    of those copies.
+
+    :param data_centre: where the coordinator runs; it keeps a copy itself.
+    :param data_centres: all data centres of the system.
+    """
+
+    def __init__(self, data_centre: str, data_centres: Iterable[str]) -> None:
+        self._data_centre = data_centre
+        self._majority = len(set(data_centres)) // 2 + 1
+        self.table: SliceTable | None = None
+        self.durable = False
+        self.published_version = 0
+        self._kept: set[str] = set()
+        self._write_sent = -math.inf
+        self._targets: dict[str, frozenset[int]] = {}
+        self._targets_of: tuple[SliceTable | None, frozenset[int]] = None, frozenset()
+
+    def replace(self, table: SliceTable) -> None:
+        """Start over with a newer table."""
+        self.table = table
+        self.durable = False
+        self._kept = {self._data_centre}
+        self._write_sent = -math.inf
+
+    def written(self, epoch: int, version: int) -> None:
+        """Note that the store holds a table."""
+        if self._is_newest(epoch, version):
+            self.durable = True
+
+    def kept(self, epoch: int, version: int, data_centre: str) -> None:
+        """Note that a host of a data centre keeps a copy."""
+        if self._is_newest(epoch, version):
+            self._kept.add(data_centre)
+            self.durable = self.durable or len(self._kept) >= self._majority
+
+    def write_due(self, now: float) -> bool:
+        """Whether to write the table now; true again until it is durable."""
+        if self.durable or now < self._write_sent + WRITE_REPEAT_S:
+            return False
+        self._write_sent = now
+        return True
+
+    def publication_due(self) -> bool:
+        """Whether to publish the table; true once for each table."""
+        if not self.durable or self.published_version == self.table.version:
+            return False
+        self.published_version = self.table.version
+        return True
+
+    def owners(self) -> set[str]:
+        """Return the servers that own anything, and ``NO_OWNER`` if it does."""
+        if self.table is None:
+            return set()
+        return {*self.table.owners, *self.table.hot_keys.values()}
+
+    def targets(self, tracked: frozenset[int]) -> Mapping[str, frozenset[int]]:
+        """Return the items that the table gives to each server.
+
+        :param tracked: hashes of the keys that are items of their own.
+        """
+        if self._targets_of != (self.table, tracked):
+            self._targets = _items_by_owner(self.table, tracked)
+            self._targets_of = self.table, tracked
+        return self._targets
+
+    def _is_newest(self, epoch: int, version: int) -> bool:
+        table = self.table
+        return table is not None and (table.epoch, table.version) == (epoch, version)
+
+
+def _items_by_owner(
+    table: SliceTable | None, tracked: frozenset[int]
+) -> dict[str, frozenset[int]]:
+    items: dict[str, set[int]] = {}
+    if table is None:
+        return {}
+    for index, owner in enumerate(table.owners):
+        items.setdefault(owner, set()).add(index)
+    for hash_value in tracked:
+        items.setdefault(table.owner_of(hash_value), set()).add(key_item(hash_value))
+    items.pop(NO_OWNER, None)
+    return {server: frozenset(held) for server, held in items.items()}
--- a/src/jacinthpath/holdings.py
+++ b/src/jacinthpath/holdings.py
@@ -154,17 +154,24 @@
                 if process.sent is not None:
                     process.sent -= {item}
 
-    def expire(self, now: float) -> None:
-        """Clear what processes held whose terms have provably ended."""
+    def expire(self, now: float) -> bool:
+        """Clear what processes held whose terms have provably ended.
+
+        Returns whether anything was cleared.
+        """
+        cleared = False
         for process in self._current.values():
             lapsed = self.terms.process_lapsed(process.server, process.incarnation, now)
             if lapsed and (process.may_hold or process.sent is not None):
                 process.may_hold = set()
                 process.forget_sent()
+                cleared = True
         for key in list(self._retired):
             if self.terms.process_lapsed(*key, now):
+                cleared = cleared or bool(self._retired[key].may_hold)
                 self._retired[key].may_hold = set()
                 self.terms.forget(*key)
+        return cleared
 
     def may_hold(self, server: str) -> set[int]:
         """Return the items that a server's current process may hold."""
--- a/src/jacinthpath/recovery.py
+++ b/src/jacinthpath/recovery.py
@@ -1,13 +1,33 @@
-"""Merges the servers' answers into a table that may not be the newest."""
+"""The table that a new coordinator starts from."""
 
 from __future__ import annotations
 
-__all__ = ["adopt_claims"]
+__all__ = ["adopt_claims", "recover_table"]
 
 from collections.abc import Mapping
 
 from .grants import GrantAnswer
-from .slices import SliceTable
+from .slices import NO_OWNER, SliceTable
+
+
+def recover_table(
+    service: str,
+    slice_count: int,
+    found: SliceTable | None,
+    claims: Mapping[str, GrantAnswer],
+) -> SliceTable:
+    """Return the table to start from.
+
+    :param found: newest table that was found, if any; one with another slice
+        count only gives the version to continue from.
+    :param claims: answers of servers to inquiries, where the table that was
+        found may be outdated.
+    """
+    if found is None or len(found.owners) != slice_count:
+        version = found.version if found else 0
+        owners = (NO_OWNER,) * slice_count
+        found = SliceTable(service, version, 0, owners, {}, {})
+    return adopt_claims(found, claims)
 
 
 def adopt_claims(table: SliceTable, claims: Mapping[str, GrantAnswer]) -> SliceTable:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -589,7 +589,7 @@
     """Guards against jumps of the wall clock: time comes in as an argument."""
     names = (
         "authority coordination coordination_events grants holdings leases quorums "
-        "recovery router_leases vouches"
+        "recovery router_leases vouches drafts grant_schedule planning"
     )
     for name in names.split():
         module = import_module(f"jacinthpath.{name}")
