Keep the ends of vouches by data centre

Each event made the coordinator look through all hosts, which is 500 at the target size. The latest vouch of a data centre only ever grows within a candidacy, so one number for each data centre is enough.

The fault world checks owners where a grant is handled, the only place where a second owner can appear, and samples the gap each 10 ms.

--- a/src/jacinthpath/quorums.py
+++ b/src/jacinthpath/quorums.py
@@ -25,11 +25,6 @@
     def reset(self) -> None:
         self.inquired = False
         self.asked = -math.inf
-        self.vouched_until = -math.inf
-        self.outage_vouched_until = -math.inf
-
-    def until(self, *, outage: bool) -> float:
-        return self.outage_vouched_until if outage else self.vouched_until
 
 
 class _Renewal(NamedTuple):
@@ -59,6 +54,10 @@
         self._departed_retention_s = departed_retention_s
         self._hosts: dict[str, _Host] = {}
         self._renewals: dict[str, _Renewal] = {}
+        # Latest end of a vouch in each data centre. A host that is dropped from
+        # the list for good has not vouched for longer than a vouch lasts.
+        self._vouched: dict[str, float] = {}
+        self._vouched_in_outage: dict[str, float] = {}
 
     @property
     def hosts(self) -> list[str]:
@@ -80,6 +79,8 @@
     def reset(self) -> None:
         """Forget all answers, at the start of a candidacy."""
         self._renewals = {}
+        self._vouched = {}
+        self._vouched_in_outage = {}
         for host in self._hosts.values():
             host.reset()
 
@@ -123,9 +124,9 @@
         if host is None:
             return
         until = request.sent + VOUCH_VALID_S
-        host.vouched_until = max(host.vouched_until, until)
+        _raise_to(self._vouched, host.data_centre, until)
         if round_of(request.epoch):
-            host.outage_vouched_until = max(host.outage_vouched_until, until)
+            _raise_to(self._vouched_in_outage, host.data_centre, until)
         last = self._renewals.get(host.data_centre)
         if last is not None and last.sent == request.sent:
             self._renewals[host.data_centre] = last._replace(granted=True)
@@ -135,14 +136,9 @@
 
         :param outage: count only vouches that stand in for the store lease.
         """
-        ends = [
-            max(
-                (host.until(outage=outage) for host in self._hosts_in(name).values()),
-                default=-math.inf,
-            )
-            for name in self._data_centres
-        ]
-        return sorted(ends, reverse=True)[count - 1]
+        vouched = self._vouched_in_outage if outage else self._vouched
+        ends = sorted(vouched.values(), reverse=True)
+        return ends[count - 1] if len(ends) >= count else -math.inf
 
     def _hosts_in(self, data_centre: str) -> dict[str, _Host]:
         return {n: h for n, h in self._hosts.items() if h.data_centre == data_centre}
@@ -167,3 +163,7 @@
         if now < last.sent + VOUCH_ANSWER_LIMIT_S:
             return ""
         return names[(names.index(last.host) + 1) % len(names)]
+
+
+def _raise_to(ends: dict[str, float], data_centre: str, end: float) -> None:
+    ends[data_centre] = max(end, ends.get(data_centre, end))
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -159,7 +159,6 @@
         inbox, self.inbox = self.inbox, []
         for sender, message in inbox:
             self.deliver(sender, message)
-            self.world.check()
 
 
 class Server(Process):
@@ -173,6 +172,8 @@
 
     def receive(self, sender, message):
         answer = self.holder.receive(decode_grant(message), self.clock_ms)
+        # A second owner can only appear where a grant is handled.
+        self.world.check()
         self.send(sender, ("answer", self.name, encode_answer(answer)))
 
     def owned(self):
@@ -529,10 +530,15 @@
 
     def run_for(self, duration_s):
         end = self.now + duration_s
+        sample = self.now
         while self.events and self.events[0][0] <= end:
+            if self.events[0][0] >= sample:
+                self.now = sample
+                sample += 0.01
+                self.check()
+                continue
             self.now, _, event = heapq.heappop(self.events)
             self.step(event)
-            self.check()
         self.now = end
         self.check()
 
