--- a/src/jacinthpath/authority.py
+++ b/src/jacinthpath/authority.py
@@ -28,7 +28,7 @@
 )
 
 INQUIRY_LIMIT_S = 0.3  # An inquiry that takes longer is begun again.
-BACKOFF_S = 0.3
+BACKOFF_S = 0.5
 # A lease that was not renewed for this long is backed by a majority of vouches.
 LEASE_DOUBT_S = 0.3
 
@@ -78,6 +78,8 @@
         self._phase_started = -math.inf
         self._retry_at = -math.inf
         self._in_outage = False
+        self._contested = False
+        self._jitter = 0.0
         self._epoch = 0
         self._outage_epoch = 0
         self._end = -math.inf
@@ -119,6 +121,7 @@
         :param wanted: whether this process is to become coordinator.
         """
         self._evaluate(now)
+        self._jitter = jitter
         requests: list[VouchRequest | LeaseCall] = []
         if self._phase == "idle" and self.lease.occupied:
             requests += _present(self.lease.release(now, 0))
@@ -132,7 +135,7 @@
             return requests
         if self._phase == "candidate":
             if self._is_hopeless(now):
-                return requests + self.release(now, 0.0, BACKOFF_S * (0.2 + jitter))
+                return requests + self.release(now, 0.0, BACKOFF_S * (0.1 + jitter))
             requests += self._inquiries(now)
             if not self._may_collect(now):
                 return requests
@@ -147,11 +150,7 @@
         if request.holder != self.holder or self._phase == "idle":
             return
         if not answer.granted:
-            if answer.reason == "store-reachable":
-                self._store_seen = now
-            if answer.reason == "other-holder" and not self.lease.reachable:
-                remaining_s = answer.remaining_ms / 1000
-                self._retry_at = max(self._retry_at, now + remaining_s)
+            self._refused(answer, now)
             return
         if answer.remaining_ms:
             self._inherit(now + answer.remaining_ms / 1000)
@@ -161,6 +160,16 @@
             self._quorum.vouch_granted(request)
         self._evaluate(now)
 
+    def _refused(self, answer: VouchAnswer, now: float) -> None:
+        if answer.reason == "store-reachable":
+            self._store_seen = now
+        elif answer.reason == "other-candidate":
+            self._contested = self._in_outage
+        elif answer.reason == "other-holder" and self._in_outage:
+            # Candidates spread out, since the first to ask excludes the others.
+            delay_s = answer.remaining_ms / 1000 + BACKOFF_S * self._jitter
+            self._retry_at = max(self._retry_at, now + delay_s)
+
     def lease_answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
         """Take the result of a store call."""
         self._evaluate(now)
@@ -208,7 +217,7 @@
 
     def _is_hopeless(self, now: float) -> bool:
         """Whether to begin again, in the way that suits the store's state."""
-        late = now >= self._phase_started + INQUIRY_LIMIT_S
+        late = self._contested or now >= self._phase_started + INQUIRY_LIMIT_S
         changed = self._in_outage == self.lease.reachable
         return late or changed or self.lease.seen_taken
 
@@ -217,6 +226,7 @@
         self._phase = "candidate"
         self._phase_started = now
         self._in_outage = not self.lease.reachable
+        self._contested = False
         self._outage_epoch = 0
         self._quorum.reset()
 
--- a/src/jacinthpath/vouches.py
+++ b/src/jacinthpath/vouches.py
@@ -65,9 +65,9 @@
     """Answer to a request.
 
     :param granted: whether the request was granted.
-    :param reason: ``other-holder``, ``young``, ``new-service`` or
-        ``store-reachable``; ``young`` also marks a grant to a founding
-        coordinator.
+    :param reason: ``other-holder``, ``other-candidate``, ``young``,
+        ``new-service`` or ``store-reachable``; ``young`` also marks a grant to a
+        founding coordinator.
     :param remaining_ms: when refused for another holder, how long that lasts;
         when granted, how long terms of a released holder may still run.
     :param highest_epoch: highest epoch that the host was told of.
@@ -100,15 +100,17 @@
         # Keyed by the holder and whether it is to stand in for the store lease.
         self.commitments: dict[tuple[str, bool], _Commitment] = {}
 
-    def blocking(self, holder: str, outage: bool, now: float) -> tuple[str, float]:
-        """Return the live holder that excludes a request, and until when."""
+    def blocking(
+        self, holder: str, outage: bool, now: float
+    ) -> tuple[str, _Commitment] | None:
+        """Return the live holder that excludes a request, and its commitment."""
         for key, commitment in list(self.commitments.items()):
             other, other_outage = key
             if now >= commitment.until:
                 del self.commitments[key]
             elif other != holder and (outage or other_outage):
-                return other, commitment.until
-        return "", -math.inf
+                return other, commitment
+        return None
 
 
 class VouchLedger:
@@ -158,7 +160,7 @@
         A process that is committed to a candidate keeps no further table of the
         predecessor: the candidate has read the tables already and would miss it.
         """
-        return not self._service(service, now).blocking(holder, True, now)[0]
+        return self._service(service, now).blocking(holder, True, now) is None
 
     def _service(self, name: str, now: float) -> _Service:
         if name not in self._services:
@@ -173,8 +175,10 @@
         store_reachable: bool,
     ) -> str:
         outage = round_of(request.epoch) > 0
-        if service.blocking(request.holder, outage, now)[0]:
-            return "other-holder"
+        blocking = service.blocking(request.holder, outage, now)
+        if blocking is not None:
+            is_candidate = blocking[1].vouched_generation == 0
+            return "other-candidate" if is_candidate else "other-holder"
         if now - self._started < self._min_uptime_s:
             return "young"
         if not outage:
@@ -224,9 +228,10 @@
         reason: str,
     ) -> VouchAnswer:
         holder, until = request.holder, service.terms_until
-        if reason == "other-holder":
-            outage = round_of(request.epoch) > 0
-            holder, until = service.blocking(holder, outage, now)
+        outage = round_of(request.epoch) > 0
+        blocking = service.blocking(holder, outage, now)
+        if not granted and blocking is not None:
+            holder, until = blocking[0], blocking[1].until
         return VouchAnswer(
             granted=granted,
             reason=reason,
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -125,7 +125,7 @@
     assert ask(ledger, "inquire", "b", BESIDE_LEASE, 101.0).reason == "other-holder"
     assert ask(ledger, "inquire", "b", OUTAGE, 102.0).granted
     # The answer is a promise not to vouch for another meanwhile.
-    assert ask(ledger, "vouch", "a", OUTAGE, 103.0).reason == "other-holder"
+    assert ask(ledger, "vouch", "a", OUTAGE, 103.0).reason == "other-candidate"
     assert not ledger.may_keep("preview", "a", 103.0)
 
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -417,6 +417,17 @@
     assert round_of(world.coordinator().coordinator._epoch) == 0
 
 
+@pytest.mark.parametrize("seed", [0, 1, 19])
+def test_loss_of_store_and_coordinator_at_one_time(seed):
+    """Guards against candidates that exclude each other for good."""
+    world = settled(seed)
+    world.run_for(8.0)
+    world.store_down = True
+    lose_coordinator(world)
+    assert world.gap_over(6.0) < 3.0
+    assert world.served()
+
+
 def test_coordinator_alone_cut_off_from_the_store_keeps_its_role():
     world = settled()
     host = world.coordinator()
