Add settings, store adapter and authenticated peer transport

Settings are checked as a whole and name the key and the remedy. The store adapter tells a call that never left from one whose answer was lost.

--- /dev/null
+++ b/src/jacinthpath/keyring.py
@@ -0,0 +1,85 @@
+"""Cluster keys, read from files and reloaded when the files change."""
+
+from __future__ import annotations
+
+__all__ = ["ClusterKey", "KeyRing"]
+
+import hashlib
+import hmac
+from pathlib import Path
+from typing import NamedTuple
+
+from .errors import AuthenticationError
+
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 4_096
+
+
+class ClusterKey(NamedTuple):
+    """One key and the identity that names it without revealing it."""
+
+    key_id: bytes
+    secret: bytes
+
+    def sign(self, purpose: str, *parts: bytes) -> bytes:
+        """Return the HMAC-SHA-256 of length-prefixed parts for one purpose."""
+        digest = hmac.new(self.secret, purpose.encode(), hashlib.sha256)
+        for part in parts:
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part)
+        return digest.digest()
+
+
+class KeyRing:
+    """The cluster keys that a process accepts.
+
+    :param paths: key files; the first one is used to connect.
+    :raises AuthenticationError: a file is missing or its key is too short.
+    """
+
+    def __init__(self, paths: tuple[str, ...]) -> None:
+        self._paths = tuple(Path(path) for path in paths)
+        self._modified_ns: tuple[int, ...] = ()
+        self._keys: dict[bytes, ClusterKey] = {}
+        self._load()
+
+    def active(self) -> ClusterKey:
+        """Return the key to connect with."""
+        self._reload_changed()
+        return next(iter(self._keys.values()))
+
+    def find(self, key_id: bytes) -> ClusterKey | None:
+        """Return the accepted key of an identity, if any."""
+        self._reload_changed()
+        return self._keys.get(key_id)
+
+    def _reload_changed(self) -> None:
+        try:
+            modified_ns = tuple(path.stat().st_mtime_ns for path in self._paths)
+            if modified_ns != self._modified_ns:
+                self._load()
+        except (OSError, AuthenticationError):
+            # A file that is being replaced keeps the keys read before.
+            return
+
+    def _load(self) -> None:
+        keys = {}
+        modified_ns = []
+        for path in self._paths:
+            try:
+                modified_ns.append(path.stat().st_mtime_ns)
+                secret = path.read_bytes().strip()
+            except OSError as error:
+                raise AuthenticationError(
+                    f"The cluster key file {path} cannot be read: {error.strerror}.",
+                    "Check security.cluster_key_files.",
+                ) from error
+            if not MIN_KEY_BYTES <= len(secret) <= MAX_KEY_BYTES:
+                raise AuthenticationError(
+                    f"The cluster key in {path} has {len(secret)} bytes.",
+                    f"Write {MIN_KEY_BYTES} to {MAX_KEY_BYTES} random bytes.",
+                )
+            key_id = hashlib.sha256(b"jacinthpath key id" + secret).digest()[:8]
+            keys[key_id] = ClusterKey(key_id, secret)
+        self._keys = keys
+        self._modified_ns = tuple(modified_ns)
--- /dev/null
+++ b/src/jacinthpath/settings.py
@@ -0,0 +1,322 @@
+"""Process settings in TOML, checked as a whole before anything listens.
+
+Settings say where a process runs and what it talks to. How requests are
+treated is the operators' configuration, which is kept in the store.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "ControlSettings",
+    "EntrySettings",
+    "ListenSettings",
+    "ObservabilitySettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "SecuritySettings",
+    "describe_settings",
+    "load_control_settings",
+    "load_entry_settings",
+]
+
+import difflib
+import ipaddress
+import tomllib
+from collections.abc import Iterator, Mapping
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar, get_type_hints
+
+from .errors import SettingsError
+
+T = TypeVar("T")
+
+
+class ProcessSettings(NamedTuple):
+    """Identity and place of the process.
+
+    :param host: name of the host, unique in the system.
+    :param data_centre: data centre of the host.
+    :param region: region of the data centre.
+    """
+
+    host: str
+    data_centre: str
+    region: str = "default"
+
+
+class ListenSettings(NamedTuple):
+    """Addresses that the process listens on, as ``IP:port``.
+
+    :param callers_address: callers' HTTP; entry processes only.
+    :param peer_address: other processes of the system; control processes only.
+    :param admin_address: health, readiness and metrics.
+    """
+
+    admin_address: str
+    callers_address: str = ""
+    peer_address: str = ""
+
+
+class PlatformSettings(NamedTuple):
+    """The platform's services; control processes only.
+
+    :param store_url: key-value service.
+    :param host_list_url: list of live and leaving hosts.
+    :param call_timeout_ms: longest wait for an answer of the store.
+    """
+
+    store_url: str
+    host_list_url: str
+    call_timeout_ms: int = 400
+
+
+class SecuritySettings(NamedTuple):
+    """Keys that processes of the system prove to each other.
+
+    :param cluster_key_files: files with one key each; the first one is used to
+        connect, all are accepted, so keys can be rotated one host at a time.
+        The files are read again when they change.
+    """
+
+    cluster_key_files: tuple[str, ...]
+
+
+class ObservabilitySettings(NamedTuple):
+    """Logs and traces.
+
+    :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param otlp_url: OTLP/HTTP address for spans; empty for none.
+    :param trace_sample_rate: share of requests without trace context that are
+        sampled, 0 to 1.
+    """
+
+    log_level: str = "info"
+    otlp_url: str = ""
+    trace_sample_rate: float = 0.0
+
+
+class EntryLimits(NamedTuple):
+    """Bounds on what comes in from callers.
+
+    :param header_bytes: longest header field of a request.
+    :param body_bytes: longest body of a request.
+    :param requests_in_flight: requests accepted at a time, queued ones included.
+    :param body_idle_timeout_s: longest pause within a body.
+    :param shutdown_limit_s: longest time a graceful shutdown takes.
+    """
+
+    header_bytes: int = 8_190
+    body_bytes: int = 64 * 1024 * 1024
+    requests_in_flight: int = 4_096
+    body_idle_timeout_s: float = 30.0
+    shutdown_limit_s: float = 30.0
+
+
+class EntrySettings(NamedTuple):
+    """Settings of an entry process.
+
+    :param control_addresses: control processes, that of the own host first.
+    """
+
+    process: ProcessSettings
+    listen: ListenSettings
+    control_addresses: tuple[str, ...]
+    security: SecuritySettings
+    limits: EntryLimits = EntryLimits()
+    observability: ObservabilitySettings = ObservabilitySettings()
+
+
+class ControlSettings(NamedTuple):
+    """Settings of a control process.
+
+    :param vouch_min_uptime_s: up-time from which the process may vouch for a
+        coordinator. Longer than the lag of the host list, so that every
+        process that may vouch is on the list of a successor.
+    :param staleness_limit_s: time without a confirmation that the
+        configuration is current after which the host turns unready.
+    :param shutdown_limit_s: longest time a graceful shutdown takes.
+    """
+
+    process: ProcessSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    security: SecuritySettings
+    observability: ObservabilitySettings = ObservabilitySettings()
+    vouch_min_uptime_s: float = 60.0
+    staleness_limit_s: float = 5.0
+    shutdown_limit_s: float = 10.0
+
+
+def load_entry_settings(path: str | Path) -> EntrySettings:
+    """Read and check the settings of an entry process.
+
+    :raises SettingsError: the file cannot be used; names the key and remedy.
+    """
+    settings = _load(path, EntrySettings)
+    if not settings.listen.callers_address:
+        raise SettingsError(
+            str(path),
+            "listen.callers_address",
+            "missing",
+            'Add the address for callers, such as callers_address = "127.0.0.1:8080".',
+        )
+    return settings
+
+
+def load_control_settings(path: str | Path) -> ControlSettings:
+    """Read and check the settings of a control process.
+
+    :raises SettingsError: the file cannot be used; names the key and remedy.
+    """
+    settings = _load(path, ControlSettings)
+    if not settings.listen.peer_address:
+        raise SettingsError(
+            str(path),
+            "listen.peer_address",
+            "missing",
+            'Add the address for peers, such as peer_address = "127.0.0.1:7000".',
+        )
+    return settings
+
+
+def describe_settings(kind: type) -> Iterator[tuple[str, str, str]]:
+    """Yield ``(dotted key, type, default)`` of each setting, for the reference.
+
+    :param kind: :class:`EntrySettings` or :class:`ControlSettings`.
+    """
+    for name, hint in get_type_hints(kind).items():
+        default = kind._field_defaults.get(name, "required")
+        if hasattr(hint, "_fields"):
+            for key, type_name, value in describe_settings(hint):
+                yield f"{name}.{key}", type_name, value
+        else:
+            yield name, _type_name(hint), repr(default)
+
+
+def _load(path: str | Path, kind: type[T]) -> T:
+    try:
+        text = Path(path).read_text()
+    except OSError as error:
+        raise SettingsError(
+            str(path), "", f"cannot be read ({error.strerror})", "Check the path."
+        ) from error
+    try:
+        document = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(
+            str(path), "", f"is not TOML ({error})", "Correct the syntax."
+        ) from error
+    return _build(str(path), "", kind, document)
+
+
+def _build(path: str, prefix: str, kind: Any, table: Mapping[str, Any]) -> Any:
+    hints = get_type_hints(kind)
+    for key in table:
+        if key not in hints:
+            raise _unknown_key(path, prefix, key, hints)
+    values = {}
+    for name, hint in hints.items():
+        dotted = f"{prefix}{name}"
+        if name in table:
+            values[name] = _read_value(path, dotted, hint, table[name])
+        elif name not in kind._field_defaults:
+            raise SettingsError(
+                path, dotted, "missing", f"Add it as a {_type_name(hint)}."
+            )
+    return kind(**values)
+
+
+def _unknown_key(
+    path: str, prefix: str, key: str, hints: Mapping[str, Any]
+) -> SettingsError:
+    for name in hints:
+        stem, _, unit = name.rpartition("_")
+        if stem == key and unit in {"s", "ms", "bytes"}:
+            return SettingsError(
+                path, prefix + key, "lacks its unit", f"Write {name!r}."
+            )
+    close = difflib.get_close_matches(key, hints, n=1)
+    known = ", ".join(hints)
+    remedy = f"Did you mean {close[0]!r}?" if close else f"Use one of: {known}."
+    return SettingsError(path, prefix + key, "unknown key", remedy)
+
+
+def _read_value(path: str, dotted: str, hint: Any, value: Any) -> Any:
+    if hasattr(hint, "_fields"):
+        if not isinstance(value, dict):
+            raise SettingsError(path, dotted, "not a table", f"Write [{dotted}].")
+        return _build(path, f"{dotted}.", hint, value)
+    value = _read_scalar(path, dotted, hint, value)
+    _check_range(path, dotted, value)
+    return value
+
+
+def _read_scalar(path: str, dotted: str, hint: Any, value: Any) -> Any:
+    if hint is float and type(value) is int:
+        return float(value)
+    if hint == tuple[str, ...]:
+        if isinstance(value, list) and value and all(map(_is_text, value)):
+            return tuple(value)
+    elif type(value) is hint:
+        return value
+    raise SettingsError(
+        path,
+        dotted,
+        f"{value!r} is a {type(value).__name__}",
+        f"Write a {_type_name(hint)}.",
+    )
+
+
+def _check_range(path: str, dotted: str, value: Any) -> None:
+    name = dotted.rpartition(".")[2]
+    if isinstance(value, (int, float)) and not isinstance(value, bool):
+        upper = 1.0 if name.endswith("_rate") else float("inf")
+        lower_excluded = not name.endswith("_rate")
+        if value < 0 or value > upper or (lower_excluded and value == 0):
+            raise SettingsError(
+                path,
+                dotted,
+                f"{value} is out of range",
+                "Write a share from 0 to 1." if upper == 1.0 else "Write more than 0.",
+            )
+    if name.endswith("_address") and value:
+        _check_address(path, dotted, value)
+    if name == "control_addresses":
+        for address in value:
+            _check_address(path, dotted, address)
+    if name == "log_level" and value not in {"debug", "info", "warning", "error"}:
+        raise SettingsError(
+            path,
+            dotted,
+            f"{value!r} is no log level",
+            "Use debug, info, warning or error.",
+        )
+    if name in {"host", "data_centre", "region"} and not value:
+        raise SettingsError(path, dotted, "empty", "Write a name.")
+
+
+def _check_address(path: str, dotted: str, value: str) -> None:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 <= int(port) <= 65_535
+    except ValueError:
+        valid = False
+    if not valid:
+        raise SettingsError(
+            path,
+            dotted,
+            f"{value!r} is no IP:port address",
+            'Write an IP number and a port, such as "127.0.0.1:7000".',
+        )
+
+
+def _is_text(value: object) -> bool:
+    return isinstance(value, str) and bool(value)
+
+
+def _type_name(hint: Any) -> str:
+    names = {str: "string", int: "whole number", float: "number"}
+    if hint == tuple[str, ...]:
+        return "list of strings"
+    return names.get(hint, "table")
--- /dev/null
+++ b/src/jacinthpath/store.py
@@ -0,0 +1,214 @@
+"""The platform's key-value service, behind one interface.
+
+Versions strictly increase over the life of the store, also across deletes, so
+the version of a value that was created by compare-and-swap can serve as a
+fencing token.
+"""
+
+from __future__ import annotations
+
+__all__ = ["HttpKeyValueStore", "KeyValueStore", "StoredValue", "StoreCallResult"]
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, Protocol
+from urllib.parse import quote
+
+import aiohttp
+
+from .errors import StoreOutcomeUnknown, StoreUnavailable, VersionConflict
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+class StoredValue(NamedTuple):
+    """A value with its version; the version is 0 only for an absent key."""
+
+    version: int
+    data: bytes
+
+
+class StoreCallResult(NamedTuple):
+    """Raw answer of one call.
+
+    :param status: HTTP status, 0 when there was no answer.
+    :param body: body of the answer.
+    :param sent: whether the call may have reached the store.
+    """
+
+    status: int
+    body: bytes
+    sent: bool
+
+
+class KeyValueStore(Protocol):
+    """What the system needs of the platform's key-value service."""
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of a key, or ``None``."""
+
+    async def compare_and_swap(
+        self, key: str, expected_version: int, data: bytes, lease_id: str = ""
+    ) -> int:
+        """Write a value if its version is still the expected one.
+
+        :param expected_version: 0 to create a key that does not exist.
+        :param lease_id: the key is deleted when this lease ends.
+        :return: the new version.
+        :raises VersionConflict: another write came first.
+        :raises StoreOutcomeUnknown: the answer was lost.
+        """
+
+    async def watch(
+        self, key: str, after_version: int, wait_s: float
+    ) -> StoredValue | None:
+        """Wait until the key's version differs from ``after_version``.
+
+        Returns ``None`` when the key is absent or nothing changed in time.
+        """
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Create a lease and return its identity."""
+
+    async def keep_lease(self, lease_id: str) -> bool:
+        """Renew a lease; return whether it still existed."""
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
+
+
+SendCall = Callable[[str, str, bytes], Awaitable[StoreCallResult]]
+
+
+class HttpKeyValueStore:
+    """Adapter to a key-value service over HTTP and JSON.
+
+    :param url: address of the service.
+    :param call_timeout_s: longest wait for an answer.
+    :param relay: called with method, path and body when the service cannot be
+        reached from here; may reach it through another process.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        call_timeout_s: float = 0.4,
+        relay: SendCall | None = None,
+    ) -> None:
+        self.url = url.rstrip("/")
+        self.call_timeout_s = call_timeout_s
+        self.calls = 0
+        self.relay = relay
+        self.last_answer_s = float("-inf")
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=16, keepalive_timeout=60)
+        )
+        # A repeated write could take effect twice.
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def get(self, key: str) -> StoredValue | None:
+        """See :meth:`KeyValueStore.get`."""
+        result = await self._call("GET", f"/kv/{quote(key, safe='')}")
+        return None if result.status == 404 else _read_value(result)
+
+    async def compare_and_swap(
+        self, key: str, expected_version: int, data: bytes, lease_id: str = ""
+    ) -> int:
+        """See :meth:`KeyValueStore.compare_and_swap`."""
+        body = {
+            "expected_version": expected_version,
+            "data": base64.b64encode(data).decode(),
+            "lease_id": lease_id,
+        }
+        result = await self._call("PUT", f"/kv/{quote(key, safe='')}", body)
+        answer = json.loads(result.body)
+        if result.status == 409:
+            raise VersionConflict(key, expected_version, answer["version"])
+        return answer["version"]
+
+    async def watch(
+        self, key: str, after_version: int, wait_s: float
+    ) -> StoredValue | None:
+        """See :meth:`KeyValueStore.watch`."""
+        wait_ms = int(wait_s * 1000)
+        path = f"/kv/{quote(key, safe='')}?after={after_version}&wait_ms={wait_ms}"
+        result = await self._call("GET", path, extra_wait_s=wait_s)
+        return None if result.status in (404, 304) else _read_value(result)
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """See :meth:`KeyValueStore.grant_lease`."""
+        result = await self._call("POST", "/leases", {"ttl_ms": ttl_ms})
+        return json.loads(result.body)["lease_id"]
+
+    async def keep_lease(self, lease_id: str) -> bool:
+        """See :meth:`KeyValueStore.keep_lease`."""
+        result = await self._call("POST", f"/leases/{lease_id}/keep")
+        return result.status == 200
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """See :meth:`KeyValueStore.revoke_lease`."""
+        await self._call("DELETE", f"/leases/{lease_id}")
+
+    async def call_directly(
+        self, method: str, path: str, body: bytes, extra_wait_s: float = 0.0
+    ) -> StoreCallResult:
+        """Make one call without relays; also serves calls for peers."""
+        if self._session is None:
+            return StoreCallResult(0, b"", False)
+        timeout = aiohttp.ClientTimeout(
+            total=self.call_timeout_s + extra_wait_s, connect=self.call_timeout_s
+        )
+        self.calls += 1
+        try:
+            async with self._session.request(
+                method, self.url + path, data=body or None, timeout=timeout
+            ) as response:
+                content = await response.read()
+        except aiohttp.ClientConnectorError:
+            return StoreCallResult(0, b"", False)
+        except (TimeoutError, aiohttp.ClientError):
+            return StoreCallResult(0, b"", True)
+        if response.status < 500:
+            self.last_answer_s = asyncio.get_running_loop().time()
+        return StoreCallResult(response.status, content, True)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        extra_wait_s: float = 0.0,
+    ) -> StoreCallResult:
+        encoded = json.dumps(body).encode() if body is not None else b""
+        result = await self.call_directly(method, path, encoded, extra_wait_s)
+        if result.status == 0 and self.relay is not None:
+            # A write that may have reached the store is not sent again.
+            if method == "GET" or not result.sent:
+                result = await self.relay(method, path, encoded)
+        if 0 < result.status < 500:
+            return result
+        if result.sent and method != "GET" and result.status != 503:
+            raise StoreOutcomeUnknown(
+                "The store's answer was lost; the write may have taken effect.",
+                "Read the value back to settle it.",
+            )
+        raise StoreUnavailable(
+            "The store cannot be reached.", "Check store_url and the platform."
+        )
+
+
+def _read_value(result: StoreCallResult) -> StoredValue:
+    answer = json.loads(result.body)
+    return StoredValue(answer["version"], base64.b64decode(answer["data"]))
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,133 @@
+import asyncio
+import time
+
+import pytest
+
+from jacinthpath.codec import new_frame
+from jacinthpath.errors import FrameError, PeerUnavailable
+from jacinthpath.keyring import KeyRing
+from jacinthpath.metrics import Metrics
+from jacinthpath.peers import PeerIdentity, PeerPool, PeerServer
+
+
+async def answer_status(connection, frame):
+    answer = new_frame()
+    answer.body.statusAnswer = f"hello {connection.remote.host}"
+    return answer
+
+
+async def fail(connection, frame):
+    raise RuntimeError("broken handler")
+
+
+@pytest.fixture
+def key_file(tmp_path):
+    path = tmp_path / "cluster.key"
+    path.write_bytes(b"0123456789abcdef" * 2)
+    return path
+
+
+@pytest.fixture
+async def server(key_file):
+    metrics = Metrics()
+    server = PeerServer(
+        PeerIdentity("a", "dc1", "control", "p1"),
+        "127.0.0.1:0",
+        KeyRing((str(key_file),)),
+        {"status": answer_status, "fetch": fail},
+        metrics,
+    )
+    await server.start()
+    server.metrics = metrics
+    yield server
+    await server.close()
+
+
+def pool_with(path):
+    identity = PeerIdentity("b", "dc2", "entry", "p2")
+    return PeerPool(identity, KeyRing((str(path),)), {}, Metrics())
+
+
+def status_frame():
+    frame = new_frame()
+    frame.body.status = None
+    return frame
+
+
+async def test_request_is_answered(server, key_file):
+    pool = pool_with(key_file)
+    answer = await pool.request(server.address, status_frame())
+    assert answer.body.statusAnswer == "hello b"
+    await pool.close()
+
+
+async def test_peer_with_another_key_is_refused(server, tmp_path):
+    """Guards against a process of another system that connects by mistake."""
+    other = tmp_path / "other.key"
+    other.write_bytes(b"another key of 16 bytes")
+    pool = pool_with(other)
+    with pytest.raises(PeerUnavailable):
+        await pool.request(server.address, status_frame())
+    assert server.metrics.total("peer_connections_refused_total") == 1
+    await pool.close()
+
+
+async def test_rotated_key_is_accepted_without_restart(server, key_file, tmp_path):
+    new = tmp_path / "new.key"
+    new.write_bytes(b"the new key of 16 bytes or more")
+    key_file.write_bytes(new.read_bytes())
+    pool = pool_with(new)
+    assert await pool.request(server.address, status_frame())
+    await pool.close()
+
+
+async def test_unhandled_kind_is_refused_and_connection_goes_on(server, key_file):
+    """Guards a rolling replacement: a newer release sends kinds unknown here."""
+    pool = pool_with(key_file)
+    frame = new_frame()
+    frame.body.init("digest")
+    with pytest.raises(FrameError):
+        await pool.request(server.address, frame)
+    assert await pool.request(server.address, status_frame())
+    assert server.metrics.total("peer_frames_refused_total") == 1
+    await pool.close()
+
+
+async def test_failing_handler_does_not_end_the_connection(server, key_file):
+    pool = pool_with(key_file)
+    frame = new_frame()
+    frame.body.init("fetch")
+    with pytest.raises(FrameError):
+        await pool.request(server.address, frame)
+    assert await pool.request(server.address, status_frame())
+    await pool.close()
+
+
+@pytest.mark.parametrize(
+    "junk", [b"\xff" * 64, b"\0\0\0\x08" + bytes(24), b"GET / HTTP/1.1\r\n\r\n" * 4]
+)
+async def test_junk_is_refused_and_the_server_goes_on(server, key_file, junk):
+    host, _, port = server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(junk)
+    assert await reader.read() == b""
+    writer.close()
+    pool = pool_with(key_file)
+    assert await pool.request(server.address, status_frame())
+    await pool.close()
+
+
+async def test_silent_peer_times_out(key_file):
+    async def accept(reader, writer):
+        await reader.read()
+        writer.close()
+
+    silent = await asyncio.start_server(accept, "127.0.0.1", 0)
+    host, port = silent.sockets[0].getsockname()
+    pool = pool_with(key_file)
+    started_s = time.monotonic()
+    with pytest.raises(PeerUnavailable):
+        await pool.request(f"{host}:{port}", status_frame(), timeout_s=0.2)
+    assert time.monotonic() - started_s < 1.0
+    await pool.close()
+    silent.close()
