--- /dev/null
+++ b/src/jacinthpath/scheduling.py
@@ -0,0 +1,404 @@
+"""Queue of an entry process: classes, expected length and fair shares."""
+
+from __future__ import annotations
+
+__all__ = ["Admission", "LengthEstimator", "QueuedRequest", "RequestQueue"]
+
+import heapq
+import math
+from typing import NamedTuple
+
+from .configuration import PRIORITIES
+
+ADMITTED = "admitted"
+QUEUED = "queued"
+REFUSED = "refused"
+
+# A request this many times longer than is typical for its service is long.
+# Stragglers run about 30 times longer, ordinary requests vary by two or three.
+LONG_FACTOR = 6.0
+# Largest share of the slots that long work may hold while short work waits.
+LONG_SHARE = 0.34
+# Long work goes ahead of short work after waiting this many times its length.
+LONG_PATIENCE = 2.0
+# Share of the dispatched work that a class gets while higher classes wait, so
+# that a steady stream of first-class work cannot starve the others.
+FLOOR_SHARE = {"first": 0.0, "normal": 0.05, "deferrable": 0.01}
+# Part of its allowed time after which deferrable work is treated as normal.
+PROMOTE_AT = 0.8
+
+_LOG_GAIN = 0.1
+_SHAPE_LIMIT = 4096
+
+
+class QueuedRequest(NamedTuple):
+    """What the queue needs to know of a request.
+
+    :param request_id: unique in the entry process.
+    :param account: client account.
+    :param priority: ``first``, ``normal`` or ``deferrable``.
+    :param expected_s: from :meth:`LengthEstimator.expected_s`.
+    :param deadline: monotonic time by which the response must have ended.
+    :param weight: share of the account under contention.
+    """
+
+    request_id: int
+    account: str
+    priority: str
+    expected_s: float
+    deadline: float
+    weight: float = 1.0
+
+
+class Admission(NamedTuple):
+    """Answer to :meth:`RequestQueue.offer`.
+
+    :param decision: ``admitted`` (holds a slot, start it), ``queued`` or
+        ``refused``.
+    :param reason: why it was refused: ``deadline`` or ``full``.
+    :param wait_s: estimated wait, for the ``Retry-After`` of a refusal.
+    :param shed: waiting requests that were dropped to make room; answer each
+        of them as refused.
+    """
+
+    decision: str
+    reason: str = ""
+    wait_s: float = 0.0
+    shed: tuple[QueuedRequest, ...] = ()
+
+
+_ADMITTED = Admission(ADMITTED)
+
+
+class LengthEstimator:
+    """Learns how long requests of each (service, shape) run.
+
+    The estimate is an exponentially weighted geometric mean: one straggler
+    among ordinary requests of the same shape raises it by less than half.
+    The shapes used least recently are forgotten beyond ``shape_limit``.
+    """
+
+    def __init__(
+        self, default_s: float = 0.05, shape_limit: int = _SHAPE_LIMIT
+    ) -> None:
+        self._default = math.log(default_s)
+        self._limit = shape_limit
+        self._shapes: dict[tuple[str, str], float] = {}
+        self._services: dict[str, float] = {}
+
+    def expected_s(self, service: str, shape: str) -> float:
+        """Return the expected length of a request in seconds."""
+        value = self._shapes.get((service, shape))
+        if value is None:
+            value = self._services.get(service, self._default)
+        return math.exp(value)
+
+    def long_after_s(self, service: str) -> float:
+        """Return the length from which a request of a service counts as long."""
+        return LONG_FACTOR * math.exp(self._services.get(service, self._default))
+
+    def observe(self, service: str, shape: str, length_s: float) -> None:
+        """Record the length of a request that was answered."""
+        length = math.log(max(length_s, 1e-6))
+        typical = self._services.get(service)
+        if typical is None:
+            typical = length
+        self._services[service] = typical + _LOG_GAIN * (length - typical)
+        key = (service, shape)
+        known = self._shapes.pop(key, None)
+        if known is None:
+            known = length
+            if len(self._shapes) >= self._limit:
+                del self._shapes[next(iter(self._shapes))]
+        self._shapes[key] = known + _LOG_GAIN * (length - known)
+
+    def __len__(self) -> int:
+        return len(self._shapes)
+
+
+class _Class:
+    """Waiting requests of one class, in two lanes by expected length.
+
+    Accounts share each class by start-time fair queueing: a request is tagged
+    with the virtual time at which its account's earlier work would be done if
+    each account were served in proportion to its weight.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: dict[int, tuple[QueuedRequest, bool, float]] = {}
+        self.lanes: tuple[list, list] = ([], [])
+        self.work_s = 0.0
+        self.credit_s = 0.0
+        self.virtual = 0.0
+        self.finish: dict[str, float] = {}
+
+    def start_tag(self, request: QueuedRequest) -> float:
+        return max(self.virtual, self.finish.get(request.account, 0.0))
+
+    def add(self, request: QueuedRequest, is_long: bool, now: float) -> None:
+        tag = self.start_tag(request)
+        self.finish[request.account] = tag + request.expected_s / request.weight
+        self.waiting[request.request_id] = (request, is_long, now)
+        self.work_s += request.expected_s
+        heapq.heappush(self.lanes[is_long], (tag, request.request_id))
+
+    def head(self, is_long: bool) -> tuple[QueuedRequest, float] | None:
+        """Return the next request of a lane and when it was offered."""
+        lane = self.lanes[is_long]
+        while lane:
+            entry = self.waiting.get(lane[0][1])
+            if entry is not None:
+                return entry[0], entry[2]
+            heapq.heappop(lane)
+        return None
+
+    def take(self, is_long: bool) -> QueuedRequest:
+        """Remove and return the request that :meth:`head` returned."""
+        tag, request_id = heapq.heappop(self.lanes[is_long])
+        self.virtual = max(self.virtual, tag)
+        return self.remove(request_id)
+
+    def remove(self, request_id: int) -> QueuedRequest:
+        request = self.waiting.pop(request_id)[0]
+        self.work_s -= request.expected_s
+        if not self.waiting:
+            self._reset()
+        return request
+
+    def _reset(self) -> None:
+        """Forget tags and rounding errors while nothing waits."""
+        self.work_s = 0.0
+        self.credit_s = 0.0
+        self.virtual = 0.0
+        self.finish.clear()
+        self.lanes[0].clear()
+        self.lanes[1].clear()
+
+
+class RequestQueue:
+    """Requests of one service (one server, where keyed) in an entry process.
+
+    Call :meth:`offer` for each request, :meth:`finished` when an admitted or
+    dispatched request has ended, :meth:`next` until it returns ``None`` after
+    each of these and after :meth:`resize`, and :meth:`expire` on a timer at
+    :meth:`next_expiry`.
+
+    :param slots: requests that may run at a time.
+    :param long_after_s: length from which a request counts as long.
+    :param waiting_limit: largest number of waiting requests.
+    """
+
+    def __init__(
+        self, slots: int, long_after_s: float = 1.0, waiting_limit: int = 1000
+    ) -> None:
+        self.waiting_limit = waiting_limit
+        self._classes = {name: _Class() for name in PRIORITIES}
+        self._running: dict[int, float] = {}
+        self._long_running: set[int] = set()
+        self._expiries: list[tuple[float, int, str]] = []
+        self._promotions: list[tuple[float, int]] = []
+        self._given_up: list[QueuedRequest] = []
+        self.waiting = 0
+        self.resize(slots, long_after_s)
+
+    def resize(self, slots: int, long_after_s: float) -> None:
+        """Set the number of slots and the length of long work."""
+        self.slots = max(1, slots)
+        self.long_after_s = long_after_s
+        self._long_slots = int(self.slots * LONG_SHARE)
+
+    @property
+    def running(self) -> int:
+        """Number of requests that hold a slot."""
+        return len(self._running) + len(self._long_running)
+
+    def offer(self, request: QueuedRequest, now: float) -> Admission:
+        """Admit, queue or refuse a request."""
+        is_long = request.expected_s > self.long_after_s
+        if now + request.expected_s > request.deadline:
+            return Admission(REFUSED, "deadline")
+        if not self._blocked(request, is_long) and self._may_start(is_long, now):
+            self._start(request, is_long, now)
+            return _ADMITTED
+        wait_s = self.estimate_wait_s(request)
+        if now + wait_s + request.expected_s > request.deadline:
+            return Admission(REFUSED, "deadline", wait_s)
+        shed: tuple[QueuedRequest, ...] = ()
+        if self.waiting >= self.waiting_limit:
+            dropped = self._shed_below(request.priority)
+            if dropped is None:
+                return Admission(REFUSED, "full", wait_s)
+            shed = (dropped,)
+        self._enqueue(request, request.priority, is_long, now)
+        return Admission(QUEUED, "", wait_s, shed)
+
+    def next(self, now: float) -> QueuedRequest | None:
+        """Return a waiting request that holds a slot from now on, if one may run."""
+        self._collect_expired(now)
+        self._promote(now)
+        if not self.waiting:
+            return None
+        short = self._may_start(False, now)
+        long = self._may_start(True, now)
+        if not short and not long:
+            return None
+        for queue in self._by_turn():
+            lane = self._choose_lane(queue, short, long, now)
+            if lane is not None:
+                return self._dispatch(queue, lane, now)
+        return None
+
+    def finished(self, request_id: int) -> None:
+        """Free the slot of a request that has ended."""
+        if self._running.pop(request_id, None) is None:
+            self._long_running.discard(request_id)
+
+    def cancel(self, request_id: int) -> bool:
+        """Remove a waiting request whose caller has gone away."""
+        for queue in self._classes.values():
+            if request_id in queue.waiting:
+                self._remove(queue, request_id)
+                return True
+        return False
+
+    def expire(self, now: float) -> list[QueuedRequest]:
+        """Remove and return the requests whose deadline can no longer be met."""
+        self._collect_expired(now)
+        given_up, self._given_up = self._given_up, []
+        return given_up
+
+    def next_expiry(self) -> float | None:
+        """Return when :meth:`expire` is next due, if anything waits."""
+        return self._expiries[0][0] if self._expiries and self.waiting else None
+
+    def estimate_wait_s(self, request: QueuedRequest) -> float:
+        """Return the estimated time that a request would wait for a slot.
+
+        Work of higher classes goes first; within the class an account waits
+        no longer than its own backlog takes at its share of the slots.
+        """
+        ahead_s = 0.0
+        for name, queue in self._classes.items():
+            if name == request.priority:
+                break
+            ahead_s += queue.work_s
+        own_s = queue.start_tag(request) - queue.virtual
+        share_s = own_s * max(1, len(queue.finish)) * request.weight
+        return (ahead_s + min(queue.work_s, share_s)) / self.slots
+
+    def _blocked(self, request: QueuedRequest, is_long: bool) -> bool:
+        """Return whether a request waits that goes before this one."""
+        if not self.waiting:
+            return False
+        for name, queue in self._classes.items():
+            if queue.head(is_long) is not None:
+                return True
+            if name == request.priority:
+                return False
+        return False
+
+    def _may_start(self, is_long: bool, now: float) -> bool:
+        """Return whether a slot is free for short or for long work.
+
+        Long work beyond its share does not count against the slots of short
+        work: a straggler is recognised only while it runs, and would otherwise
+        hold the reserved slots.
+        """
+        self._recognise_stragglers(now)
+        long_running = len(self._long_running)
+        if is_long and long_running >= max(1, self._long_slots):
+            return False
+        held = min(long_running, self._long_slots)
+        return len(self._running) + held < self.slots
+
+    def _recognise_stragglers(self, now: float) -> None:
+        started_by = now - self.long_after_s
+        while self._running:
+            request_id, started = next(iter(self._running.items()))
+            if started > started_by:
+                return
+            del self._running[request_id]
+            self._long_running.add(request_id)
+
+    def _start(self, request: QueuedRequest, is_long: bool, now: float) -> None:
+        if is_long:
+            self._long_running.add(request.request_id)
+        else:
+            self._running[request.request_id] = now
+
+    def _enqueue(
+        self, request: QueuedRequest, priority: str, is_long: bool, now: float
+    ) -> None:
+        self._classes[priority].add(request, is_long, now)
+        self.waiting += 1
+        latest_start = request.deadline - request.expected_s
+        heapq.heappush(self._expiries, (latest_start, request.request_id, priority))
+        if priority == "deferrable":
+            promote_at = now + PROMOTE_AT * (latest_start - now)
+            heapq.heappush(self._promotions, (promote_at, request.request_id))
+
+    def _by_turn(self) -> list[_Class]:
+        """Return the classes in the order in which they are served now."""
+        classes = list(self._classes.values())
+        for queue in classes[:0:-1]:
+            if queue.waiting and queue.credit_s > 0.0:
+                return [queue, *classes]
+        return classes
+
+    def _choose_lane(
+        self, queue: _Class, short: bool, long: bool, now: float
+    ) -> bool | None:
+        if not queue.waiting:
+            return None
+        long_head = queue.head(True) if long else None
+        short_head = queue.head(False) if short else None
+        if long_head is None:
+            return None if short_head is None else False
+        request, offered = long_head
+        if short_head is None or now - offered > LONG_PATIENCE * request.expected_s:
+            return True
+        return False
+
+    def _dispatch(self, queue: _Class, is_long: bool, now: float) -> QueuedRequest:
+        request = queue.take(is_long)
+        self.waiting -= 1
+        self._start(request, is_long, now)
+        for name, other in self._classes.items():
+            if other is queue:
+                other.credit_s -= request.expected_s
+                other.credit_s = max(other.credit_s, -request.expected_s)
+            elif other.waiting:
+                other.credit_s += FLOOR_SHARE[name] * request.expected_s
+        return request
+
+    def _remove(self, queue: _Class, request_id: int) -> QueuedRequest:
+        self.waiting -= 1
+        return queue.remove(request_id)
+
+    def _shed_below(self, priority: str) -> QueuedRequest | None:
+        """Drop the newest request of the lowest class below ``priority``."""
+        for name in reversed(PRIORITIES):
+            if name == priority:
+                return None
+            queue = self._classes[name]
+            if queue.waiting:
+                return self._remove(queue, next(reversed(queue.waiting)))
+        return None
+
+    def _collect_expired(self, now: float) -> None:
+        expiries = self._expiries
+        while expiries and expiries[0][0] < now:
+            _, request_id, priority = heapq.heappop(expiries)
+            queue = self._classes[priority]
+            if request_id in queue.waiting:
+                self._given_up.append(self._remove(queue, request_id))
+
+    def _promote(self, now: float) -> None:
+        deferrable = self._classes["deferrable"]
+        while self._promotions and self._promotions[0][0] <= now:
+            _, request_id = heapq.heappop(self._promotions)
+            entry = deferrable.waiting.get(request_id)
+            if entry is not None:
+                request, is_long, _ = entry
+                self._remove(deferrable, request_id)
+                self._enqueue(request, "normal", is_long, now)
