--- /dev/null
+++ b/src/jacinthpath/headers.py
@@ -0,0 +1,46 @@
+"""HTTP header fields between callers, the router and endpoints."""
+
+from __future__ import annotations
+
+__all__ = [
+    "ACCOUNT",
+    "DEADLINE_MS",
+    "EPOCH",
+    "ERROR",
+    "HOP_BY_HOP",
+    "IDEMPOTENCY_KEY",
+    "KEY",
+    "NOT_RUN",
+    "OUTCOME",
+    "SERVER",
+    "TRACEPARENT",
+]
+
+from multidict import istr
+
+ACCOUNT = istr("jacinthpath-account")
+DEADLINE_MS = istr("jacinthpath-deadline-ms")
+EPOCH = istr("jacinthpath-epoch")
+ERROR = istr("jacinthpath-error")
+IDEMPOTENCY_KEY = istr("idempotency-key")
+KEY = istr("jacinthpath-key")
+NOT_RUN = istr("jacinthpath-not-run")
+OUTCOME = istr("jacinthpath-outcome")
+SERVER = istr("jacinthpath-server")
+TRACEPARENT = istr("traceparent")
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Fields that belong to one connection and are not passed on."""
--- /dev/null
+++ b/src/jacinthpath/intake.py
@@ -0,0 +1,176 @@
+"""Reads a caller's HTTP request into an exchange, or refuses it."""
+
+from __future__ import annotations
+
+__all__ = ["Intake"]
+
+import asyncio
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from .errors import NotRun, RequestError
+from .exchange import Exchange
+from .hashing import key_hash
+from .headers import (
+    ACCOUNT,
+    DEADLINE_MS,
+    HOP_BY_HOP,
+    IDEMPOTENCY_KEY,
+    KEY,
+    TRACEPARENT,
+)
+from .routing import RoutingState
+from .settings import EntryLimits
+from .tracing import Tracer
+
+SHORT_BODY_BYTES = 65_536
+"""Longest body that is read whole before it is sent on; such a request can be
+retried. Longer ones are streamed."""
+
+MAX_FIELD_CHARACTERS = 512
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+
+
+class Intake:
+    """Checks what comes in from callers.
+
+    :param routing: configuration in force.
+    :param limits: bounds from the settings.
+    """
+
+    def __init__(
+        self, routing: RoutingState, limits: EntryLimits, tracer: Tracer
+    ) -> None:
+        self._routing = routing
+        self._limits = limits
+        self._tracer = tracer
+
+    async def read(self, request: web.BaseRequest) -> Exchange:
+        """Return the exchange of a request.
+
+        :raises RequestError: the request cannot be routed.
+        """
+        exchange = Exchange()
+        exchange.arrived_s = asyncio.get_running_loop().time()
+        exchange.trace = self._tracer.extract(request.headers.get(TRACEPARENT))
+        exchange.method = request.method
+        self._read_route(request, exchange)
+        self._read_deadline(request, exchange)
+        await self._read_body(request, exchange)
+        exchange.headers = _passed_headers(request)
+        return exchange
+
+    def _read_route(self, request: web.BaseRequest, exchange: Exchange) -> None:
+        _, _, route = request.raw_path.partition("/")
+        service, slash, rest = route.partition("/")
+        if not slash:
+            service, _, rest = route.partition("?")
+            rest = rest and f"?{rest}"
+        exchange.path = f"/{rest}"
+        exchange.service = service
+        exchange.account = _field(request, ACCOUNT)
+        exchange.idempotency_key = _field(request, IDEMPOTENCY_KEY)
+        exchange.key = _field(request, KEY)
+        configuration = self._routing.configuration
+        if configuration is None:
+            raise NotRun(
+                "This host has no configuration yet.",
+                "Repeat the request.",
+                retry_after_s=1.0,
+                kind="no-configuration",
+            )
+        policy = configuration.resolve(exchange.account, service)
+        if policy is None:
+            raise _bad_request(
+                f"Account {exchange.account!r} has no service {service!r}.",
+                f"Send {ACCOUNT} and a path such as /SERVICE/...",
+                404,
+                "unknown-service",
+            )
+        if policy.keyed and not exchange.key:
+            raise _bad_request(
+                f"Service {service!r} is divided by key and no key was sent.",
+                f"Send the key in {KEY}.",
+                400,
+                "key-missing",
+            )
+        exchange.policy = policy
+        exchange.key_hash = key_hash(exchange.key) if policy.keyed else 0
+
+    def _read_deadline(self, request: web.BaseRequest, exchange: Exchange) -> None:
+        limit_ms = exchange.policy.deadline_ms
+        text = request.headers.get(DEADLINE_MS)
+        if text is not None:
+            if not text.isdecimal() or not 0 < int(text[:12]) <= MAX_DEADLINE_MS:
+                raise _bad_request(
+                    f"{DEADLINE_MS} is {text[:40]!r}.",
+                    "Send the remaining time in whole milliseconds.",
+                    400,
+                    "deadline-malformed",
+                )
+            limit_ms = min(limit_ms, int(text))
+        exchange.deadline_s = exchange.arrived_s + limit_ms / 1000
+
+    async def _read_body(self, request: web.BaseRequest, exchange: Exchange) -> None:
+        exchange.body = None
+        exchange.stream = None
+        if not request.body_exists:
+            return
+        length = request.content_length
+        if length is not None and length > self._limits.body_bytes:
+            raise _bad_request(
+                f"The body has {length} bytes.",
+                f"Send at most {self._limits.body_bytes} bytes.",
+                413,
+                "body-too-large",
+            )
+        if length is None or length > SHORT_BODY_BYTES:
+            exchange.stream = _bounded_stream(request, self._limits)
+            return
+        try:
+            async with asyncio.timeout(self._limits.body_idle_timeout_s):
+                exchange.body = await request.content.read(-1)
+        except TimeoutError:
+            raise _bad_request(
+                "The body did not arrive in time.", "Repeat it.", 408, "body-timeout"
+            ) from None
+
+
+async def _bounded_stream(request: web.BaseRequest, limits: EntryLimits):
+    received_bytes = 0
+    while True:
+        async with asyncio.timeout(limits.body_idle_timeout_s):
+            chunk = await request.content.readany()
+        if not chunk:
+            return
+        received_bytes += len(chunk)
+        if received_bytes > limits.body_bytes:
+            raise ConnectionAbortedError("body exceeds limits.body_bytes")
+        yield chunk
+
+
+def _passed_headers(request: web.BaseRequest) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.headers)
+    named = request.headers.get("connection", "")
+    for name in HOP_BY_HOP:
+        headers.popall(name, None)
+    for name in named.split(","):
+        headers.popall(name.strip(), None)
+    return headers
+
+
+def _field(request: web.BaseRequest, name: str) -> str:
+    value = request.headers.get(name, "")
+    if len(value) > MAX_FIELD_CHARACTERS:
+        raise _bad_request(
+            f"{name} has {len(value)} characters.",
+            f"Send at most {MAX_FIELD_CHARACTERS}.",
+            400,
+            "field-too-long",
+        )
+    return value
+
+
+def _bad_request(message: str, remedy: str, status: int, kind: str) -> RequestError:
+    return RequestError(message, remedy, status=status, kind=kind)
--- /dev/null
+++ b/src/jacinthpath/routing.py
@@ -0,0 +1,91 @@
+"""What an entry process knows: configuration in force and slice tables."""
+
+from __future__ import annotations
+
+__all__ = ["CONFIGURATION_TOPIC", "TABLE_TOPIC_PREFIX", "RoutingState"]
+
+import asyncio
+import json
+from collections.abc import Callable
+
+from .configuration import Configuration, parse_configuration
+from .errors import ConfigurationError, FrameError
+from .logs import get_logger
+from .metrics import Metrics
+from .slices import SliceTable, decode_table
+
+CONFIGURATION_TOPIC = "configuration"
+TABLE_TOPIC_PREFIX = "table/"
+
+_log = get_logger()
+
+
+class RoutingState:
+    """Newest configuration and tables; versions only go up.
+
+    A topic that cannot be read is refused and the last good one stays in force.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.configuration: Configuration | None = None
+        self.tables: dict[str, SliceTable] = {}
+        self._metrics = metrics
+        self._changed = asyncio.Event()
+        self._table_listeners: list[Callable[[SliceTable], None]] = []
+
+    def on_table(self, listener: Callable[[SliceTable], None]) -> None:
+        """Call ``listener`` with each new table."""
+        self._table_listeners.append(listener)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each topic that is in force."""
+        versions = {
+            TABLE_TOPIC_PREFIX + service: table.version
+            for service, table in self.tables.items()
+        }
+        if self.configuration is not None:
+            versions[CONFIGURATION_TOPIC] = self.configuration.version
+        return versions
+
+    def apply_topic(self, name: str, version: int, content: bytes) -> bool:
+        """Take a topic into force; return whether it was newer and readable."""
+        if version <= self.versions().get(name, 0):
+            return False
+        try:
+            if name == CONFIGURATION_TOPIC:
+                self._apply_configuration(content)
+            elif name.startswith(TABLE_TOPIC_PREFIX):
+                self._apply_table(name.removeprefix(TABLE_TOPIC_PREFIX), content)
+            else:
+                return False
+        except (ConfigurationError, FrameError, KeyError, TypeError, ValueError) as e:
+            self._metrics.count("topics_refused_total", topic=name)
+            _log.error("topic_refused", topic=name, version=version, error=str(e))
+            return False
+        self._metrics.gauge("topic_version", version, topic=name)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
+
+    async def wait_for_change(self) -> None:
+        """Return after the next topic has come into force."""
+        await self._changed.wait()
+
+    def _apply_configuration(self, content: bytes) -> None:
+        value = json.loads(content)
+        self.configuration = parse_configuration(
+            value["content"], value["version"], value["change_id"]
+        )
+        _log.info(
+            "configuration_in_force",
+            version=value["version"],
+            change_id=value["change_id"],
+        )
+
+    def _apply_table(self, service: str, content: bytes) -> None:
+        table = decode_table(content)
+        if table.service != service:
+            raise FrameError("A slice table is for another service.")
+        self.tables[service] = table
+        for listener in self._table_listeners:
+            listener(table)
--- /dev/null
+++ b/src/jacinthpath/subscription.py
@@ -0,0 +1,123 @@
+"""Keeps an entry process supplied with configuration and tables."""
+
+from __future__ import annotations
+
+__all__ = ["Subscription"]
+
+import asyncio
+import random
+from typing import Any
+
+from mode import Service
+
+from .codec import new_frame
+from .errors import FrameError, PeerUnavailable
+from .keyring import KeyRing
+from .logs import get_logger
+from .metrics import Metrics
+from .peers import PeerConnection, PeerIdentity, PeerPool
+from .routing import RoutingState
+
+RETRY_S = 0.1
+PREFERRED_RECHECK_S = 2.0
+
+_log = get_logger()
+
+
+class Subscription(Service):
+    """Connection to one control process, the own host's if it can be reached.
+
+    :param addresses: control processes, the preferred one first.
+    """
+
+    def __init__(
+        self,
+        own: PeerIdentity,
+        addresses: tuple[str, ...],
+        keys: KeyRing,
+        routing: RoutingState,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._addresses = addresses
+        self._routing = routing
+        self.pool = PeerPool(
+            own,
+            keys,
+            {"publish": self._on_publish, "digest": self._on_digest},
+            metrics,
+        )
+        self.confirmed_at_s = float("-inf")
+        self.store_down = False
+        self.connected_address = ""
+
+    async def on_stop(self) -> None:
+        """End the connection."""
+        await self.pool.close()
+
+    def confirmed_age_s(self) -> float:
+        """Return the age of the newest proof that the configuration is current."""
+        return asyncio.get_running_loop().time() - self.confirmed_at_s
+
+    @Service.task
+    async def _keep_connected(self) -> None:
+        while not self.should_stop:
+            for address in self._addresses:
+                connection = await self._subscribe(address)
+                if connection is not None:
+                    await self._until_lost(address, connection)
+                    break
+            await asyncio.sleep(RETRY_S * (0.5 + random.random()))
+
+    async def _subscribe(self, address: str) -> PeerConnection | None:
+        frame = new_frame()
+        content = frame.body.init("subscribe")
+        content.role = "entry"
+        versions = self._routing.versions()
+        entries = content.init("topics", len(versions))
+        for entry, (name, version) in zip(entries, versions.items(), strict=True):
+            entry.name, entry.version = name, version
+        try:
+            connection = await self.pool.connect(address)
+            answer = await connection.request(frame)
+        except (PeerUnavailable, FrameError) as error:
+            _log.warning("control_unreachable", address=address, error=str(error))
+            return None
+        self._apply(answer)
+        self.connected_address = address
+        _log.info("control_subscribed", address=address)
+        return connection
+
+    async def _until_lost(self, address: str, connection: PeerConnection) -> None:
+        lost = asyncio.Event()
+        connection.on_close(lambda _: lost.set())
+        while not connection.closed:
+            try:
+                async with asyncio.timeout(PREFERRED_RECHECK_S):
+                    await lost.wait()
+            except TimeoutError:
+                if address != self._addresses[0] and await self._preferred_is_back():
+                    return
+        self.connected_address = ""
+        _log.warning("control_lost", address=address)
+
+    async def _preferred_is_back(self) -> bool:
+        try:
+            await self.pool.connect(self._addresses[0])
+        except PeerUnavailable:
+            return False
+        return True
+
+    async def _on_publish(self, connection: PeerConnection, frame: Any) -> None:
+        self._apply(frame)
+
+    async def _on_digest(self, connection: PeerConnection, frame: Any) -> None:
+        digest = frame.body.digest
+        now_s = asyncio.get_running_loop().time()
+        confirmed_at_s = now_s - digest.confirmedAgeMs / 1000
+        self.confirmed_at_s = max(self.confirmed_at_s, confirmed_at_s)
+        self.store_down = digest.storeDown
+
+    def _apply(self, frame: Any) -> None:
+        for topic in frame.body.publish.topics:
+            self._routing.apply_topic(topic.name, topic.version, bytes(topic.content))
