Serve requests end to end through separate processes

The coordinator and the spread of topics are the least that works: static placement and pairwise comparison each half second.

Cause of one fault found on the way: a table published before the host list named all control processes never reached the rest; a push alone cannot repair that, so processes also compare versions.

--- /dev/null
+++ b/src/jacinthpath/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m jacinthpath``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/jacinthpath/composition.py
@@ -0,0 +1,102 @@
+"""Composition root: the one place that wires the parts of each process."""
+
+from __future__ import annotations
+
+__all__ = ["build_control", "build_entry"]
+
+import secrets
+from typing import TYPE_CHECKING
+
+from .keyring import KeyRing
+from .logs import configure_logging
+from .metrics import Metrics
+from .peers import PeerIdentity, PeerPool, PeerServer
+from .settings import ControlSettings, EntrySettings
+from .tracing import Tracer
+
+if TYPE_CHECKING:
+    from .control import ControlService
+    from .entry import EntryService
+
+
+def build_entry(settings: EntrySettings) -> EntryService:
+    """Return the daemon of an entry process, not yet started."""
+    from .dispatch import Dispatcher
+    from .endpoints import EndpointClient
+    from .entry import EntryService
+    from .forwarding import Forwarder
+    from .intake import Intake
+    from .routing import RoutingState
+    from .subscription import Subscription
+
+    own = _identity(settings, "entry")
+    metrics = Metrics()
+    tracer = Tracer(
+        f"jacinthpath-entry@{own.host}",
+        settings.observability.otlp_url,
+        settings.observability.trace_sample_rate,
+    )
+    routing = RoutingState(metrics)
+    keys = KeyRing(settings.security.cluster_key_files)
+    subscription = Subscription(own, settings.control_addresses, keys, routing, metrics)
+    endpoints = EndpointClient()
+    forwarder = Forwarder(
+        Intake(routing, settings.limits, tracer),
+        Dispatcher(routing),
+        endpoints,
+        None,
+        tracer,
+        metrics,
+        settings.limits.requests_in_flight,
+    )
+    return EntryService(
+        settings, routing, subscription, endpoints, forwarder, metrics, tracer
+    )
+
+
+def build_control(settings: ControlSettings) -> ControlService:
+    """Return the daemon of a control process, not yet started."""
+    from .control import ControlService
+    from .coordinator_service import CoordinatorService
+    from .endpoints import EndpointClient
+    from .hosts import HttpHostList
+    from .store import HttpKeyValueStore
+    from .topics import TopicService
+
+    own = _identity(settings, "control")
+    metrics = Metrics()
+    keys = KeyRing(settings.security.cluster_key_files)
+    store = HttpKeyValueStore(
+        settings.platform.store_url, settings.platform.call_timeout_ms / 1000
+    )
+    host_list = HttpHostList(settings.platform.host_list_url)
+    pool = PeerPool(own, keys, {}, metrics)
+    topics = TopicService(store, host_list, pool)
+    endpoints = EndpointClient()
+    coordinators = CoordinatorService(own.process_id, store, topics, endpoints)
+    handlers = topics.handlers()
+    peer_server = PeerServer(own, settings.listen.peer_address, keys, handlers, metrics)
+    control = ControlService(
+        settings,
+        store,
+        host_list,
+        peer_server,
+        pool,
+        topics,
+        coordinators,
+        endpoints,
+        metrics,
+    )
+    handlers.update(control.handlers())
+    return control
+
+
+def _identity(settings: EntrySettings | ControlSettings, role: str) -> PeerIdentity:
+    process = settings.process
+    process_id = f"{process.host}/{secrets.token_hex(8)}"
+    configure_logging(
+        settings.observability.log_level,
+        host=process.host,
+        data_centre=process.data_centre,
+    )
+    return PeerIdentity(process.host, process.data_centre, role, process_id)
--- /dev/null
+++ b/src/jacinthpath/control.py
@@ -0,0 +1,113 @@
+"""Control process: topics, coordination and records of one host."""
+
+from __future__ import annotations
+
+__all__ = ["ControlService"]
+
+import json
+from typing import Any
+
+from mode import Service
+
+from .admin import AdminServer
+from .codec import new_frame
+from .coordinator_service import CoordinatorService
+from .endpoints import EndpointClient
+from .hosts import HttpHostList
+from .logs import get_logger
+from .metrics import Metrics
+from .peers import Handler, PeerConnection, PeerPool, PeerServer
+from .settings import ControlSettings
+from .store import HttpKeyValueStore
+from .topics import TopicService
+
+_log = get_logger()
+
+
+class ControlService(Service):
+    """The daemon of a control process.
+
+    All parts are wired by :func:`jacinthpath.composition.build_control`.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        store: HttpKeyValueStore,
+        host_list: HttpHostList,
+        peer_server: PeerServer,
+        pool: PeerPool,
+        topics: TopicService,
+        coordinators: CoordinatorService,
+        endpoints: EndpointClient,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.draining = False
+        self._store = store
+        self._host_list = host_list
+        self._peer_server = peer_server
+        self._pool = pool
+        self._topics = topics
+        self._coordinators = coordinators
+        self._endpoints = endpoints
+        self._admin = AdminServer(
+            settings.listen.admin_address, metrics, self.unready_reason, self.status
+        )
+
+    def handlers(self) -> dict[str, Handler]:
+        """Return the handlers of the frames that concern the whole process."""
+        return {"status": self._on_status}
+
+    async def on_start(self) -> None:
+        """Start the parts; listen to peers last."""
+        await self._store.start()
+        await self._host_list.start()
+        await self._endpoints.start()
+        await self._admin.start()
+        await self._peer_server.start()
+        self._coordinators.control_address = self._peer_server.address
+        await self.add_runtime_dependency(self._topics)
+        await self.add_runtime_dependency(self._coordinators)
+        _log.info(
+            "listening",
+            role="control",
+            peer_address=self._peer_server.address,
+            admin_address=self._admin.address,
+        )
+
+    async def drain(self) -> int:
+        """Hand over what this process holds."""
+        self.draining = True
+        return 0
+
+    async def on_stop(self) -> None:
+        """Close the parts in reverse order."""
+        await self._peer_server.close()
+        await self._pool.close()
+        await self._admin.close()
+        await self._endpoints.close()
+        await self._host_list.close()
+        await self._store.close()
+
+    def unready_reason(self) -> str:
+        """Return why this process should not be relied on, if it should not."""
+        return "draining" if self.draining else ""
+
+    def status(self) -> dict[str, Any]:
+        """Return what this process has in force and coordinates."""
+        configuration = self._topics.get("configuration")
+        return {
+            "host": self.settings.process.host,
+            "data_centre": self.settings.process.data_centre,
+            "role": "control",
+            "configuration_version": configuration.version if configuration else 0,
+            "coordinates": sorted(self._coordinators.coordinated),
+            "unready_reason": self.unready_reason(),
+        }
+
+    async def _on_status(self, connection: PeerConnection, frame: Any) -> Any:
+        answer = new_frame()
+        answer.body.statusAnswer = json.dumps(self.status())
+        return answer
--- /dev/null
+++ b/src/jacinthpath/entry.py
@@ -0,0 +1,149 @@
+"""Entry process: callers' HTTP in, endpoints' HTTP out."""
+
+from __future__ import annotations
+
+__all__ = ["EntryService"]
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from .admin import AdminServer
+from .endpoints import EndpointClient
+from .forwarding import Forwarder
+from .logs import get_logger
+from .metrics import Metrics
+from .peers import split_address
+from .routing import RoutingState
+from .settings import EntrySettings
+from .subscription import Subscription
+from .tracing import Tracer
+
+BALANCER_LEAVE_S = 2.0
+"""Time between turning unready and closing the listener, in which the balancer
+notices and callers on kept connections are told to close them."""
+
+_log = get_logger()
+
+
+class EntryService(Service):
+    """The daemon of an entry process.
+
+    All parts are wired by :func:`jacinthpath.composition.build_entry`.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        routing: RoutingState,
+        subscription: Subscription,
+        endpoints: EndpointClient,
+        forwarder: Forwarder,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.callers_address = settings.listen.callers_address
+        self.draining = False
+        self._routing = routing
+        self._subscription = subscription
+        self._endpoints = endpoints
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._tracer = tracer
+        self._admin = AdminServer(
+            settings.listen.admin_address, metrics, self.unready_reason, self.status
+        )
+        self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+
+    async def on_start(self) -> None:
+        """Start the parts; listen to callers last."""
+        await self._endpoints.start()
+        await self.add_runtime_dependency(self._subscription)
+        await self._admin.start()
+        await self._listen()
+        _log.info(
+            "listening",
+            role="entry",
+            callers_address=self.callers_address,
+            admin_address=self._admin.address,
+        )
+
+    async def drain(self) -> int:
+        """Leave the balancer and finish the requests in flight.
+
+        :return: requests that were still in flight at the shutdown limit.
+        """
+        self.draining = True
+        limit_s = self.settings.limits.shutdown_limit_s
+        _log.info("draining", in_flight=self._forwarder.in_flight)
+        await asyncio.sleep(min(BALANCER_LEAVE_S, limit_s / 2))
+        await self._site.stop()
+        try:
+            async with asyncio.timeout(limit_s):
+                while self._forwarder.in_flight:
+                    await asyncio.sleep(0.01)
+                await self._forwarder.drain()
+        except TimeoutError:
+            pass
+        return self._forwarder.in_flight
+
+    async def on_stop(self) -> None:
+        """Close the parts in reverse order."""
+        if self._forwarder.in_flight:
+            _log.warning("requests_cut_off", in_flight=self._forwarder.in_flight)
+        if self._runner is not None:
+            await self._runner.cleanup()
+        await self._admin.close()
+        await self._endpoints.close()
+        self._tracer.close()
+
+    def unready_reason(self) -> str:
+        """Return why the balancer should send no requests, if it should not."""
+        if self.draining:
+            return "draining"
+        if self._routing.configuration is None:
+            return "no-configuration"
+        if not self._subscription.connected_address:
+            return "no-control-process"
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """Return what this process has in force."""
+        return {
+            "host": self.settings.process.host,
+            "data_centre": self.settings.process.data_centre,
+            "role": "entry",
+            "versions": self._routing.versions(),
+            "in_flight": self._forwarder.in_flight,
+            "unready_reason": self.unready_reason(),
+        }
+
+    async def _listen(self) -> None:
+        limits = self.settings.limits
+        server = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+            max_line_size=limits.header_bytes,
+            max_field_size=limits.header_bytes,
+        )
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=limits.shutdown_limit_s
+        )
+        await self._runner.setup()
+        host, port = split_address(self.callers_address)
+        self._site = web.TCPSite(self._runner, host, port, backlog=1024)
+        await self._site.start()
+        self.callers_address = "{}:{}".format(*self._runner.addresses[0][:2])
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self._forwarder.handle(request)
+        if self.draining:
+            response.force_close()
+        return response
--- a/src/jacinthpath/topics.py
+++ b/src/jacinthpath/topics.py
@@ -27,6 +27,7 @@
 CONFIGURATION_TOPIC = "configuration"
 WATCH_WAIT_S = 20.0
 RETRY_S = 0.2
+COMPARE_S = 0.5
 
 _log = get_logger()
 
@@ -56,6 +57,7 @@
     def handlers(self) -> dict[str, Handler]:
         """Return the handlers of the frames that concern topics."""
         return {
+            "digest": self._on_digest,
             "fetch": self._on_fetch,
             "publish": self._on_publish,
             "subscribe": self._on_subscribe,
@@ -99,6 +101,42 @@
             seen_version = value.version
             self.publish(Topic(CONFIGURATION_TOPIC, value.version, value.data))
 
+    @Service.task
+    async def _compare_with_peers(self) -> None:
+        while not self.should_stop:
+            await self.sleep(COMPARE_S * (0.5 + random.random()))
+            try:
+                hosts = await self._host_list.read()
+                own = self._pool.own.host
+                peers = [h.control_address for h in hosts if h.host != own]
+                if peers:
+                    answer = await self._pool.request(
+                        random.choice(peers), self._digest_frame()
+                    )
+                    await self._on_publish(None, answer)
+            except (StoreError, PeerUnavailable, FrameError):
+                continue
+
+    def _digest_frame(self) -> Any:
+        frame = new_frame()
+        entries = frame.body.init("digest").init("topics", len(self._topics))
+        for entry, topic in zip(entries, self._topics.values(), strict=True):
+            entry.name, entry.version = topic.name, topic.version
+        return frame
+
+    async def _on_digest(self, connection: PeerConnection, frame: Any) -> Any:
+        return self._newer_than(frame.body.digest.topics)
+
+    def _newer_than(self, entries: Any) -> Any:
+        known = {entry.name: entry.version for entry in entries}
+        return _publish_frame(
+            *(
+                topic
+                for topic in self._topics.values()
+                if topic.version > known.get(topic.name, 0)
+            )
+        )
+
     async def _spread(self, topic: Topic) -> None:
         try:
             hosts = await self._host_list.read()
@@ -124,15 +162,9 @@
         return _publish_frame(*(self._topics[n] for n in names if n in self._topics))
 
     async def _on_subscribe(self, connection: PeerConnection, frame: Any) -> Any:
-        known = {entry.name: entry.version for entry in frame.body.subscribe.topics}
         self._subscribers.add(connection)
         connection.on_close(self._subscribers.discard)
-        newer = [
-            topic
-            for topic in self._topics.values()
-            if topic.version > known.get(topic.name, 0)
-        ]
-        return _publish_frame(*newer)
+        return self._newer_than(frame.body.subscribe.topics)
 
 
 def _publish_frame(*topics: Topic) -> Any:
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,36 @@
+"""Runs a stand-in's HTTP handler until a signal ends the process."""
+
+from __future__ import annotations
+
+__all__ = ["serve"]
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+
+def serve(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    address: str,
+) -> None:
+    """Serve ``handler`` on ``IP:port`` and print the address in use."""
+    asyncio.run(_serve(handler, address))
+
+
+async def _serve(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    address: str,
+) -> None:
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    server = web.Server(handler, access_log=None, handler_cancellation=True)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    print("listening address={}:{}".format(*runner.addresses[0][:2]), flush=True)
+    await stopped.wait()
+    await runner.cleanup()
