--- /dev/null
+++ b/src/jacinthpath/_balancing.py
@@ -0,0 +1,219 @@
+"""Transfers of load between servers, for :mod:`jacinthpath.placement`."""
+
+from __future__ import annotations
+
+__all__ = ["Board", "Limits", "ServerState", "Unit", "choose_transfers"]
+
+from collections.abc import Mapping
+from math import sqrt
+from typing import NamedTuple
+
+
+class ServerState(NamedTuple):
+    """What placement knows about a server that is up.
+
+    :param weight: capacity relative to other servers, above zero.
+    :param leaving: gives up everything and receives nothing.
+    :param overloaded: receives nothing and gives up part of its share.
+    """
+
+    weight: float = 1.0
+    leaving: bool = False
+    overloaded: bool = False
+
+
+class Unit(NamedTuple):
+    """What is placed as a whole.
+
+    :param kind: ``slice`` or ``key``.
+    :param index: slice number or key hash.
+    """
+
+    kind: str
+    index: int
+
+
+class Limits(NamedTuple):
+    """Bounds that trade balance against churn.
+
+    Levels are a server's load over its share.
+
+    :param batch: most units for each handoff batch.
+    :param tolerance: a transfer starts when a level leaves ``1 ± tolerance``.
+        Half the allowed 20% leaves room for what changes while a batch is in
+        flight.
+    :param goal: a transfer ends when all levels are within ``1 ± goal``. The gap
+        to ``tolerance`` keeps a server near the bound from moving slices
+        back and forth.
+    :param noise_margin: standard deviations of the sampling noise that
+        ``tolerance`` is at least.
+    :param prior_requests: requests added for each server, spread equally over
+        the slices.
+    :param least_gain: lightest unit worth a move, of the mean load of a slice.
+    :param overloaded_share: share of an overloaded server, of its usual share.
+    """
+
+    batch: int = 8
+    tolerance: float = 0.10
+    goal: float = 0.03
+    noise_margin: float = 3.0
+    prior_requests: float = 50.0
+    least_gain: float = 0.25
+    overloaded_share: float = 0.8
+
+
+class Board:
+    """Units on servers, with their loads.
+
+    :param servers: servers that may own something.
+    :param overloaded_share: see :class:`Limits`.
+    """
+
+    def __init__(
+        self, servers: Mapping[str, ServerState], overloaded_share: float
+    ) -> None:
+        self.servers = servers
+        self.loads = dict.fromkeys(servers, 0.0)
+        self.shares = dict.fromkeys(servers, 0.0)
+        self.units: dict[str, dict[Unit, float]] = {name: {} for name in servers}
+        self.homeless: list[tuple[float, Unit]] = []
+        self.measured = 0.0
+        self.least_load = 0.0
+        self._total = 0.0
+        self._overloaded_share = overloaded_share
+
+    def place(
+        self, unit: Unit, load: float, server: str, in_flight: bool = False
+    ) -> None:
+        """Put a unit on a server; without a known server it is homeless.
+
+        :param in_flight: the unit counts for the server but cannot be moved.
+        """
+        if server not in self.servers:
+            self.homeless.append((load, unit))
+            return
+        self.loads[server] += load
+        if not in_flight:
+            self.units[server][unit] = load
+
+    def move(self, unit: Unit, source: str, target: str) -> None:
+        """Move a unit between servers."""
+        load = self.units[source].pop(unit)
+        self.loads[source] -= load
+        self.loads[target] += load
+
+    def freeze(self, unit: Unit) -> None:
+        """Keep a unit where it is."""
+        for units in self.units.values():
+            units.pop(unit, None)
+
+    def set_shares(self) -> None:
+        """Divide the load into shares by weight.
+
+        A unit that exceeds its server's share cannot be divided, so that server's
+        share is the unit alone and the rest is shared by the others.
+        """
+        self._total = sum(self.loads.values()) + sum(load for load, _ in self.homeless)
+        weights = {name: self._weight(state) for name, state in self.servers.items()}
+        largest = {name: max(self.units[name].values(), default=0) for name in weights}
+        remaining = self._total
+        while weights:
+            level = remaining / sum(weights.values())
+            above = [name for name in weights if largest[name] > level * weights[name]]
+            if not above:
+                break
+            for name in above:
+                self.shares[name] = largest[name]
+                remaining -= largest[name]
+                del weights[name]
+        for name, weight in weights.items():
+            self.shares[name] = level * weight
+
+    def _weight(self, state: ServerState) -> float:
+        return state.weight * (self._overloaded_share if state.overloaded else 1.0)
+
+    def level(self, server: str) -> float:
+        """Return a server's load over its share."""
+        return self.loads[server] / max(self.shares[server], 1e-9)
+
+    def receivers(self) -> list[str]:
+        """Return the servers that may receive; overloaded ones only if all are."""
+        names = sorted(self.servers)
+        calm = [name for name in names if not self.servers[name].overloaded]
+        return calm or names
+
+    def noise(self) -> float:
+        """Return the relative sampling error of a mean server's load."""
+        mean_measured = self.measured / len(self.servers)
+        mean = self._total / len(self.servers)
+        return sqrt(mean_measured) / max(mean, 1e-9)
+
+
+Transfer = tuple[Unit, str, str]
+
+
+def choose_transfers(
+    board: Board, limits: Limits, count: int, continuing: bool
+) -> tuple[list[Transfer], bool]:
+    """Move load between servers of a board; return the moves and if more are due.
+
+    :param count: most moves.
+    :param continuing: aim for the goal even if no level exceeds the tolerance.
+    """
+    tolerance = max(limits.tolerance, limits.noise_margin * board.noise())
+    goal = max(limits.goal, tolerance * limits.goal / limits.tolerance)
+    if not continuing and not _outside(board, tolerance):
+        return [], False
+    transfers: list[Transfer] = []
+    while len(transfers) < count:
+        transfer = _next_transfer(board, goal)
+        if transfer is None:
+            return transfers, False
+        board.move(*transfer)
+        transfers.append(transfer)
+    return transfers, _next_transfer(board, goal) is not None
+
+
+def _outside(board: Board, tolerance: float) -> bool:
+    levels = [board.level(name) for name in board.servers]
+    fillable = min(board.level(name) for name in board.receivers())
+    return max(levels) > 1 + tolerance or fillable < 1 - tolerance
+
+
+def _next_transfer(board: Board, goal: float) -> Transfer | None:
+    """Return the best move from the highest possible level to the lowest one."""
+    receiver = min(board.receivers(), key=board.level)
+    filling = board.level(receiver) < 1 - goal
+    floor = 1.0 if filling else 1 + goal
+    donors = [name for name in board.servers if board.level(name) > floor]
+    for donor in sorted(donors, key=lambda name: (-board.level(name), name)):
+        if donor == receiver:
+            continue
+        unit = _best_unit(board, donor, receiver)
+        if unit is not None:
+            return unit, donor, receiver
+    return None
+
+
+def _best_unit(board: Board, donor: str, receiver: str) -> Unit | None:
+    """Return the unit that best removes the donor's excess, if any helps.
+
+    A key is preferred to a slice of like load, because its handoff concerns one
+    key and not a thousandth of all.
+    """
+    donor_share, receiver_share = board.shares[donor], board.shares[receiver]
+    excess = board.loads[donor] - donor_share
+    room = receiver_share - board.loads[receiver]
+    # Moving more than this leaves the receiver at a higher level than the donor.
+    most = (
+        board.loads[donor] * receiver_share - board.loads[receiver] * donor_share
+    ) / (donor_share + receiver_share)
+    wanted = min(excess, room, most) if room > 0 else most
+    best, best_score = None, float("inf")
+    for unit, load in board.units[donor].items():
+        if not board.least_load < load < most:
+            continue
+        score = abs(load - wanted) * (0.5 if unit.kind == "key" else 1.0)
+        if score < best_score:
+            best, best_score = unit, score
+    return best
--- /dev/null
+++ b/src/jacinthpath/hotkeys.py
@@ -0,0 +1,348 @@
+"""Load of slices and heavy keys, counted in bounded memory and merged over hosts.
+
+Each router counts its own requests with a :class:`HotKeySketch` and a
+:class:`SliceLoads` and sends a :class:`LoadReport` about once a second. The
+coordinator adds the reports to a :class:`LoadWindow` and asks a
+:class:`HotKeySelector` which keys are placed alone.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "HotKeyDecision",
+    "HotKeySelector",
+    "HotKeySketch",
+    "KeyLoad",
+    "LoadReport",
+    "LoadWindow",
+    "SliceLoads",
+    "merge_reports",
+    "report_interval_s",
+]
+
+import heapq
+from collections.abc import Collection, Iterable, Mapping
+from operator import itemgetter
+from typing import NamedTuple
+
+from .hashing import HASH_BITS
+
+REPORTED_KEYS = 64
+MERGED_KEYS = 256
+
+# Short enough to find new hot keys within seconds; at 100 requests/s for each
+# server the sampling error of a server's load is still only about 4%.
+HALF_LIFE_S = 5.0
+
+# Decaying costs one pass over all slices, so reports that arrive close
+# together are decayed as one.
+DECAY_STEP_S = 0.25
+
+MAX_HOSTS_PER_SECOND = 100
+
+
+class KeyLoad(NamedTuple):
+    """Requests of one key in the window of a report.
+
+    :param key_hash: hash of the key.
+    :param requests: upper estimate of its requests.
+    :param error: ``requests - error`` never exceeds the true count.
+    """
+
+    key_hash: int
+    requests: int
+    error: int
+
+    @property
+    def certain(self) -> int:
+        """Requests that the key certainly received."""
+        return self.requests - self.error
+
+
+class LoadReport(NamedTuple):
+    """Requests that one router, or several merged, sent for one service.
+
+    :param router: identity of the router; empty for a merged report.
+    :param window_s: seconds that the counts cover.
+    :param slice_loads: requests of each slice with any, hot keys included.
+    :param hot_keys: heaviest keys.
+    """
+
+    router: str
+    window_s: float
+    slice_loads: Mapping[int, int]
+    hot_keys: tuple[KeyLoad, ...]
+
+
+class HotKeySketch:
+    """Space-saving summary of the heaviest keys of a request stream.
+
+    Holds at most ``2 * capacity`` keys. When full, the lighter half is dropped
+    in one pass and the heaviest dropped estimate becomes the floor, at which
+    later keys start. This is space-saving with batched eviction: the floor never
+    exceeds the window's requests over ``capacity``, and a request costs one
+    dictionary update. Counts halve every ``half_life_s``.
+
+    :param capacity: keys kept by an eviction.
+    :param half_life_s: seconds in which a past request loses half its weight.
+    """
+
+    def __init__(self, capacity: int = 512, half_life_s: float = HALF_LIFE_S) -> None:
+        self.capacity = capacity
+        self.half_life_s = half_life_s
+        self.floor = 0.0
+        self._counts: dict[int, float] = {}
+        self._errors: dict[int, float] = {}
+        self._window_start: dict[int, float] = {}
+        self._taken_at: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def record(self, key_hash: int) -> None:
+        """Count one request for a key."""
+        counts = self._counts
+        count = counts.get(key_hash)
+        if count is not None:
+            counts[key_hash] = count + 1.0
+            return
+        counts[key_hash] = self.floor + 1.0
+        self._errors[key_hash] = self.floor
+        if len(counts) >= 2 * self.capacity:
+            self._evict()
+
+    def heaviest(self, limit: int) -> list[tuple[int, float, float]]:
+        """Return the heaviest keys as (key hash, estimate, error), heaviest first.
+
+        The decayed true count lies between ``estimate - error`` and ``estimate``.
+        """
+        items = heapq.nlargest(limit, self._counts.items(), key=itemgetter(1))
+        return [(key, count, self._errors[key]) for key, count in items]
+
+    def take(self, now: float, limit: int = REPORTED_KEYS) -> tuple[KeyLoad, ...]:
+        """Return the heaviest keys with their requests since the last call.
+
+        Starts a new window and decays the counts to ``now``.
+        """
+        taken = tuple(self._window_load(*item) for item in self.heaviest(limit))
+        self._decay(now)
+        return tuple(load for load in taken if load.certain > 0)
+
+    def _window_load(self, key: int, count: float, error: float) -> KeyLoad:
+        start = self._window_start.get(key)
+        if start is None:
+            certain = round(count - error)
+            return KeyLoad(key, certain + round(error), round(error))
+        return KeyLoad(key, round(count - start), 0)
+
+    def _decay(self, now: float) -> None:
+        if self._taken_at is not None:
+            factor = 0.5 ** ((now - self._taken_at) / self.half_life_s)
+            self.floor *= factor
+            self._counts = {key: n * factor for key, n in self._counts.items()}
+            self._errors = {key: n * factor for key, n in self._errors.items()}
+        self._taken_at = now
+        self._window_start = dict(self._counts)
+
+    def _evict(self) -> None:
+        ranked = sorted(self._counts.items(), key=itemgetter(1), reverse=True)
+        kept = ranked[: self.capacity]
+        self.floor = ranked[self.capacity][1]
+        self._counts = dict(kept)
+        self._errors = {key: self._errors[key] for key, _ in kept}
+        start = self._window_start
+        self._window_start = {key: start[key] for key, _ in kept if key in start}
+
+
+class SliceLoads:
+    """Requests of each slice since the last report.
+
+    :param slice_count: slices of the service's hash space.
+    """
+
+    def __init__(self, slice_count: int) -> None:
+        self._slice_count = slice_count
+        self._counts = [0] * slice_count
+
+    def record(self, key_hash: int) -> None:
+        """Count one request for the slice of a key hash."""
+        self._counts[(key_hash * self._slice_count) >> HASH_BITS] += 1
+
+    def take(self) -> dict[int, int]:
+        """Return the requests of each slice with any, and start a new window."""
+        taken = {index: count for index, count in enumerate(self._counts) if count}
+        self._counts = [0] * self._slice_count
+        return taken
+
+
+def report_interval_s(host_count: int) -> float:
+    """Return the seconds between the reports of one router.
+
+    The interval grows with the fleet so that the coordinator adds a bounded
+    number of reports each second.
+    """
+    return max(1.0, host_count / MAX_HOSTS_PER_SECOND)
+
+
+def merge_reports(
+    reports: Iterable[LoadReport], key_limit: int = MERGED_KEYS
+) -> LoadReport:
+    """Return the sum of reports of different routers over the same window.
+
+    Merged reports can be merged again. ``requests - error`` of a key stays a
+    lower bound; a router that does not list a key adds nothing to it.
+
+    :param key_limit: heaviest keys that the result lists.
+    """
+    window_s = 0.0
+    slices: dict[int, int] = {}
+    keys: dict[int, tuple[int, int]] = {}
+    for report in reports:
+        window_s = max(window_s, report.window_s)
+        for index, count in report.slice_loads.items():
+            slices[index] = slices.get(index, 0) + count
+        for key, requests, error in report.hot_keys:
+            old_requests, old_error = keys.get(key, (0, 0))
+            keys[key] = (old_requests + requests, old_error + error)
+    loads = (KeyLoad(key, *counts) for key, counts in keys.items())
+    heaviest = heapq.nlargest(key_limit, loads, key=lambda load: load.certain)
+    return LoadReport("", window_s, slices, tuple(heaviest))
+
+
+class LoadWindow:
+    """Decaying sum of the reports of all routers.
+
+    Slices and keys decay alike, so the load of a key can be subtracted from
+    that of its slice at any moment.
+
+    :param slice_count: slices of the service's hash space.
+    :param half_life_s: seconds in which a past request loses half its weight.
+    """
+
+    def __init__(self, slice_count: int, half_life_s: float = HALF_LIFE_S) -> None:
+        self.half_life_s = half_life_s
+        self.slices = [0.0] * slice_count
+        self.keys: dict[int, float] = {}
+        self._decayed_at: float | None = None
+
+    def add(self, report: LoadReport, now: float) -> None:
+        """Add a report that arrived at ``now``.
+
+        Slices out of range are ignored: a router may still use a table with
+        another number of slices.
+        """
+        self.decay(now)
+        slices = self.slices
+        for index, count in report.slice_loads.items():
+            if 0 <= index < len(slices):
+                slices[index] += count
+        for load in report.hot_keys:
+            if load.certain > 0:
+                self.keys[load.key_hash] = (
+                    self.keys.get(load.key_hash, 0.0) + load.certain
+                )
+
+    def decay(self, now: float) -> None:
+        """Reduce all loads to their weight at ``now``."""
+        if self._decayed_at is None:
+            self._decayed_at = now
+        elapsed_s = now - self._decayed_at
+        if elapsed_s < DECAY_STEP_S:
+            return
+        self._decayed_at = now
+        factor = 0.5 ** (elapsed_s / self.half_life_s)
+        self.slices = [load * factor for load in self.slices]
+        heaviest = heapq.nlargest(MERGED_KEYS, self.keys.items(), key=itemgetter(1))
+        self.keys = {key: load * factor for key, load in heaviest}
+
+    def total(self) -> float:
+        """Return the requests in the window, by their present weight."""
+        return sum(self.slices)
+
+
+class HotKeyDecision(NamedTuple):
+    """Keys to place alone, and keys to return to their slice."""
+
+    split: tuple[int, ...]
+    merge: tuple[int, ...]
+
+
+class HotKeySelector:
+    """Decides which keys are placed alone.
+
+    A key is split out of its slice when its load exceeds ``split_share`` of a
+    server's fair load, and returns after it has stayed below ``merge_share`` for
+    ``dwell_s``. The gap between the shares and the dwell keep a key near the
+    threshold from changing back and forth.
+
+    :param limit: most keys placed alone.
+    :param min_requests: fewest requests in the window that split a key; with
+        fewer, sampling noise alone exceeds the gap between the shares.
+    """
+
+    def __init__(
+        self,
+        limit: int = 64,
+        split_share: float = 0.05,
+        merge_share: float = 0.02,
+        dwell_s: float = 10.0,
+        min_requests: float = 16.0,
+    ) -> None:
+        self.limit = limit
+        self.split_share = split_share
+        self.merge_share = merge_share
+        self.dwell_s = dwell_s
+        self.min_requests = min_requests
+        self._cold_since: dict[int, float] = {}
+
+    def decide(
+        self,
+        now: float,
+        placed: Collection[int],
+        loads: Mapping[int, float],
+        fair_load: float,
+    ) -> HotKeyDecision:
+        """Return the keys to split and to merge back.
+
+        :param placed: keys that are placed alone now.
+        :param loads: load of each heavy key, in requests in the window.
+        :param fair_load: mean load of a server, in the same unit.
+        """
+        if fair_load < self.min_requests:
+            self._cold_since.clear()
+            return HotKeyDecision((), ())
+        merge = self._cold_keys(now, placed, loads, fair_load)
+        threshold = max(self.split_share * fair_load, self.min_requests)
+        hot = [key for key, load in loads.items() if load >= threshold]
+        candidates = sorted(set(hot).difference(placed), key=lambda key: -loads[key])
+        room = max(0, self.limit - len(placed))
+        merge |= self._displaced(placed, loads, candidates[room:], len(merge))
+        return HotKeyDecision(tuple(candidates[:room]), tuple(sorted(merge)))
+
+    def _cold_keys(
+        self,
+        now: float,
+        placed: Collection[int],
+        loads: Mapping[int, float],
+        fair_load: float,
+    ) -> set[int]:
+        threshold = self.merge_share * fair_load
+        cold = [key for key in placed if loads.get(key, 0.0) < threshold]
+        self._cold_since = {key: self._cold_since.get(key, now) for key in cold}
+        return {
+            key
+            for key, since in self._cold_since.items()
+            if now - since >= self.dwell_s
+        }
+
+    def _displaced(
+        self,
+        placed: Collection[int],
+        loads: Mapping[int, float],
+        waiting: list[int],
+        already_leaving: int,
+    ) -> set[int]:
+        """Return placed keys with under half the load of a key that has no room."""
+        coldest = sorted(placed, key=lambda key: (loads.get(key, 0.0), key))
+        pairs = zip(coldest[already_leaving:], waiting[already_leaving:], strict=False)
+        return {old for old, new in pairs if 2 * loads.get(old, 0.0) < loads[new]}
--- /dev/null
+++ b/src/jacinthpath/placement.py
@@ -0,0 +1,327 @@
+"""Placement: which server each slice and hot key should be on.
+
+:func:`plan_moves` compares a table with the servers that are up and returns the
+next batch of handoffs. :class:`Placement` adds what has to be remembered from
+one plan to the next: the loads, the hot keys and whether a transfer of load has
+reached its goal.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "Limits",
+    "Loads",
+    "Move",
+    "Placement",
+    "Plan",
+    "ServerState",
+    "apply_plan",
+    "initial_owners",
+    "plan_moves",
+]
+
+import heapq
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from ._balancing import Board, Limits, ServerState, Unit, choose_transfers
+from .hashing import slice_of
+from .hotkeys import HotKeySelector, LoadReport, LoadWindow
+from .slices import NO_OWNER, SliceTable
+
+DEFAULT_LIMITS = Limits()
+
+
+class Loads(NamedTuple):
+    """Requests in the load window.
+
+    :param slices: load of each slice without the keys that are placed alone.
+    :param keys: load of each key that is placed alone.
+    """
+
+    slices: Sequence[float]
+    keys: Mapping[int, float]
+
+
+class Move(NamedTuple):
+    """Handoff of one slice or hot key.
+
+    :param unit: what moves.
+    :param source: owner in the table; it may be lost, or :data:`NO_OWNER`.
+    :param target: server that becomes the owner.
+    """
+
+    unit: Unit
+    source: str
+    target: str
+
+
+class Plan(NamedTuple):
+    """One batch of changes to a table.
+
+    :param moves: handoffs.
+    :param splits: keys to place alone, on the owner of their slice; no handoff.
+    :param merges: hot keys to drop from the table, because the owner of their
+        slice owns them; no handoff.
+    :param urgent: the moves replace an owner that is lost or leaving and need
+        not wait for a batch in flight.
+    :param unfinished: the batch was cut off at its limit; the next plan should
+        be asked for with ``continuing``.
+    """
+
+    moves: tuple[Move, ...] = ()
+    splits: Mapping[int, str] = {}
+    merges: tuple[int, ...] = ()
+    urgent: bool = False
+    unfinished: bool = False
+
+
+def initial_owners(
+    slice_count: int, servers: Mapping[str, ServerState]
+) -> tuple[str, ...]:
+    """Return owners for a service that has no table yet, in share of weights.
+
+    The result depends only on the arguments, not on the order of ``servers``.
+    Leaving servers get nothing unless all are leaving.
+    """
+    usable = _usable(servers)
+    heap = [(1 / state.weight, name) for name, state in sorted(usable.items())]
+    if not heap:
+        return (NO_OWNER,) * slice_count
+    heapq.heapify(heap)
+    owners = []
+    for _ in range(slice_count):
+        level, name = heap[0]
+        owners.append(name)
+        heapq.heapreplace(heap, (level + 1 / usable[name].weight, name))
+    return tuple(owners)
+
+
+def plan_moves(
+    table: SliceTable,
+    servers: Mapping[str, ServerState],
+    loads: Loads | None = None,
+    *,
+    pending: Collection[Move] = (),
+    returning_keys: Collection[int] = (),
+    continuing: bool = False,
+    limits: Limits = DEFAULT_LIMITS,
+) -> Plan:
+    """Return the next batch of handoffs, or an empty plan.
+
+    Slices and hot keys whose owner is lost or leaving move at once and alone.
+    Without any, and with no batch in flight, load moves from servers above their
+    share to servers below it, up to ``limits.batch`` units.
+
+    :param table: table in force; :data:`NO_OWNER` marks a unit in handoff.
+    :param servers: servers that are up; one that is absent is lost.
+    :param loads: measured loads; ``None`` counts slices alone.
+    :param pending: moves in flight.
+    :param returning_keys: hot keys that should join the owner of their slice.
+    :param continuing: the previous plan was ``unfinished``.
+    """
+    usable = _usable(servers)
+    if not usable:
+        return Plan()
+    board = _build_board(table, usable, loads, pending, limits)
+    if board.homeless:
+        return Plan(moves=_evacuate(board, table), urgent=True)
+    if pending:
+        return Plan()
+    returns = _return_keys(table, returning_keys)[: limits.batch]
+    for move in returns:
+        board.freeze(move.unit)
+    transfers, unfinished = choose_transfers(
+        board, limits, limits.batch - len(returns), continuing
+    )
+    moves = (Move(*transfer) for transfer in transfers)
+    return Plan(moves=(*returns, *moves), unfinished=unfinished)
+
+
+def apply_plan(table: SliceTable, plan: Plan) -> SliceTable:
+    """Return the table after a plan's splits, merges and completed moves."""
+    owners = list(table.owners)
+    hot_keys = {**table.hot_keys, **plan.splits}
+    for unit, _, target in plan.moves:
+        if unit.kind == "key":
+            hot_keys[unit.index] = target
+        else:
+            owners[unit.index] = target
+    for key in plan.merges:
+        hot_keys.pop(key, None)
+    return table._replace(
+        version=table.version + 1, owners=tuple(owners), hot_keys=hot_keys
+    )
+
+
+def _usable(servers: Mapping[str, ServerState]) -> dict[str, ServerState]:
+    """Return the servers that may own something.
+
+    When every server is leaving, each keeps what it has: an owner that leaves
+    soon is better than none.
+    """
+    staying = {name: state for name, state in servers.items() if not state.leaving}
+    return staying or dict(servers)
+
+
+def _build_board(
+    table: SliceTable,
+    usable: Mapping[str, ServerState],
+    loads: Loads | None,
+    pending: Collection[Move],
+    limits: Limits,
+) -> Board:
+    slice_count = len(table.owners)
+    if loads is None:
+        loads = Loads((0.0,) * slice_count, {})
+    board = Board(usable, limits.overloaded_share)
+    # Shrinking towards equal slices keeps sparse samples from looking like
+    # imbalance, and spreads slices without any traffic evenly.
+    prior = limits.prior_requests * len(usable) / slice_count
+    targets = {move.unit: move.target for move in pending}
+    for index, owner in enumerate(table.owners):
+        unit = Unit("slice", index)
+        load = loads.slices[index] + prior
+        board.place(unit, load, targets.get(unit, owner), unit in targets)
+    for key, owner in table.hot_keys.items():
+        unit = Unit("key", key)
+        load = loads.keys.get(key, 0.0)
+        board.place(unit, load, targets.get(unit, owner), unit in targets)
+    board.measured = sum(loads.slices) + sum(loads.keys.values())
+    board.set_shares()
+    board.least_load = limits.least_gain * (prior + sum(loads.slices) / slice_count)
+    return board
+
+
+def _evacuate(board: Board, table: SliceTable) -> tuple[Move, ...]:
+    """Spread units without a usable owner over the least loaded servers.
+
+    Each server receives at most twice its share of the batch, so that a server
+    that has just started, and is empty, does not get all of it.
+    """
+    units = sorted(board.homeless, key=lambda entry: (-entry[0], entry[1]))
+    receivers = board.receivers()
+    weights = {name: board.servers[name].weight for name in receivers}
+    load_per_weight = sum(load for load, _ in units) / sum(weights.values())
+    allowance = {name: 2 * load_per_weight * weights[name] for name in receivers}
+    heap = [(board.level(name), name) for name in receivers]
+    heapq.heapify(heap)
+    moves = []
+    for load, unit in units:
+        while len(heap) > 1 and allowance[heap[0][1]] <= 0:
+            heapq.heappop(heap)
+        target = heap[0][1]
+        allowance[target] -= load
+        board.place(unit, load, target)
+        heapq.heapreplace(heap, (board.level(target), target))
+        moves.append(Move(unit, _owner(table, unit), target))
+    return tuple(moves)
+
+
+def _return_keys(table: SliceTable, keys: Iterable[int]) -> list[Move]:
+    moves = []
+    for key in sorted(keys):
+        owner = table.hot_keys.get(key, NO_OWNER)
+        home = table.owners[slice_of(key, len(table.owners))]
+        if NO_OWNER not in (owner, home) and owner != home:
+            moves.append(Move(Unit("key", key), owner, home))
+    return moves
+
+
+def _owner(table: SliceTable, unit: Unit) -> str:
+    if unit.kind == "key":
+        return table.hot_keys[unit.index]
+    return table.owners[unit.index]
+
+
+class Placement:
+    """Placement of one service, as its coordinator keeps it in memory.
+
+    A new coordinator starts with an empty window: it plans by slice count until
+    the first reports arrive and keeps the hot keys that it finds in the table.
+
+    :param slice_count: slices of the service's hash space.
+    :param selector: decides which keys are placed alone.
+    """
+
+    def __init__(
+        self,
+        slice_count: int,
+        limits: Limits = DEFAULT_LIMITS,
+        selector: HotKeySelector | None = None,
+    ) -> None:
+        self.window = LoadWindow(slice_count)
+        self._limits = limits
+        self._selector = selector or HotKeySelector()
+        self._continuing = False
+
+    def add_report(self, report: LoadReport, now: float) -> None:
+        """Add a router's load report that arrived at ``now``."""
+        self.window.add(report, now)
+
+    def plan(
+        self,
+        now: float,
+        table: SliceTable,
+        servers: Mapping[str, ServerState],
+        pending: Collection[Move] = (),
+    ) -> Plan:
+        """Return the next batch of changes to a table.
+
+        Splits and merges are left out while moves are in flight.
+
+        :param table: table in force; :data:`NO_OWNER` marks a unit in handoff.
+        :param servers: servers that are up; one that is absent is lost.
+        :param pending: moves in flight.
+        """
+        self.window.decay(now)
+        splits, merging = ({}, ()) if pending else self._select(now, table, servers)
+        table = table._replace(hot_keys={**table.hot_keys, **splits})
+        plan = plan_moves(
+            table,
+            servers,
+            self._loads(table),
+            pending=pending,
+            returning_keys=merging,
+            continuing=self._continuing,
+            limits=self._limits,
+        )
+        if not pending and not plan.urgent:
+            self._continuing = plan.unfinished
+        return plan._replace(
+            splits=splits, merges=_finished_merges(table, merging, plan)
+        )
+
+    def _select(
+        self, now: float, table: SliceTable, servers: Mapping[str, ServerState]
+    ) -> tuple[dict[int, str], tuple[int, ...]]:
+        fair_load = self.window.total() / max(1, len(_usable(servers)))
+        decision = self._selector.decide(
+            now, table.hot_keys, self.window.keys, fair_load
+        )
+        owners = table.owners
+        homes = {key: owners[slice_of(key, len(owners))] for key in decision.split}
+        splits = {key: home for key, home in homes.items() if home in servers}
+        return splits, decision.merge
+
+    def _loads(self, table: SliceTable) -> Loads:
+        slices = list(self.window.slices)
+        keys = {key: self.window.keys.get(key, 0.0) for key in table.hot_keys}
+        for key, load in keys.items():
+            index = slice_of(key, len(slices))
+            slices[index] = max(0.0, slices[index] - load)
+        return Loads(slices, keys)
+
+
+def _finished_merges(
+    table: SliceTable, merging: Collection[int], plan: Plan
+) -> tuple[int, ...]:
+    """Return the merging keys that are with their slice, and both stay."""
+    moving = {move.unit for move in plan.moves}
+    finished = []
+    for key in merging:
+        index = slice_of(key, len(table.owners))
+        together = table.hot_keys[key] == table.owners[index] != NO_OWNER
+        if together and moving.isdisjoint((Unit("key", key), Unit("slice", index))):
+            finished.append(key)
+    return tuple(finished)
