--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -138,9 +138,8 @@
             max_line_size=limits.header_bytes,
             max_field_size=limits.header_bytes,
         )
-        self._runner = web.ServerRunner(
-            server, shutdown_timeout=limits.shutdown_limit_s
-        )
+        # Requests in flight are awaited in drain(), so what is left is cut off.
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
         host, port = split_address(self.callers_address)
         self._site = web.TCPSite(self._runner, host, port, backlog=1024)
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,123 @@
+import asyncio
+
+import aiohttp
+import pytest
+from multidict import CIMultiDict
+
+from jacinthpath.endpoints import EndpointClient
+from jacinthpath.exchange import AttemptOutcome, Exchange
+
+
+class ScriptedEndpoint:
+    """Reads each request whole and answers what the script says.
+
+    ``None`` closes the connection without an answer.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = 0
+        self.server = None
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *exc):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        while True:
+            try:
+                await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            self.requests += 1
+            answer = self.answers.pop(0)
+            if answer is None:
+                break
+            writer.write(answer)
+            await writer.drain()
+        writer.close()
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def exchange(method="GET"):
+    request = Exchange()
+    request.method = method
+    request.path = "/work"
+    request.headers = CIMultiDict()
+    request.body = request.stream = None
+    request.deadline_s = asyncio.get_running_loop().time() + 5
+    return request
+
+
+async def no_stream(response, headers):
+    raise AssertionError("a short answer is read whole")
+
+
+@pytest.fixture
+async def client():
+    client = EndpointClient()
+    await client.start()
+    yield client
+    await client.close()
+
+
+async def send(client, endpoint, method="GET"):
+    return await client.attempt(
+        exchange(method), "s1", endpoint.address, 0, "", no_stream
+    )
+
+
+async def test_library_repeats_a_request_by_itself_unless_switched_off():
+    """Shows the fault that the next test guards against."""
+    async with ScriptedEndpoint(OK, None, OK) as endpoint:
+        async with aiohttp.ClientSession() as session:
+            for _ in range(2):
+                async with session.get(f"http://{endpoint.address}/") as response:
+                    await response.read()
+        assert endpoint.requests == 3
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+async def test_broken_kept_connection_is_not_repeated(client, method):
+    """Guards against a second run that the HTTP client starts on its own."""
+    async with ScriptedEndpoint(OK, None, OK) as endpoint:
+        assert (await send(client, endpoint, method)).status == 200
+        attempt = await send(client, endpoint, method)
+        assert attempt.outcome is AttemptOutcome.UNKNOWN
+        assert endpoint.requests == 2
+
+
+async def test_refused_connection_is_not_run(client):
+    async with ScriptedEndpoint() as endpoint:
+        address = endpoint.address
+    endpoint.address = address
+    attempt = await send(client, endpoint)
+    assert attempt.outcome is AttemptOutcome.NOT_RUN
+    assert attempt.reason == "endpoint-unreachable"
+
+
+ANSWERS = {
+    "not owner": (b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", "not-run"),
+    "explicit refusal": (
+        b"HTTP/1.1 503 No\r\njacinthpath-not-run: 1\r\nContent-Length: 0\r\n\r\n",
+        "not-run",
+    ),
+    "plain 503": (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "answered"),
+    "no end": (b"HTTP/1.1 200 OK\r\n\r\nhalf", "unknown"),
+    "not HTTP": (b"garbage\r\n\r\n", "unknown"),
+}
+
+
+@pytest.mark.parametrize("name", ANSWERS)
+async def test_outcome_of_an_answer(client, name):
+    """Guards "not run": a 503 without the explicit field may have run."""
+    answer, outcome = ANSWERS[name]
+    async with ScriptedEndpoint(answer) as endpoint:
+        assert (await send(client, endpoint)).outcome.value == outcome
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,68 @@
+"""Shutdown of entry processes under load, with real signals."""
+
+import asyncio
+import signal
+
+import pytest_asyncio
+
+from bench.fleet import Fleet, ServiceSpec
+
+
+@pytest_asyncio.fixture
+async def fleet(tmp_path):
+    services = [ServiceSpec("publish", servers=4, fields=("slots_per_server = 8",))]
+    async with Fleet(tmp_path, services, hosts=1) as fleet:
+        await fleet.wait_until_ready()
+        yield fleet
+
+
+async def test_sigterm_under_load_cuts_off_no_request(fleet):
+    """Guards against a shutdown that closes connections with requests on them."""
+    entry = fleet.entries[0]
+    stopping = asyncio.Event()
+    answered = 0
+
+    async def call():
+        nonlocal answered
+        while not stopping.is_set():
+            status, headers, _ = await fleet.request("publish", "/p?ms=20", entry=entry)
+            assert status == 200 or headers["jacinthpath-outcome"] == "not-run"
+            answered += status == 200
+
+    callers = [asyncio.create_task(call()) for _ in range(8)]
+    while answered < 20:
+        await asyncio.sleep(0.01)
+    entry.signal(signal.SIGTERM)
+    # The balancer notices that the host is not ready and stops sending.
+    ready_url = f"http://{entry.addresses['admin_address']}/ready"
+    while True:
+        async with fleet.session.get(ready_url) as response:
+            if response.status == 503:
+                break
+    stopping.set()
+    await asyncio.gather(*callers)
+    assert await entry.handle.wait() == 0
+
+
+async def test_second_sigterm_cuts_the_drain_short_and_says_what_was_lost(fleet):
+    entry = fleet.entries[0]
+    pending = asyncio.create_task(fleet.request("publish", "/p?ms=20000", entry=entry))
+    while (await fleet.server_stats("publish-0"))["counts"]["runs"] + (
+        await total_runs(fleet)
+    ) == 0:
+        await asyncio.sleep(0.01)
+    entry.signal(signal.SIGTERM)
+    while b"draining" not in entry.output.read_bytes():
+        await asyncio.sleep(0.01)
+    entry.signal(signal.SIGTERM)
+    async with asyncio.timeout(5):
+        assert await entry.handle.wait() == 1
+    await asyncio.gather(pending, return_exceptions=True)
+    log = entry.output.read_text()
+    assert "event=draining_cut_short" in log
+    assert "event=requests_cut_off" in log
+
+
+async def total_runs(fleet):
+    stats = [await fleet.server_stats(f"publish-{index}") for index in range(1, 4)]
+    return sum(entry["counts"]["runs"] for entry in stats)
