--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -70,3 +70,12 @@
         click.echo(f"{path} is valid.")
         return
     sys.exit(run_daemon(build_control(settings)))
+
+
+@main.command()
+@click.argument("page", type=click.Choice(["metrics", "settings"]))
+def reference(page: str) -> None:
+    """Print a reference page as Markdown."""
+    from .reference import PAGES
+
+    click.echo(PAGES.get(page)(), nl=False)
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -5,6 +5,7 @@
 __all__ = ["Forwarder", "RecordClient"]
 
 import asyncio
+import contextlib
 import json
 import random
 from typing import Protocol
@@ -100,6 +101,9 @@
             return reply.finish(attempt)
         except RequestError as error:
             return self._refuse(exchange, reply, error)
+        except (_CallerLeft, ConnectionError, asyncio.CancelledError):
+            self._count(exchange, "caller-left")
+            raise
         finally:
             self.in_flight -= 1
 
@@ -276,6 +280,10 @@
         self._metrics.count("requests_total", service=exchange.service, outcome=outcome)
 
 
+class _CallerLeft(Exception):
+    """The caller closed its connection before it had the whole answer."""
+
+
 class _Progress:
     """Whether an attempt may have reached an endpoint."""
 
@@ -302,10 +310,18 @@
     ) -> None:
         """Pass a long answer on piece by piece, as fast as the caller reads."""
         self._response = web.StreamResponse(status=upstream.status, headers=headers)
-        await self._response.prepare(self._request)
+        try:
+            await self._response.prepare(self._request)
+        except ConnectionError as error:
+            raise _CallerLeft from error
         async for chunk in upstream.content.iter_any():
-            await self._response.write(chunk)
-        await self._response.write_eof()
+            try:
+                await self._response.write(chunk)
+            except ConnectionError as error:
+                # Told apart from a failure of the endpoint, whose evidence it is not.
+                raise _CallerLeft from error
+        with contextlib.suppress(ConnectionError):
+            await self._response.write_eof()
 
     def finish(self, attempt: Attempt) -> web.StreamResponse:
         """Return the response of an answered attempt."""
--- a/src/jacinthpath/settings.py
+++ b/src/jacinthpath/settings.py
@@ -20,6 +20,7 @@
 ]
 
 import difflib
+import inspect
 import ipaddress
 import tomllib
 from collections.abc import Iterator, Mapping
@@ -179,18 +180,41 @@
     return settings
 
 
-def describe_settings(kind: type) -> Iterator[tuple[str, str, str]]:
-    """Yield ``(dotted key, type, default)`` of each setting, for the reference.
+class SettingDescription(NamedTuple):
+    """One line of the settings reference."""
+
+    key: str
+    type_name: str
+    default: str
+    meaning: str
+
+
+def describe_settings(kind: type, prefix: str = "") -> Iterator[SettingDescription]:
+    """Yield a description of each setting, for the reference.
 
     :param kind: :class:`EntrySettings` or :class:`ControlSettings`.
+    :param prefix: dotted name of the table that ``kind`` describes.
     """
+    meanings = _param_texts(kind)
     for name, hint in get_type_hints(kind).items():
-        default = kind._field_defaults.get(name, "required")
         if hasattr(hint, "_fields"):
-            for key, type_name, value in describe_settings(hint):
-                yield f"{name}.{key}", type_name, value
-        else:
-            yield name, _type_name(hint), repr(default)
+            yield from describe_settings(hint, f"{prefix}{name}.")
+            continue
+        default = "required"
+        if name in kind._field_defaults:
+            default = f"`{kind._field_defaults[name]!r}`"
+        yield SettingDescription(
+            prefix + name, _type_name(hint), default, meanings.get(name, "")
+        )
+
+
+def _param_texts(kind: type) -> dict[str, str]:
+    """Return the ``:param`` texts of a docstring, each on one line."""
+    texts = {}
+    for part in inspect.getdoc(kind).split(":param ")[1:]:
+        name, _, text = part.partition(":")
+        texts[name] = " ".join(text.split()).replace("``", "`")
+    return texts
 
 
 def _load(path: str | Path, kind: type[T]) -> T:
