Hold lower classes back while endpoints are slow

The queue orders only its own host's work, so deferrable work of one host delayed first-class work of others at the server.

--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -36,6 +36,8 @@
 
 NAIVE_ATTEMPTS = 3
 HINT_LAG_S = 2.0
+# Resolution of the timer for waiting requests that are given up.
+TIMER_S = 0.001
 
 
 class Run:
@@ -101,15 +103,24 @@
 class ProductRouter:
     """One entry host that uses the decision modules.
 
-    :param defer: whether deferrable work goes through the planner.
+    :param defer_limit_s: time from arrival by which deferrable work must end.
+    :param planned: whether deferrable work goes through the planner.
     """
 
-    def __init__(self, run: Run, host: int, seed: int, defer_limit_s: float) -> None:
+    def __init__(
+        self,
+        run: Run,
+        host: int,
+        seed: int,
+        defer_limit_s: float,
+        planned: bool = True,
+    ) -> None:
         self.run = run
         self.clock = run.clock
         self.data_centre = f"dc{host % DATA_CENTRES}"
         self.in_use: Counter[str] = Counter()
         self.opened: Counter[str] = Counter()
+        self._planned = planned
         self._random = Random(seed * 1000 + host)
         self._estimator = LengthEstimator()
         self._defer_limit_s = defer_limit_s
@@ -124,7 +135,7 @@
         }
         for service in run.scenario.services:
             self._add_lanes(service)
-        if defer_limit_s:
+        if planned:
             self.clock.call_at(self._random.random(), self._tick)
 
     def _add_lanes(self, service: ServiceModel) -> None:
@@ -149,8 +160,9 @@
         if budget is None:
             budget = self._budgets[job.account] = RetryBudget(0.1)
         budget.deposit()
-        if job.priority == "deferrable" and self._defer_limit_s:
+        if job.priority == "deferrable":
             job.deadline = job.arrival + self._defer_limit_s
+        if job.priority == "deferrable" and self._planned:
             self._planner.defer(job.job_id, self._defer_limit_s, self.clock.now)
         else:
             self._planner.attempted()
@@ -185,9 +197,12 @@
         now = self.clock.now
         if lane.pool is not None:
             slots = lane.pool.capacity(now)
+            pressure = lane.pool.pressure(now)
         else:
             slots = int(lane.limit.value)
-        lane.queue.resize(slots, self._estimator.long_after_s(service))
+            pressure = lane.limit.trend.ratio(now)
+        long_after_s = self._estimator.long_after_s(service)
+        lane.queue.adjust(slots, long_after_s, pressure)
 
     def _drain(self, lane: _Lane) -> None:
         now = self.clock.now
@@ -196,8 +211,8 @@
         for request in lane.queue.expire(now):
             self._give_up(request.request_id, "expired")
         due = lane.queue.next_expiry()
-        if due is not None and not (now < lane.timer <= due):
-            lane.timer = due + 1e-6
+        if due is not None and not now < lane.timer <= due + TIMER_S:
+            lane.timer = due + TIMER_S
             self.clock.call_at(lane.timer, self._drain, lane)
 
     def _give_up(self, job_id: int, reason: str) -> None:
@@ -282,7 +297,7 @@
     request, and the caller asks again at once, up to three attempts.
     """
 
-    def __init__(self, run: Run, host: int, seed: int, defer_limit_s: float) -> None:
+    def __init__(self, run: Run, host: int) -> None:
         self.run = run
         self.clock = run.clock
         self.data_centre = f"dc{host % DATA_CENTRES}"
@@ -373,19 +388,20 @@
 
 def simulate(
     scenario: Scenario,
-    router_class: type[ProductRouter] | type[NaiveRouter],
     jobs: list[Job],
-    seed: int,
-    defer_limit_s: float = 0.0,
+    make_router: Callable[[Run, int], ProductRouter | NaiveRouter],
+    tail_s: float,
 ) -> Run:
-    """Run a load through ten hosts; each job's ``ended`` tells how it went."""
+    """Run a load through ten hosts; each job's ``ended`` tells how it went.
+
+    :param make_router: called with the run and the number of each host.
+    :param tail_s: how long the run goes on after the last arrival.
+    """
     run = Run(scenario)
-    routers = [router_class(run, host, seed, defer_limit_s) for host in range(HOSTS)]
+    routers = [make_router(run, host) for host in range(HOSTS)]
     for servers in run.servers.values():
-        first = next(iter(servers.values()))
-        first.restart_cold()
+        next(iter(servers.values())).restart_cold()
     for job in jobs:
         run.clock.call_at(job.arrival, routers[job.host].arrive, job)
-    slack_s = max(service.deadline_s for service in scenario.services)
-    run.clock.run_until(jobs[-1].arrival + 3 * slack_s + defer_limit_s)
+    run.clock.run_until(jobs[-1].arrival + tail_s)
     return run
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -24,11 +24,17 @@
 # Share of the dispatched work that a class gets while higher classes wait, so
 # that a steady stream of first-class work cannot starve the others.
 FLOOR_SHARE = {"first": 0.0, "normal": 0.05, "deferrable": 0.01}
+# A class starts no work while the endpoints are this many times slower than
+# unloaded. The queue orders only the work of this host, so without this rule
+# lower classes of one host would delay first-class work of the others.
+PRESSURE_LIMIT = {"first": math.inf, "normal": 4.0, "deferrable": 2.0}
 # Part of its allowed time after which deferrable work is treated as normal.
 PROMOTE_AT = 0.8
 
 _LOG_GAIN = 0.1
 _SHAPE_LIMIT = 4096
+# Timer entries of requests that no longer wait, before they are cleared.
+_COMPACT_AT = 256
 
 
 class QueuedRequest(NamedTuple):
@@ -124,7 +130,8 @@
     each account were served in proportion to its weight.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, name: str) -> None:
+        self.pressure_limit = PRESSURE_LIMIT[name]
         self.waiting: dict[int, tuple[QueuedRequest, bool, float]] = {}
         self.lanes: tuple[list, list] = ([], [])
         self.work_s = 0.0
@@ -180,7 +187,7 @@
 
     Call :meth:`offer` for each request, :meth:`finished` when an admitted or
     dispatched request has ended, :meth:`next` until it returns ``None`` after
-    each of these and after :meth:`resize`, and :meth:`expire` on a timer at
+    each of these and after :meth:`adjust`, and :meth:`expire` on a timer at
     :meth:`next_expiry`.
 
     :param slots: requests that may run at a time.
@@ -192,17 +199,23 @@
         self, slots: int, long_after_s: float = 1.0, waiting_limit: int = 1000
     ) -> None:
         self.waiting_limit = waiting_limit
-        self._classes = {name: _Class() for name in PRIORITIES}
+        self._classes = {name: _Class(name) for name in PRIORITIES}
         self._running: dict[int, float] = {}
         self._long_running: set[int] = set()
         self._expiries: list[tuple[float, int, str]] = []
         self._promotions: list[tuple[float, int]] = []
         self._given_up: list[QueuedRequest] = []
         self.waiting = 0
-        self.resize(slots, long_after_s)
+        self.adjust(slots, long_after_s)
 
-    def resize(self, slots: int, long_after_s: float) -> None:
-        """Set the number of slots and the length of long work."""
+    def adjust(self, slots: int, long_after_s: float, pressure: float = 1.0) -> None:
+        """Set what was learned of the endpoints.
+
+        :param slots: requests that may run at a time.
+        :param long_after_s: from :meth:`LengthEstimator.long_after_s`.
+        :param pressure: how many times slower than unloaded the endpoints are.
+        """
+        self.pressure = pressure
         self.slots = max(1, slots)
         self.long_after_s = long_after_s
         self._long_slots = int(self.slots * LONG_SHARE)
@@ -217,7 +230,7 @@
         is_long = request.expected_s > self.long_after_s
         if now + request.expected_s > request.deadline:
             return Admission(REFUSED, "deadline")
-        if not self._blocked(request, is_long) and self._may_start(is_long, now):
+        if self._may_pass(request, is_long) and self._may_start(is_long, now):
             self._start(request, is_long, now)
             return _ADMITTED
         wait_s = self.estimate_wait_s(request)
@@ -269,7 +282,13 @@
 
     def next_expiry(self) -> float | None:
         """Return when :meth:`expire` is next due, if anything waits."""
-        return self._expiries[0][0] if self._expiries and self.waiting else None
+        expiries = self._expiries
+        while expiries:
+            due, request_id, priority = expiries[0]
+            if request_id in self._classes[priority].waiting:
+                return due
+            heapq.heappop(expiries)
+        return None
 
     def estimate_wait_s(self, request: QueuedRequest) -> float:
         """Return the estimated time that a request would wait for a slot.
@@ -286,16 +305,18 @@
         share_s = own_s * max(1, len(queue.finish)) * request.weight
         return (ahead_s + min(queue.work_s, share_s)) / self.slots
 
-    def _blocked(self, request: QueuedRequest, is_long: bool) -> bool:
-        """Return whether a request waits that goes before this one."""
-        if not self.waiting:
+    def _may_pass(self, request: QueuedRequest, is_long: bool) -> bool:
+        """Return whether no request goes before this one and pressure allows it."""
+        if self.pressure > PRESSURE_LIMIT[request.priority]:
             return False
+        if not self.waiting:
+            return True
         for name, queue in self._classes.items():
             if queue.head(is_long) is not None:
-                return True
-            if name == request.priority:
                 return False
-        return False
+            if name == request.priority:
+                break
+        return True
 
     def _may_start(self, is_long: bool, now: float) -> bool:
         """Return whether a slot is free for short or for long work.
@@ -332,18 +353,39 @@
         self._classes[priority].add(request, is_long, now)
         self.waiting += 1
         latest_start = request.deadline - request.expected_s
+        if len(self._expiries) > _COMPACT_AT + 2 * self.waiting:
+            self._compact()
         heapq.heappush(self._expiries, (latest_start, request.request_id, priority))
         if priority == "deferrable":
             promote_at = now + PROMOTE_AT * (latest_start - now)
             heapq.heappush(self._promotions, (promote_at, request.request_id))
 
+    def _compact(self) -> None:
+        """Drop timer entries of requests that no longer wait.
+
+        Deferrable requests may be due hours later, so their entries would
+        otherwise outlive them.
+        """
+        self._expiries = [
+            entry
+            for entry in self._expiries
+            if entry[1] in self._classes[entry[2]].waiting
+        ]
+        deferrable = self._classes["deferrable"].waiting
+        self._promotions = [
+            entry for entry in self._promotions if entry[1] in deferrable
+        ]
+        heapq.heapify(self._expiries)
+        heapq.heapify(self._promotions)
+
     def _by_turn(self) -> list[_Class]:
         """Return the classes in the order in which they are served now."""
         classes = list(self._classes.values())
+        turn = [queue for queue in classes if self.pressure <= queue.pressure_limit]
         for queue in classes[:0:-1]:
             if queue.waiting and queue.credit_s > 0.0:
-                return [queue, *classes]
-        return classes
+                return [queue, *turn]
+        return turn
 
     def _choose_lane(
         self, queue: _Class, short: bool, long: bool, now: float
--- a/src/jacinthpath/selection.py
+++ b/src/jacinthpath/selection.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from .configuration import Endpoint
-from .limits import ConcurrencyLimit
+from .limits import ConcurrencyLimit, LatencyTrend
 
 # Endpoints compared for each choice. A choice among all of them makes hosts
 # with the same evidence send to the same endpoint.
@@ -73,6 +73,7 @@
         self._limit_arguments = (slots, hosts, connections)
         self._states: dict[str, _State] = {}
         self._active: list[_State] = []
+        self._trend = LatencyTrend()
         self.update(endpoints, -math.inf)
 
     def update(self, endpoints: Iterable[Endpoint], now: float) -> None:
@@ -99,6 +100,10 @@
         )
         return max(1, int(total))
 
+    def pressure(self, now: float) -> float:
+        """Return how many times slower than unloaded the service is now."""
+        return self._trend.ratio(now)
+
     def choose(self, now: float, exclude: Collection[str] = ()) -> Endpoint | None:
         """Return the endpoint for an attempt, or ``None`` when none may take it.
 
@@ -152,6 +157,7 @@
             state.failures += 1
         else:
             state.failures = 0
+            self._trend.observe(latency_s, now)
             self._learn(state, latency_s)
         self._eject_outlier(state, now)
 
