Add at-most-once records as decision code

Cause: a non-idempotent request must run at most once although hosts keep nothing and any process can be lost or paused. Ruled out: holder sets computed from the lagging host list; two processes with different views can then accept the same key in disjoint pairs of holders. Before: no records.

--- /dev/null
+++ b/src/jacinthpath/records.py
@@ -0,0 +1,361 @@
+"""At-most-once records on the holder side.
+
+A ledger maps an idempotency key to the attempt that may run it. It lives in
+the memory of a control process, so it forgets everything at a restart;
+:mod:`jacinthpath.record_standing` decides when an absent record means "new".
+"""
+
+from __future__ import annotations
+
+__all__ = ["RecordLedger", "RecordQuorum", "choose_holders"]
+
+import math
+import sys
+from typing import NamedTuple
+
+from .record_messages import (
+    CANNOT_TELL,
+    MISMATCH,
+    NEW,
+    RUNNING,
+    SETTLED,
+    UNKNOWN,
+    Answer,
+    Claim,
+    KeptResponse,
+    PeerStanding,
+    RecordKey,
+    TransferPage,
+    TransferredRecord,
+)
+from .record_quorum import RecordQuorum
+from .record_roster import choose_holders
+from .record_standing import MAX_CLAIM_S, HolderStanding
+
+# A record of two attempts: each may be the one that runs, so that neither can
+# withdraw it.
+CONTESTED = 0
+
+# Withdrawn attempts that a record remembers, so that a late claim message does
+# not revive one. Forgetting one costs a false "running", never a second run.
+MAX_WITHDRAWN = 8
+WITHDRAWN_RETENTION_S = 60.0
+
+# Memory of a record without its key and response; the measured figures are in
+# docs/decisions/at-most-once.md.
+RECORD_BYTES = 700
+RESPONSE_BYTES = 400
+
+# Records that one page of a transfer looks at; bounds the time on the event loop.
+PAGE_SCAN_LIMIT = 256
+PAGE_BYTES = 256 * 1024
+
+# A transfer cursor is the number of a snapshot above a position in it, so that
+# the cursor of an abandoned transfer never skips records of a later one.
+CURSOR_BITS = 32
+
+
+class _Record:
+    __slots__ = (
+        "attempt",
+        "claimed_at",
+        "deadline_at",
+        "digest",
+        "entry",
+        "expires_at",
+        "response",
+        "size",
+        "state",
+        "withdrawn",
+    )
+
+    def __init__(self, claim: Claim, state: str, now: float) -> None:
+        self.attempt = claim.attempt
+        self.digest = claim.request_digest
+        self.entry = sys.intern(claim.entry)
+        self.state = state
+        self.claimed_at = now
+        self.deadline_at = now + claim.deadline_s
+        self.expires_at = 0
+        self.response: KeptResponse | None = None
+        self.size = 0
+        self.withdrawn: tuple[int, ...] = ()
+
+    def state_at(self, now: float) -> str:
+        if self.state == RUNNING and now >= self.deadline_at:
+            return UNKNOWN
+        return self.state
+
+
+class _Snapshot(NamedTuple):
+    identity: int
+    keys: list[RecordKey]
+    standing: PeerStanding
+
+
+class RecordLedger:
+    """Records of the keys that one control process holds.
+
+    A full ledger refuses new claims; it never forgets a record before its time.
+
+    :param standing: decides whether an absent record means "new".
+    :param retention_s: how long a record answers after its request was sent. It
+        is kept from its claim on, which is up to ``MAX_CLAIM_S`` earlier.
+    :param max_records: limit on the number of records.
+    :param max_bytes: limit on their memory, as estimated.
+    :param max_body_bytes: longest response body that is kept.
+    """
+
+    def __init__(
+        self,
+        standing: HolderStanding,
+        retention_s: float = 600.0,
+        max_records: int = 20_000,
+        max_bytes: int = 16 * 1024 * 1024,
+        max_body_bytes: int = 16 * 1024,
+    ) -> None:
+        self.standing = standing
+        self._kept_s = retention_s + MAX_CLAIM_S
+        self.max_records = max_records
+        self.max_bytes = max_bytes
+        self.max_body_bytes = max_body_bytes
+        self.bytes_used = 0
+        self._records: dict[RecordKey, _Record] = {}
+        self._expiring: dict[int, list[RecordKey]] = {}
+        self._expired_to = 0
+        self._snapshots: dict[str, _Snapshot] = {}
+        self._snapshot_count = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def claim(self, claim: Claim, now: float) -> Answer:
+        """Accept a claim, or tell what is known of its key."""
+        refusal = self.standing.refusal(claim.key, claim.roster_version, now)
+        record = self._live(claim.key, now)
+        if record is not None and claim.attempt in record.withdrawn:
+            return self._answer(CANNOT_TELL, reason="withdrawn")
+        if record is not None and record.state != NEW:
+            return self._answer_known(record, claim, refusal, now)
+        if refusal:
+            return self._answer(CANNOT_TELL, reason=refusal)
+        if record is None and not self._has_room(claim.key, None):
+            return self._answer(CANNOT_TELL, reason="full")
+        self._store(claim, RUNNING, None, now)
+        return self._answer(NEW, claim.attempt)
+
+    def lookup(self, claim: Claim, now: float) -> Answer:
+        """Tell what is known of a key, without claiming it."""
+        record = self._live(claim.key, now)
+        if record is not None and record.state != NEW:
+            return self._describe(record, claim, now)
+        refusal = self.standing.refusal(claim.key, claim.roster_version, now)
+        return self._answer(CANNOT_TELL if refusal else NEW, reason=refusal)
+
+    def settle(
+        self, claim: Claim, state: str, response: KeptResponse | None, now: float
+    ) -> None:
+        """Take the outcome of an attempt.
+
+        :param state: :data:`SETTLED` or :data:`UNKNOWN` of an attempt that two
+            holders accepted and that was sent, or :data:`NEW` to withdraw a
+            claim that was truly not run.
+        """
+        if state == NEW:
+            self._withdraw(claim, now)
+            return
+        record = self._live(claim.key, now)
+        if record is not None and record.state == SETTLED:
+            return
+        if record is None and not self._has_room(claim.key, None):
+            return
+        self._store(claim, state, response, now)
+
+    def transfer(self, requester: str, cursor: int, now: float) -> TransferPage:
+        """Return a page of the records that another host should hold.
+
+        Records that are accepted after the first page need not be in it: their
+        claims are of this version, in which the requester does not answer yet.
+
+        :param requester: host that pulls, a member of this holder's roster.
+        :param cursor: 0 to start, else ``following`` of the previous page.
+        """
+        if cursor == 0:
+            cursor = self._take_snapshot(requester, now)
+        snapshot = self._snapshots.get(requester)
+        if snapshot is None or snapshot.identity != cursor >> CURSOR_BITS:
+            return TransferPage((), 0, PeerStanding(0, 0))
+        position = cursor & (1 << CURSOR_BITS) - 1
+        records, position = self._scan(snapshot.keys, position, requester, now)
+        if position < len(snapshot.keys):
+            following = snapshot.identity << CURSOR_BITS | position
+            return TransferPage(records, following, None)
+        del self._snapshots[requester]
+        is_same_version = snapshot.standing.version == self._version()
+        standing = snapshot.standing if is_same_version else PeerStanding(0, 0)
+        return TransferPage(records, 0, standing)
+
+    def receive(self, page: TransferPage, host: str, now: float) -> bool:
+        """Take a page that was pulled from ``host``.
+
+        :return: whether all its records had room; if not, the transfer must not
+            be continued, as this holder would not be complete.
+        """
+        for transferred in page.records:
+            if not self._merge(transferred, now):
+                return False
+        if page.standing is not None:
+            self.standing.note_transfer(host, page.standing, now)
+        return True
+
+    def _answer(self, state: str, attempt: int = 0, reason: str = "") -> Answer:
+        return Answer(state, attempt, reason=reason, roster_version=self._version())
+
+    def _answer_known(
+        self, record: _Record, claim: Claim, refusal: str, now: float
+    ) -> Answer:
+        is_own = record.attempt == claim.attempt and record.state == RUNNING
+        if not is_own:
+            return self._describe(record, claim, now)
+        if refusal:
+            return self._answer(CANNOT_TELL, reason=refusal)
+        return self._answer(NEW, claim.attempt)
+
+    def _describe(self, record: _Record, claim: Claim, now: float) -> Answer:
+        state = record.state_at(now)
+        if record.digest != claim.request_digest:
+            return self._answer(MISMATCH, record.attempt)
+        answer = self._answer(state, record.attempt)
+        return answer._replace(
+            response=record.response, age_s=max(0.0, now - record.claimed_at)
+        )
+
+    def _withdraw(self, claim: Claim, now: float) -> None:
+        record = self._live(claim.key, now)
+        if record is None:
+            if not self._has_room(claim.key, None):
+                return
+            record = self._store(claim, NEW, None, now)
+        elif record.state == RUNNING and record.attempt == claim.attempt:
+            record.state = NEW
+        record.withdrawn = (*record.withdrawn, claim.attempt)[-MAX_WITHDRAWN:]
+        if record.state == NEW:
+            record.attempt = CONTESTED
+            self._schedule(claim.key, record, now + WITHDRAWN_RETENTION_S)
+
+    def _merge(self, transferred: TransferredRecord, now: float) -> bool:
+        claim, state, response, age_s = transferred
+        if age_s >= self._kept_s:
+            return True
+        record = self._live(claim.key, now)
+        if record is None or record.state == NEW:
+            if record is not None and claim.attempt in record.withdrawn:
+                return True
+            if record is None and not self._has_room(claim.key, response):
+                return False
+            self._store(claim, state, response, now - age_s)
+        elif state == SETTLED and record.state != SETTLED:
+            self._store(claim, state, response, now - age_s)
+        elif record.state != SETTLED and record.attempt != claim.attempt:
+            record.attempt = CONTESTED
+            record.claimed_at = max(record.claimed_at, now - age_s)
+            self._schedule(claim.key, record, record.claimed_at + self._kept_s)
+        return True
+
+    def _take_snapshot(self, requester: str, now: float) -> int:
+        self._expire(now)
+        self._snapshot_count += 1
+        self._snapshots[requester] = _Snapshot(
+            self._snapshot_count, list(self._records), self.standing.standing()
+        )
+        return self._snapshot_count << CURSOR_BITS
+
+    def _scan(
+        self, keys: list[RecordKey], position: int, requester: str, now: float
+    ) -> tuple[tuple[TransferredRecord, ...], int]:
+        """Return the records of one page and the position after it."""
+        roster = self.standing.roster
+        hosts = roster.hosts() if roster is not None else {}
+        records: list[TransferredRecord] = []
+        size = 0
+        end = min(position + PAGE_SCAN_LIMIT, len(keys))
+        while position < end and size < PAGE_BYTES:
+            key = keys[position]
+            position += 1
+            record = self._live(key, now)
+            if record is None or record.state == NEW:
+                continue
+            if requester in choose_holders(*key, hosts):
+                records.append(self._export(key, record, now))
+                size += record.size
+        return tuple(records), position
+
+    def _version(self) -> int:
+        return self.standing.standing().version
+
+    def _export(self, key: RecordKey, record: _Record, now: float) -> TransferredRecord:
+        remaining_s = record.deadline_at - now
+        claim = Claim(*key, record.digest, record.entry, record.attempt, remaining_s, 0)
+        age_s = max(0.0, now - record.claimed_at)
+        return TransferredRecord(claim, record.state, record.response, age_s)
+
+    def _live(self, key: RecordKey, now: float) -> _Record | None:
+        self._expire(now)
+        return self._records.get(key)
+
+    def _has_room(self, key: RecordKey, response: KeptResponse | None) -> bool:
+        return (
+            len(self._records) < self.max_records
+            and self.bytes_used + _size(key, response) <= self.max_bytes
+        )
+
+    def _store(
+        self, claim: Claim, state: str, response: KeptResponse | None, since: float
+    ) -> _Record:
+        key = (sys.intern(claim.account), sys.intern(claim.service), claim[2])
+        previous = self._records.pop(key, None)
+        record = _Record(claim, state, since)
+        if previous is not None:
+            record.withdrawn = previous.withdrawn
+            self.bytes_used -= previous.size
+            if previous.state != NEW and previous.attempt == claim.attempt:
+                record.claimed_at = min(since, previous.claimed_at)
+        record.response = self._trim(key, response)
+        record.size = _size(key, record.response)
+        self.bytes_used += record.size
+        self._records[key] = record
+        self._schedule(key, record, record.claimed_at + self._kept_s)
+        return record
+
+    def _trim(
+        self, key: RecordKey, response: KeptResponse | None
+    ) -> KeptResponse | None:
+        if response is None or not response.body:
+            return response
+        too_long = len(response.body) > self.max_body_bytes
+        if too_long or self.bytes_used + _size(key, response) > self.max_bytes:
+            return response._replace(body=b"", body_kept=False)
+        return response
+
+    def _schedule(self, key: RecordKey, record: _Record, expires_at: float) -> None:
+        record.expires_at = math.ceil(expires_at)
+        self._expiring.setdefault(record.expires_at, []).append(key)
+
+    def _expire(self, now: float) -> None:
+        if int(now) <= self._expired_to:
+            return
+        self._expired_to = int(now)
+        for second in [each for each in self._expiring if each <= now]:
+            for key in self._expiring.pop(second):
+                record = self._records.get(key)
+                if record is not None and record.expires_at <= now:
+                    del self._records[key]
+                    self.bytes_used -= record.size
+
+
+def _size(key: RecordKey, response: KeptResponse | None) -> int:
+    size = RECORD_BYTES + len(key[2])
+    if response is not None:
+        headers = sum(len(name) + len(value) + 160 for name, value in response.headers)
+        size += RESPONSE_BYTES + len(response.body) + headers
+    return size
