Check configuration documents as a whole

parse_configuration trusted its input: a missing table raised KeyError, a misspelled key raised TypeError, and a deeply nested document exhausted the stack. Operators need every fault at once, with its line.

Add the schema, the check and the resolution of parameters and overrides. A scan of the text gives the lines that tomllib does not, and refuses nesting before tomllib meets it: a key of 300,000 parts takes quadratic time there. Properties of a service (keyed, fencing, slots, connections, slices and the addresses of servers) must agree between accounts, because ownership of a key is the same for all of them.

Ruled out: a schema library, because none is among the dependencies and none reports lines of a TOML text.

--- a/src/jacinthpath/configuration.py
+++ b/src/jacinthpath/configuration.py
@@ -1,17 +1,50 @@
-"""Operators' configuration: routing templates and per-account parameters."""
+"""Operators' configuration: routing templates and per-account parameters.
+
+Operators write one TOML document. A template names services, their endpoints
+and how requests to them are treated; an account names its template and fills
+or overrides values of it::
+
+    [templates.standard.services.preview]
+    keyed = true
+    priority = "first"
+    deadline_ms = "${preview_deadline_ms}"
+    endpoints = [{ server = "p1", address = "10.0.0.1:8080" }]
+
+    [accounts.school]
+    template = "standard"
+    parameters = { preview_deadline_ms = 2000 }
+
+    [accounts.school.services.preview.endpoints.p1]
+    state = "draining"
+"""
 
 from __future__ import annotations
 
-__all__ = ["Configuration", "Endpoint", "ServicePolicy", "parse_configuration"]
+__all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "Configuration",
+    "Endpoint",
+    "RequestRule",
+    "ServicePolicy",
+    "parse_configuration",
+    "read_document",
+]
 
+import re
 import tomllib
 from collections.abc import Mapping
-from typing import NamedTuple
+from fnmatch import fnmatchcase
+from typing import Any, NamedTuple
 
+from .configuration_check import Checker
+from .configuration_lines import SourceIndex, index_source
 from .errors import ConfigurationError, ConfigurationProblem
 
 PRIORITIES = ("first", "normal", "deferrable")
 
+# The store holds values of 1 MB; the rest is for the metadata of the history.
+MAX_DOCUMENT_BYTES = 900_000
+
 
 class Endpoint(NamedTuple):
     """Address of one server of a service.
@@ -26,6 +59,23 @@
     weight: float = 1.0
 
 
+class RequestRule(NamedTuple):
+    """Policy of those requests of a service that match a method and path.
+
+    :param path: pattern in which ``*`` matches any characters.
+    :param method: HTTP method, or ``*`` for all.
+
+    The other fields replace those of the service unless they are ``None``.
+    """
+
+    path: str
+    method: str = "*"
+    idempotent: bool | None = None
+    priority: str | None = None
+    deadline_ms: int | None = None
+    defer_limit_s: float | None = None
+
+
 class ServicePolicy(NamedTuple):
     """How requests of one account to one service are treated.
 
@@ -42,6 +92,7 @@
     :param slots_per_server: requests that a server runs at a time.
     :param connections_per_server: connections that a server accepts in total.
     :param slice_count: slices of the key space of a keyed service.
+    :param rules: exceptions for some requests; the first that matches counts.
     """
 
     service: str
@@ -58,12 +109,30 @@
     connections_per_server: int = 100
     slice_count: int = 1024
     endpoints: tuple[Endpoint, ...] = ()
+    rules: tuple[RequestRule, ...] = ()
+
+    def for_request(self, method: str, path: str) -> ServicePolicy:
+        """Return the policy of one request.
+
+        :param path: path within the service, starting with a slash.
+        """
+        for rule in self.rules:
+            if rule.method in ("*", method) and fnmatchcase(path, rule.path):
+                changes = rule._asdict().items()
+                return self._replace(
+                    **{
+                        key: value
+                        for key, value in changes
+                        if value is not None and key not in ("path", "method")
+                    }
+                )
+        return self
 
 
 class Configuration(NamedTuple):
     """One accepted version of the operators' configuration.
 
-    :param version: version of the value in the store.
+    :param version: version of the document, which grows by one with each change.
     :param change_id: identity of the change that made it.
     :param policies: resolved policy for each (account, service).
     """
@@ -77,29 +146,112 @@
         return self.policies.get((account, service))
 
     def services(self) -> dict[str, ServicePolicy]:
-        """Return one policy for each service, for what accounts share."""
-        return {service: policy for (_, service), policy in self.policies.items()}
+        """Return one policy for each service, for what accounts share.
+
+        It has the endpoints of all accounts. An endpoint that any account
+        drains is draining, because ownership of a key is the same for all.
+        """
+        shared: dict[str, ServicePolicy] = {}
+        for (_, service), policy in self.policies.items():
+            seen = shared.get(service)
+            if seen is None or seen.endpoints is policy.endpoints:
+                shared.setdefault(service, policy)
+                continue
+            endpoints = _merge_endpoints(seen.endpoints, policy.endpoints)
+            shared[service] = seen._replace(endpoints=endpoints)
+        return shared
 
 
 def parse_configuration(
-    text: str, version: int = 0, change_id: str = ""
+    text: str, version: int = 0, change_id: str = "", path: str = "configuration"
 ) -> Configuration:
     """Read a configuration document.
 
-    :raises ConfigurationError: the document has any fault.
+    :param path: file name for the messages.
+    :raises ConfigurationError: the document has any fault; lists all of them.
     """
-    try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        problem = ConfigurationProblem(0, "", str(error), "Correct the TOML syntax.")
-        raise ConfigurationError((problem,)) from error
-    policies = {}
-    for account, parameters in document["accounts"].items():
-        template = document["templates"][parameters["template"]]
-        for name, fields in template["services"].items():
-            endpoints = tuple(
-                Endpoint(**endpoint) for endpoint in fields.get("endpoints", ())
-            )
-            values = {**fields, "endpoints": endpoints}
-            policies[account, name] = ServicePolicy(name, **values)
+    document, index = read_document(text, path)
+    checker = Checker(document, index)
+    resolved = checker.run()
+    if checker.problems:
+        raise ConfigurationError(tuple(checker.problems), path)
+    builder = _PolicyBuilder()
+    policies = {
+        (account, service): builder.build(service, fields)
+        for (account, service), fields in resolved.items()
+    }
     return Configuration(version, change_id, policies)
+
+
+def read_document(
+    text: str, path: str = "configuration"
+) -> tuple[dict[str, Any], SourceIndex]:
+    """Return the parsed but unchecked document, and where its keys stand.
+
+    :raises ConfigurationError: the document is too large, nested too deeply, or
+        no TOML.
+    """
+    size_bytes = len(text.encode(errors="replace"))
+    if size_bytes > MAX_DOCUMENT_BYTES:
+        found = f"the document has {size_bytes} bytes"
+        remedy = f"Shorten it to {MAX_DOCUMENT_BYTES} bytes."
+        problem = ConfigurationProblem(0, "document", found, remedy)
+        raise ConfigurationError((problem,), path)
+    try:
+        index = index_source(text)
+        return tomllib.loads(text), index
+    except ConfigurationError as error:
+        raise ConfigurationError(error.problems, path) from None
+    except (ValueError, RecursionError) as error:
+        found = re.search(r"at line (\d+)", str(error))
+        at_end = "at end of document" in str(error)
+        last_line = text.count("\n") + 1
+        problem = ConfigurationProblem(
+            int(found[1]) if found else last_line if at_end else 0,
+            "document",
+            str(error)[:200].rstrip(".") or type(error).__name__,
+            "Correct the TOML syntax.",
+        )
+        raise ConfigurationError((problem,), path) from error
+
+
+class _PolicyBuilder:
+    """Builds policies that share equal parts, which bounds memory."""
+
+    def __init__(self) -> None:
+        self._endpoints: dict[Endpoint, Endpoint] = {}
+        self._pools: dict[int, tuple[Endpoint, ...]] = {}
+        self._rules: dict[int, tuple[RequestRule, ...]] = {}
+        self._policies: dict[int, ServicePolicy] = {}
+
+    def build(self, service: str, fields: dict[str, Any]) -> ServicePolicy:
+        """Return the policy of resolved fields, which must stay alive."""
+        policy = self._policies.get(id(fields))
+        if policy is None:
+            endpoints, rules = fields["endpoints"], fields["rules"]
+            if id(endpoints) not in self._pools:
+                self._pools[id(endpoints)] = tuple(map(self._endpoint, endpoints))
+            if id(rules) not in self._rules:
+                self._rules[id(rules)] = tuple(RequestRule(**item) for item in rules)
+            values = {
+                **fields,
+                "endpoints": self._pools[id(endpoints)],
+                "rules": self._rules[id(rules)],
+            }
+            policy = self._policies[id(fields)] = ServicePolicy(service, **values)
+        return policy
+
+    def _endpoint(self, fields: dict[str, Any]) -> Endpoint:
+        endpoint = Endpoint(**fields)
+        return self._endpoints.setdefault(endpoint, endpoint)
+
+
+def _merge_endpoints(
+    first: tuple[Endpoint, ...], second: tuple[Endpoint, ...]
+) -> tuple[Endpoint, ...]:
+    merged = {endpoint.server: endpoint for endpoint in first}
+    for endpoint in second:
+        seen = merged.get(endpoint.server)
+        if seen is None or endpoint.state == "draining":
+            merged[endpoint.server] = endpoint
+    return tuple(merged.values())
