--- /dev/null
+++ b/src/jacinthpath/configuration_merge.py
@@ -0,0 +1,114 @@
+"""Three-way merge of configuration documents by template and account.
+
+The merge works on the text, so comments survive, and is then verified on the
+parsed documents: a text that cannot be divided cleanly becomes a conflict and
+never a wrong merge.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Merge", "changed_units", "merge_documents"]
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from .configuration import read_document
+from .configuration_lines import Path
+
+UNIT_TABLES = ("templates", "accounts")
+WHOLE_DOCUMENT = "the whole document"
+
+
+class Merge(NamedTuple):
+    """Outcome of a merge.
+
+    :param text: the merged document; empty when there are conflicts.
+    :param conflicts: units that both sides changed differently.
+    """
+
+    text: str
+    conflicts: tuple[str, ...] = ()
+
+
+def changed_units(old: str, new: str) -> tuple[str, ...]:
+    """Return the names of the templates and accounts that differ, sorted."""
+    before, after = _units(read_document(old)[0]), _units(read_document(new)[0])
+    names = before.keys() | after.keys()
+    return tuple(
+        sorted(
+            _unit_name(name) for name in names if before.get(name) != after.get(name)
+        )
+    )
+
+
+def merge_documents(base: str, theirs: str, mine: str) -> Merge:
+    """Merge two changes that were made from the same document.
+
+    :param base: document that both changes were made from.
+    :param theirs: document that was accepted meanwhile.
+    :param mine: document to be applied now.
+    :raises ConfigurationError: one of them is no TOML.
+    """
+    if theirs == base or theirs == mine:
+        return Merge(mine)
+    parsed = [_units(read_document(text)[0]) for text in (base, theirs, mine)]
+    expected, conflicts = _merge_maps(*parsed)
+    if conflicts:
+        return Merge("", tuple(sorted(_unit_name(name) for name in conflicts)))
+    blocks = [_blocks(text) for text in (base, theirs, mine)]
+    merged, block_conflicts = _merge_maps(*blocks)
+    text = "".join(merged.values())
+    try:
+        verified = not block_conflicts and _units(read_document(text)[0]) == expected
+    except Exception:
+        verified = False
+    return Merge(text) if verified else Merge("", (WHOLE_DOCUMENT,))
+
+
+def _merge_maps(
+    base: Mapping[Path, Any], theirs: Mapping[Path, Any], mine: Mapping[Path, Any]
+) -> tuple[dict[Path, Any], list[Path]]:
+    merged, conflicts = {}, []
+    for name in dict.fromkeys((*theirs, *mine, *base)):
+        old, other, own = base.get(name), theirs.get(name), mine.get(name)
+        if own not in (old, other) and other != old:
+            conflicts.append(name)
+            continue
+        value = other if own == old else own
+        if value is not None:
+            merged[name] = value
+    return merged, conflicts
+
+
+def _units(document: Mapping[str, Any]) -> dict[Path, Any]:
+    units: dict[Path, Any] = {}
+    for key, value in document.items():
+        if key in UNIT_TABLES and isinstance(value, dict):
+            units.update(((key, name), content) for name, content in value.items())
+        else:
+            units[key,] = value
+    return units
+
+
+def _unit_name(path: Path) -> str:
+    return ".".join(str(part) for part in path)
+
+
+def _blocks(text: str) -> dict[Path, str]:
+    """Return the text of each unit; comments above a header belong to it."""
+    lines = text.splitlines(keepends=True)
+    if lines and not lines[-1].endswith("\n"):
+        lines[-1] += "\n"
+    _, index = read_document(text)
+    starts: list[tuple[int, Path]] = [(0, ())]
+    for line, path in index.headers:
+        start = line - 1
+        while start > starts[-1][0] and lines[start - 1].startswith("#"):
+            start -= 1
+        unit = path[:2] if path[0] in UNIT_TABLES else path[:1]
+        starts.append((start, unit))
+    blocks: dict[Path, str] = {}
+    ends = [start for start, _ in starts[1:]] + [len(lines)]
+    for (start, unit), end in zip(starts, ends, strict=True):
+        blocks[unit] = blocks.get(unit, "") + "".join(lines[start:end])
+    return blocks
