Wire the coordinator to the store, the peers and the servers

The provisional coordinator service assigned a fixed table and knew neither handoffs nor vouches.

CoordinatorService answers vouches, inquiries, leases and relayed store calls and keeps table copies; ServiceCoordinator carries out the effects of one service; CoordinationStore maps the lease calls to keys of the store. A candidate raises the generation only when enough hosts vouch, since a founder that failed after raising it left the service without a coordinator for the minimum uptime. Table versions start above those of earlier epochs, so that versions alone order them. The settings name all data centres, as a majority needs a fixed count.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -396,8 +396,12 @@
         return (
             f'[process]\nhost = "host-{index}"\n'
             f'data_centre = "{self._data_centre(index)}"\nregion = "r1"\n'
+            f"data_centres = {json.dumps(self._used_data_centres())}\n"
         )
 
+    def _used_data_centres(self) -> list[str]:
+        return sorted({self._data_centre(index) for index in range(self.host_count)})
+
     def _security_table(self) -> str:
         path = self.directory / "cluster.key"
         return (
--- a/src/jacinthpath/authority.py
+++ b/src/jacinthpath/authority.py
@@ -28,6 +28,7 @@
 )
 
 INQUIRY_LIMIT_S = 0.3  # An inquiry that takes longer is begun again.
+FOUNDING_LIMIT_S = 1.5  # Hosts of a new system appear on the list one by one.
 BACKOFF_S = 0.5
 # A lease that was not renewed for this long is backed by a majority of vouches.
 LEASE_DOUBT_S = 0.3
@@ -126,7 +127,12 @@
         if self._phase == "idle" and self.lease.occupied:
             requests += _present(self.lease.release(now, 0))
         involved = wanted or self._phase != "idle"
-        call = self.lease.next_call(now, wanted=involved, acquire=self._may_acquire())
+        call = self.lease.next_call(
+            now,
+            wanted=involved,
+            acquire=self._may_acquire(),
+            may_raise=self._phase == "acting" or self._vouched_end() > now,
+        )
         requests += _present(call)
         if self._phase == "idle":
             if wanted and self._may_begin(now):
@@ -217,7 +223,8 @@
 
     def _is_hopeless(self, now: float) -> bool:
         """Whether to begin again, in the way that suits the store's state."""
-        late = self._contested or now >= self._phase_started + INQUIRY_LIMIT_S
+        limit_s = FOUNDING_LIMIT_S if self._founding(now) else INQUIRY_LIMIT_S
+        late = self._contested or now >= self._phase_started + limit_s
         changed = self._in_outage == self.lease.reachable
         return late or changed or self.lease.seen_taken
 
@@ -240,8 +247,14 @@
         self._inherited_until = max(self._inherited_until, terms_until)
 
     def _founding(self, now: float) -> bool:
-        window_s = 1.5 * self._min_uptime_s
-        return self.lease.generation == 1 and now < self._founded + window_s
+        if self.lease.next_generation != 1:
+            return False
+        return (
+            now < self._founded + 1.5 * self._min_uptime_s or not self.lease.generation
+        )
+
+    def _vouched_end(self) -> float:
+        return self._quorum.end(self._quorum.blocking, outage=False)
 
     def _may_acquire(self) -> bool:
         if self._phase == "acting":
@@ -253,7 +266,7 @@
 
     def _may_collect(self, now: float) -> bool:
         if not self._in_outage:
-            return self.lease.held(now)
+            return self.lease.next_generation > 0 and now < self.lease.end
         # Nobody takes over without the store what nobody coordinated before.
         return (
             self._quorum.inquired_count() >= self._quorum.majority
@@ -275,8 +288,8 @@
         if now < self._store_seen + VOUCH_RENEWAL_S:
             # Hosts that reach the store still vouch beside the lease.
             doubtful = False
-        if self.lease.held(now) and not doubtful:
-            return make_epoch(self.lease.generation)
+        if now < self.lease.end and self.lease.next_generation and not doubtful:
+            return make_epoch(self.lease.next_generation)
         if self._outage_epoch <= self._epoch and not round_of(self._epoch):
             self._outage_epoch = self._next_outage_epoch()
         return self._outage_epoch
@@ -294,8 +307,7 @@
             return
         by_lease = -math.inf
         if self.lease.generation:
-            vouched_end = self._quorum.end(self._quorum.blocking, outage=False)
-            by_lease = min(self.lease.end, vouched_end)
+            by_lease = min(self.lease.end, self._vouched_end())
         by_vouches = self._quorum.end(self._quorum.majority, outage=True)
         if self._phase == "candidate":
             self._start(now, by_lease, by_vouches)
--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -81,8 +81,17 @@
     pool = PeerPool(own, keys, {}, metrics)
     topics = TopicService(store, host_list, pool)
     endpoints = EndpointClient()
-    coordinators = CoordinatorService(own.process_id, store, topics, endpoints)
-    handlers = topics.handlers()
+    coordinators = CoordinatorService(
+        own.process_id,
+        store,
+        topics,
+        endpoints,
+        host_list,
+        pool,
+        data_centres=settings.process.data_centres,
+        min_uptime_s=settings.vouch_min_uptime_s,
+    )
+    handlers = {**topics.handlers(), **coordinators.handlers()}
     peer_server = PeerServer(own, settings.listen.peer_address, keys, handlers, metrics)
     control = ControlService(
         settings,
--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -80,6 +80,7 @@
     async def drain(self) -> int:
         """Hand over what this process holds."""
         self.draining = True
+        await self._coordinators.release_roles()
         return 0
 
     async def on_stop(self) -> None:
--- a/src/jacinthpath/coordination.py
+++ b/src/jacinthpath/coordination.py
@@ -35,7 +35,7 @@
     Tick,
     WriteTable,
 )
-from .drafts import TableDraft
+from .drafts import TableDraft, first_version
 from .grant_schedule import GrantSchedule
 from .grants import GrantAnswer
 from .holdings import Holdings
@@ -304,7 +304,7 @@
             self._holdings.track(hash_value)
         self._draft.replace(
             table._replace(
-                version=table.version + 1,
+                version=max(table.version + 1, first_version(self._epoch)),
                 epoch=self._epoch,
                 addresses={name: self._address_of(name) for name in sorted(named)},
                 coordinator=self._address,
--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -7,140 +7,362 @@
 import asyncio
 import json
 import random
+import time
+from collections.abc import Iterable, Mapping
+from typing import Any
 
-import aiohttp
 from mode import Service
 
+from .codec import new_frame
 from .configuration import ServicePolicy, parse_configuration
+from .coordination_events import LeaseRouter, RouterAsked
 from .endpoints import EndpointClient
-from .errors import ConfigurationError, StoreError
-from .grants import (
-    Grant,
-    TermTracker,
-    decode_answer,
-    encode_grant,
+from .errors import (
+    ConfigurationError,
+    FrameError,
+    PeerUnavailable,
+    StoreError,
 )
+from .hashing import rendezvous_rank
+from .hosts import HostList, ListedHost
 from .logs import get_logger
-from .slices import SliceTable, encode_table
-from .store import KeyValueStore
+from .peers import Handler, PeerConnection, PeerPool
+from .service_coordinator import Peers, ServiceCoordinator
+from .slices import SliceTable, decode_table, encode_table
+from .store import HttpKeyValueStore, StoreCallResult
+from .store_leases import CoordinationStore, RelayedStore
 from .topics import CONFIGURATION_TOPIC, Topic, TopicService
+from .vouches import (
+    VOUCH_MIN_UPTIME_S,
+    VOUCH_S,
+    VouchAnswer,
+    VouchLedger,
+    VouchRequest,
+    round_of,
+)
 
-LEASE_TTL_MS = 600
-RENEWAL_S = 0.1
+TICK_S = 0.02
+HOSTS_READ_S = 1.0
+PEER_TIMEOUT_S = 0.25
+PROBE_VALID_S = 0.2  # One probe answers for all requests of a short burst.
+TABLE_PREFIX = "table/"
+DRAFT_PREFIX = "draft/"
 
 _log = get_logger()
 
 
+def monotonic_s() -> float:
+    """Return a clock that goes on while the process or the host sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class CoordinatorService(Service):
-    """Campaigns for each keyed service and grants its slices to servers."""
+    """Campaigns for each keyed service and coordinates those it wins.
+
+    :param pool: connections to other control processes.
+    :param data_centres: all data centres of the system; when empty, those that
+        the host list has named since the start.
+    """
 
     def __init__(
         self,
         process_id: str,
-        store: KeyValueStore,
+        store: HttpKeyValueStore,
         topics: TopicService,
         endpoints: EndpointClient,
+        host_list: HostList,
+        pool: PeerPool,
+        *,
+        data_centres: Iterable[str] = (),
+        min_uptime_s: float = VOUCH_MIN_UPTIME_S,
     ) -> None:
         super().__init__()
         self.process_id = process_id
         self.control_address = ""
-        self.coordinated: dict[str, int] = {}
+        self._own = pool.own
         self._store = store
+        self._relayed = RelayedStore(self._call_through_peer)
         self._topics = topics
         self._endpoints = endpoints
-        self._running: dict[str, asyncio.Future[None]] = {}
+        self._host_list = host_list
+        self._pool = pool
+        self._data_centres = tuple(data_centres)
+        self._min_uptime_s = min_uptime_s
+        self._start_time = monotonic_s()
+        self._ledger = VouchLedger(self._start_time, min_uptime_s)
+        self._hosts: dict[str, ListedHost] = {}
+        self._drafts: dict[str, SliceTable] = {}
+        self._policies: dict[str, ServicePolicy] = {}
+        self._running: dict[str, ServiceCoordinator] = {}
+        self._probe: tuple[float, bool] = -1.0, True
+        self._leaving = False
         topics.on_change(self._on_topic)
 
+    @property
+    def coordinated(self) -> dict[str, int]:
+        """Services that this process coordinates, with the epoch."""
+        now = monotonic_s()
+        authorities = {n: r.tracker.authority(now) for n, r in self._running.items()}
+        return {name: a.epoch for name, a in authorities.items() if a is not None}
+
+    def handlers(self) -> dict[str, Handler]:
+        """Return the handlers of the frames that concern coordination.
+
+        Those of ``publish`` and ``fetch`` pass other topics on.
+        """
+        return {
+            "vouch": self._on_vouch,
+            "inquire": self._on_vouch,
+            "relayStore": self._on_relay_store,
+            "lease": self._on_lease,
+            "publish": self._on_publish,
+            "fetch": self._on_fetch,
+        }
+
+    async def release_roles(self) -> None:
+        """Hand over every role; returns when the messages are sent."""
+        self._leaving = True
+        for runner in self._running.values():
+            runner.release()
+        await asyncio.gather(*(runner.sent() for runner in self._running.values()))
+
+    @Service.task
+    async def _read_hosts(self) -> None:
+        while not self.should_stop:
+            try:
+                hosts = await self._host_list.read()
+            except StoreError:
+                hosts = tuple(self._hosts.values())
+            self._hosts = {entry.host: entry for entry in hosts}
+            self._start_runners()
+            listed = {host.data_centre for host in hosts}
+            complete = listed and listed >= set(self._data_centres)
+            await self.sleep(HOSTS_READ_S if complete else HOSTS_READ_S / 10)
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            for service, runner in self._running.items():
+                runner.tick(random.random(), wanted=self._is_candidate(service))
+            await self.sleep(TICK_S)
+
+    def _is_candidate(self, service: str) -> bool:
+        """Whether this host ranks first among those of its data centre."""
+        if self._leaving:
+            return False
+        own = self._own.data_centre
+        live = [h for h in self._hosts.values() if h.state == "live"]
+        names = [h.host for h in live if h.data_centre == own]
+        return rendezvous_rank(service, names)[:1] == [self._own.host]
+
     def _on_topic(self, topic: Topic) -> None:
+        if topic.name.startswith(TABLE_PREFIX):
+            table = decode_table(topic.content)
+            self._keep(table)
         if topic.name != CONFIGURATION_TOPIC:
             return
         try:
             configuration = parse_configuration(json.loads(topic.content)["content"])
         except (ConfigurationError, ValueError, KeyError):
             return
-        for service, policy in configuration.services().items():
-            if policy.keyed and service not in self._running:
-                self._running[service] = self.add_future(self._campaign(policy))
+        services = configuration.services()
+        self._policies = {n: p for n, p in services.items() if p.keyed}
+        self._start_runners()
+        for service, runner in self._running.items():
+            if service in self._policies:
+                runner.servers_changed(self._policies[service])
 
-    async def _campaign(self, policy: ServicePolicy) -> None:
-        key = f"coordinator/{policy.service}"
-        while not self.should_stop:
-            try:
-                lease_id = await self._store.grant_lease(LEASE_TTL_MS)
-                value = json.dumps({"holder": self.process_id}).encode()
-                generation = await self._store.compare_and_swap(key, 0, value, lease_id)
-            except StoreError:
-                await self.sleep(0.2 * (0.5 + random.random()))
+    def _start_runners(self) -> None:
+        if not self._hosts:
+            return
+        listed = {host.data_centre for host in self._hosts.values()}
+        data_centres = self._data_centres or tuple(listed)
+        for service, policy in self._policies.items():
+            if service in self._running:
                 continue
-            _log.info("coordinating", service=policy.service, generation=generation)
-            self.coordinated[policy.service] = generation
-            await self._coordinate(policy, generation << 32, lease_id)
-            self.coordinated.pop(policy.service, None)
+            self._running[service] = ServiceCoordinator(
+                policy,
+                self._own,
+                data_centres,
+                self._start_time,
+                self._min_uptime_s,
+                CoordinationStore(service, self._store, self._relayed),
+                self._endpoints,
+                Peers(self._listed, self._ask, self._send_draft, self._publish),
+                self.control_address,
+            )
+            if service in self._drafts:
+                self._running[service].table_seen(self._drafts[service])
 
-    async def _coordinate(
-        self, policy: ServicePolicy, epoch: int, lease_id: str
-    ) -> None:
-        servers = [e.server for e in policy.endpoints if e.state == "active"]
-        addresses = {e.server: e.address for e in policy.endpoints}
-        owners = tuple(
-            servers[index % len(servers)] for index in range(policy.slice_count)
-        )
-        known = self._topics.get(f"table/{policy.service}")
-        table = SliceTable(
-            policy.service,
-            (known.version if known else 0) + 1,
-            epoch,
-            owners,
-            {},
-            addresses,
-            self.control_address,
-            policy.fencing,
-        )
-        self._topics.publish(
-            Topic(f"table/{policy.service}", table.version, encode_table(table))
+    def _listed(self) -> Mapping[str, str]:
+        return {host.host: host.data_centre for host in self._hosts.values()}
+
+    def _keep(self, table: SliceTable) -> bool:
+        known = self._drafts.get(table.service)
+        if known and (known.epoch, known.version) > (table.epoch, table.version):
+            return False
+        self._drafts[table.service] = table
+        self._ledger.table_seen(table.service, table.epoch, monotonic_s())
+        if table.service in self._running:
+            self._running[table.service].table_seen(table)
+        return True
+
+    def _publish(self, table: SliceTable) -> None:
+        name = TABLE_PREFIX + table.service
+        self._topics.publish(Topic(name, table.version, encode_table(table)))
+
+    async def _ask(
+        self, request: VouchRequest
+    ) -> tuple[VouchAnswer, SliceTable | None]:
+        """Carry a request to a host; for an inquiry, fetch its table as well."""
+        if request.host == self._own.host:
+            return await self._answer(request), self._drafts.get(request.service)
+        address = self._hosts[request.host].control_address
+        frame = new_frame()
+        kind = "inquire" if request.kind == "inquire" else "vouch"
+        content = frame.body.init(kind)
+        content.service, content.holder = request.service, request.holder
+        content.epoch = request.epoch
+        content.durationMs = 0 if request.kind == "release" else int(VOUCH_S * 1000)
+        content.termsMs = request.terms_ms
+        reply = (await self._pool.request(address, frame, PEER_TIMEOUT_S)).body.vouched
+        answer = VouchAnswer(
+            reply.granted,
+            reply.reason,
+            reply.remainingMs,
+            reply.highestEpoch,
+            reply.holder,
         )
-        tracker = TermTracker()
-        sequence = 0
-        while not self.should_stop:
+        if kind == "vouch" or not answer.granted:
+            return answer, None
+        # Read after the promise, so that no later table of a predecessor counts.
+        return answer, await self._fetch_table(address, request.service)
+
+    async def _fetch_table(self, address: str, service: str) -> SliceTable | None:
+        frame = new_frame()
+        frame.body.init("fetch").names = [DRAFT_PREFIX + service]
+        answer = await self._pool.request(address, frame, PEER_TIMEOUT_S)
+        tables = [decode_table(bytes(t.content)) for t in answer.body.publish.topics]
+        return tables[0] if tables else None
+
+    async def _send_draft(self, host: str, holder: str, table: SliceTable) -> bool:
+        """Ask a host to keep a copy; return whether it does."""
+        if host == self._own.host:
+            return self._keep(table)
+        frame = new_frame()
+        topic = frame.body.init("publish").init("topics", 1)[0]
+        topic.name = f"{DRAFT_PREFIX}{table.service}/{holder}"
+        topic.version, topic.content = table.version, encode_table(table)
+        address = self._hosts[host].control_address
+        try:
+            await self._pool.request(address, frame, PEER_TIMEOUT_S)
+        except (PeerUnavailable, FrameError):
+            return False
+        return True
+
+    async def _answer(self, request: VouchRequest) -> VouchAnswer:
+        reachable = True
+        if round_of(request.epoch) and request.kind != "release":
+            reachable = await self._store_reachable()
+        return self._ledger.answer(request, monotonic_s(), store_reachable=reachable)
+
+    async def _store_reachable(self) -> bool:
+        probed, reachable = self._probe
+        if monotonic_s() >= probed + PROBE_VALID_S:
             try:
-                if not await self._store.keep_lease(lease_id):
-                    return
-            except StoreError:
-                return
-            sequence += 1
-            await asyncio.gather(
-                *(self._grant(table, tracker, s, sequence) for s in servers)
-            )
-            await self.sleep(RENEWAL_S)
+                async with asyncio.timeout(PEER_TIMEOUT_S / 2):
+                    result = await self._store.call_directly("GET", "/kv/probe", b"")
+                reachable = 0 < result.status < 500
+            except TimeoutError:
+                reachable = False
+            self._probe = monotonic_s(), reachable
+        return reachable
 
-    async def _grant(
-        self, table: SliceTable, tracker: TermTracker, server: str, sequence: int
-    ) -> None:
-        incarnation = tracker.incarnation(server)
-        slices = None
-        stamp_ms, term_ms = 0, 0
-        if incarnation:
-            now = asyncio.get_running_loop().time()
-            stamp_ms, term_ms = tracker.next_term(server, now + 0.5)
-            slices = tuple(i for i, o in enumerate(table.owners) if o == server)
-            tracker.granted(server, term_ms)
-        grant = Grant(
-            table.service,
-            table.epoch,
-            sequence,
-            incarnation,
-            stamp_ms,
-            term_ms,
-            slices,
-            {},
-            len(table.owners),
+    async def _on_vouch(self, connection: PeerConnection, frame: Any) -> Any:
+        kind = frame.body.which()
+        content = getattr(frame.body, kind)
+        if kind == "vouch" and content.durationMs == 0:
+            kind = "release"
+        request = VouchRequest(
+            kind,
+            self._own.host,
+            content.service,
+            content.holder,
+            content.epoch,
+            0.0,
+            content.termsMs,
+        )
+        answer = await self._answer(request)
+        reply = new_frame()
+        vouched = reply.body.init("vouched")
+        vouched.granted, vouched.reason = answer.granted, answer.reason
+        vouched.remainingMs = answer.remaining_ms
+        vouched.highestEpoch, vouched.holder = answer.highest_epoch, answer.holder
+        return reply
+
+    async def _on_publish(self, connection: PeerConnection, frame: Any) -> Any:
+        topics = [*frame.body.publish.topics]
+        if len(topics) != 1 or not topics[0].name.startswith(DRAFT_PREFIX):
+            return await self._topics.handlers()["publish"](connection, frame)
+        table = decode_table(bytes(topics[0].content))
+        holder = topics[0].name.removeprefix(f"{DRAFT_PREFIX}{table.service}/")
+        allowed = self._ledger.may_keep(table.service, holder, monotonic_s())
+        if not allowed or not self._keep(table):
+            raise FrameError("The table of a replaced coordinator is not kept.")
+
+    async def _on_fetch(self, connection: PeerConnection, frame: Any) -> Any:
+        names = [*frame.body.fetch.names]
+        if len(names) != 1 or not names[0].startswith(DRAFT_PREFIX):
+            return await self._topics.handlers()["fetch"](connection, frame)
+        table = self._drafts.get(names[0].removeprefix(DRAFT_PREFIX))
+        reply = new_frame()
+        entries = reply.body.init("publish").init("topics", int(table is not None))
+        if table is not None:
+            entries[0].name, entries[0].version = names[0], table.version
+            entries[0].content = encode_table(table)
+        return reply
+
+    async def _on_lease(self, connection: PeerConnection, frame: Any) -> Any:
+        content = frame.body.lease
+        reply = new_frame()
+        leased = reply.body.init("leased")
+        runner = self._running.get(content.service)
+        if runner is None:
+            return reply
+        asked = RouterAsked(content.router, content.stampMs, content.tableVersion)
+        for effect in runner.handle(asked):
+            if isinstance(effect, LeaseRouter):
+                lease = effect.lease
+                leased.granted, leased.epoch = lease.granted, lease.epoch
+                leased.tableVersion = lease.table_version
+                leased.stampMs, leased.termMs = lease.stamp_ms, lease.term_ms
+        return reply
+
+    async def _on_relay_store(self, connection: PeerConnection, frame: Any) -> Any:
+        content = frame.body.relayStore
+        result = await self._store.call_directly(
+            content.method, content.path, bytes(content.body)
         )
+        reply = new_frame()
+        answer = reply.body.init("storeAnswer")
+        answer.status, answer.body, answer.sent = result
+        return reply
+
+    async def _call_through_peer(
+        self, method: str, path: str, body: bytes
+    ) -> StoreCallResult:
+        """Make a store call through one host of another data centre."""
+        own = self._own.data_centre
+        hosts = [h for h in self._hosts.values() if h.data_centre != own]
+        if not hosts:
+            return StoreCallResult(0, b"", False)
+        frame = new_frame()
+        content = frame.body.init("relayStore")
+        content.method, content.path, content.body = method, path, body
         try:
-            _, document = await self._endpoints.post_json(
-                table.addresses[server], "/-/grant", encode_grant(grant), 0.3
-            )
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return
-        answer = decode_answer(document)
-        now = asyncio.get_running_loop().time()
-        tracker.stamp_received(server, answer.incarnation, answer.stamp_ms, now)
+            address = random.choice(hosts).control_address
+            answer = await self._pool.request(address, frame, PEER_TIMEOUT_S)
+        except (PeerUnavailable, FrameError):
+            return StoreCallResult(0, b"", True)
+        reply = answer.body.storeAnswer
+        return StoreCallResult(reply.status, bytes(reply.body), reply.sent)
--- a/src/jacinthpath/drafts.py
+++ b/src/jacinthpath/drafts.py
@@ -2,17 +2,32 @@
 
 from __future__ import annotations
 
-__all__ = ["TableDraft"]
+__all__ = ["TableDraft", "first_version"]
 
 import math
 from collections.abc import Iterable, Mapping
 
 from .holdings import key_item
 from .slices import NO_OWNER, SliceTable
+from .vouches import generation_of, round_of
 
 WRITE_REPEAT_S = 0.1
 
 
+_ROUND_BITS = 12
+_TABLE_BITS = 20
+
+
+def first_version(epoch: int) -> int:
+    """Return the least table version of an epoch.
+
+    A later epoch starts above every version of an earlier one, so that versions
+    alone order tables, also those that a successor could not find.
+    """
+    round_ = min(round_of(epoch), (1 << _ROUND_BITS) - 1)
+    return generation_of(epoch) << (_ROUND_BITS + _TABLE_BITS) | round_ << _TABLE_BITS
+
+
 class TableDraft:
     """Follows one table until it is durable and published.
 
--- a/src/jacinthpath/leases.py
+++ b/src/jacinthpath/leases.py
@@ -151,12 +151,23 @@
         if self._phase == "watching":
             self._next_time = -math.inf
 
-    def next_call(self, now: float, *, wanted: bool, acquire: bool) -> LeaseCall | None:
+    @property
+    def next_generation(self) -> int:
+        """Generation that is held or is to be raised; 0 without the lease."""
+        if self._phase == "acquired" and self._view is not None:
+            return self._view.generation + 1
+        return self.generation
+
+    def next_call(
+        self, now: float, *, wanted: bool, acquire: bool, may_raise: bool = True
+    ) -> LeaseCall | None:
         """Return the call that is due, if any; there is one at a time.
 
         :param wanted: whether this process takes part; otherwise it only gives
             back a lease whose acquisition took effect late.
         :param acquire: whether a free lease may be acquired now.
+        :param may_raise: whether the generation may be raised under the lease. A
+            candidate that fails before that leaves no trace of a generation.
         """
         if self._outstanding is not None:
             if now < self._outstanding.sent + CALL_LIMIT_S:
@@ -169,6 +180,10 @@
                 return self._acquire(now)
         if now < self._next_time or (self._phase == "watching" and not wanted):
             return None
+        if self._phase == "acquired" and not may_raise:
+            if now < self._renewed + LEASE_RENEWAL_S:
+                return None
+            return self._call(now, "renew")
         return self._call(now)
 
     def answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
@@ -196,8 +211,9 @@
         self._lose()
         return call
 
-    def _call(self, now: float) -> LeaseCall:
-        kind = {"held": "renew", "acquired": "raise"}.get(self._phase, "read")
+    def _call(self, now: float, kind: str = "") -> LeaseCall:
+        due = {"held": "renew", "acquired": "raise"}.get(self._phase, "read")
+        kind = kind or due
         view = self._view
         call = LeaseCall(
             kind,
@@ -273,10 +289,11 @@
             self._phase = "unsure"
 
     def _renew_answered(self, call: LeaseCall, result: LeaseResult, now: float) -> None:
-        if self._phase != "held":
+        if self._phase not in ("held", "acquired"):
             return
         if result.outcome == "done":
             self._extend(call.sent)
+        if result.outcome == "done" and self._phase == "held":
             self._next_time = call.sent + LEASE_RENEWAL_S
         elif result.outcome == "conflict":
             self._lose()
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -104,7 +104,8 @@
   service @0 :Text;
   holder @1 :Text;      # Process identity of the coordinator or candidate.
   epoch @2 :UInt64;
-  durationMs @3 :UInt32;
+  durationMs @3 :UInt32;   # 0 releases what the holder was given.
+  termsMs @4 :UInt32;   # With a release: how long granted terms may still run.
 }
 
 struct Vouched {
--- /dev/null
+++ b/src/jacinthpath/service_coordinator.py
@@ -0,0 +1,287 @@
+"""Carries out the effects of one service's coordinator over the network."""
+
+from __future__ import annotations
+
+__all__ = ["Peers", "ServiceCoordinator"]
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Mapping
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from .authority import AuthorityTracker
+from .configuration import Endpoint, ServicePolicy
+from .coordination import Coordinator
+from .coordination_events import (
+    AuthorityExtended,
+    AuthorityGained,
+    AuthorityLost,
+    Effect,
+    EpochSeen,
+    Event,
+    GrantAnswered,
+    PublishTable,
+    ReleaseRequested,
+    ReleaseRole,
+    SendGrant,
+    ServersChanged,
+    TableKept,
+    TableWritten,
+    Tick,
+    WriteTable,
+)
+from .endpoints import EndpointClient
+from .errors import FrameError, PeerUnavailable, StoreError
+from .grants import decode_answer, encode_grant
+from .leases import LeaseCall
+from .logs import get_logger
+from .peers import PeerIdentity
+from .placement import Plan, ServerState, plan_moves
+from .slices import SliceTable
+from .store_leases import CoordinationStore
+from .vouches import VouchAnswer, VouchRequest, round_of
+
+GRANT_TIMEOUT_S = 0.3
+TABLE_READ_RETRY_S = 0.05
+MAX_TASKS = 4_096
+
+_log = get_logger()
+
+
+class Peers(NamedTuple):
+    """How a coordinator reaches other control processes.
+
+    :param listed: returns the data centre of each listed host.
+    :param ask: carries a request for a vouch, with the host's table.
+    :param send_draft: asks a host to keep a copy of a table.
+    :param publish: disseminates an acknowledged table.
+    """
+
+    listed: Callable[[], Mapping[str, str]]
+    ask: Callable[[VouchRequest], Awaitable[tuple[VouchAnswer, SliceTable | None]]]
+    send_draft: Callable[[str, str, SliceTable], Awaitable[bool]]
+    publish: Callable[[SliceTable], None]
+
+
+class ServiceCoordinator:
+    """Seeks the authority for one service, and coordinates it while it lasts.
+
+    :param policy: the service's policy.
+    :param started: when the process started.
+    """
+
+    def __init__(
+        self,
+        policy: ServicePolicy,
+        own: PeerIdentity,
+        data_centres: Iterable[str],
+        started: float,
+        min_uptime_s: float,
+        store: CoordinationStore,
+        endpoints: EndpointClient,
+        peers: Peers,
+        address: str,
+    ) -> None:
+        data_centres = tuple(data_centres)
+        self.service = policy.service
+        self.tracker = AuthorityTracker(
+            policy.service,
+            own.process_id,
+            data_centres,
+            started,
+            min_uptime_s=min_uptime_s,
+        )
+        self._coordinator = Coordinator(
+            policy.service,
+            _plan,
+            data_centre=own.data_centre,
+            data_centres=data_centres,
+            slice_count=policy.slice_count,
+            address=address,
+            fencing=policy.fencing,
+            longest_deadline_s=policy.deadline_ms / 1000,
+        )
+        self._store = store
+        self._endpoints = endpoints
+        self._peers = peers
+        self._own_table: SliceTable | None = None
+        self._session = ""
+        self._found: list[SliceTable | None] = []
+        self._found_for = ""
+        self._read_for = ""
+        self._reading = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.servers_changed(policy)
+
+    def servers_changed(self, policy: ServicePolicy) -> None:
+        """Take over the servers of a new configuration."""
+        servers = {endpoint.server: endpoint for endpoint in policy.endpoints}
+        self.handle(ServersChanged(servers))
+
+    def table_seen(self, table: SliceTable) -> None:
+        """Take a table that reached this process."""
+        self._own_table = table
+        self.tracker.epoch_seen(table.epoch)
+
+    def tick(self, jitter: float, *, wanted: bool) -> None:
+        """Do what is due."""
+        now = _now()
+        self.tracker.hosts_changed(self._peers.listed(), now)
+        requests = self.tracker.tick(now, jitter, wanted=wanted)
+        self._sync()
+        self.handle(Tick())
+        self._dispatch(requests)
+
+    def release(self) -> None:
+        """Give up the role, if this process has it."""
+        self.handle(ReleaseRequested())
+        self._sync()
+
+    async def sent(self) -> None:
+        """Return when all messages in flight are answered or have failed."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def handle(self, event: Event) -> list[Effect]:
+        """Pass an event to the coordinator, carry out and return the effects."""
+        effects = self._coordinator.handle(event, _now())
+        for effect in effects:
+            self._carry_out(effect)
+        return effects
+
+    def _sync(self) -> None:
+        """Pass every change of authority on at once."""
+        authority = self.tracker.authority(_now())
+        holder = self.tracker.holder if authority else ""
+        if holder != self._session:
+            if self._session:
+                _log.info("coordination_ended", service=self.service)
+            self.handle(AuthorityLost())
+            self._session = holder
+            self._read_for = ""
+        if authority is None:
+            return
+        if self._coordinator.acting:
+            self.handle(AuthorityExtended(authority.epoch, authority.end))
+            return
+        was_read = self._read_for == holder
+        if not was_read and round_of(authority.epoch) == 0:
+            if not self._reading:
+                self._reading = True
+                self._start(self._read_table(holder))
+            return
+        self._gained(was_read)
+
+    def _gained(self, was_read: bool) -> None:
+        authority = self.tracker.authority(_now())
+        if authority is None:
+            return
+        tables = [table for table in self._found if table is not None]
+        table = max(tables, key=lambda t: (t.epoch, t.version), default=None)
+        newest = was_read or (table is not None and round_of(table.epoch) > 0)
+        _log.info("coordinating", service=self.service, epoch=authority.epoch)
+        inherited = authority.inherited_until
+        self.handle(
+            AuthorityGained(authority.epoch, authority.end, inherited, table, newest)
+        )
+
+    async def _read_table(self, holder: str) -> None:
+        try:
+            _, table = await self._store.read_table()
+        except StoreError:
+            await asyncio.sleep(TABLE_READ_RETRY_S)
+        else:
+            if self._session == holder:
+                self._found.append(table)
+                self._read_for = holder
+        finally:
+            self._reading = False
+        self._sync()
+
+    def _dispatch(self, requests: Iterable[VouchRequest | LeaseCall]) -> None:
+        for request in requests:
+            if isinstance(request, LeaseCall):
+                self._start(self._call_store(request))
+                continue
+            if request.kind == "inquire" and self._found_for != request.holder:
+                self._found_for = request.holder
+                self._found = [self._own_table]
+            self._start(self._ask(request))
+
+    async def _call_store(self, call: LeaseCall) -> None:
+        result = await self._store.carry_out(call)
+        self.tracker.lease_answered(call, result, _now())
+        self._sync()
+
+    async def _ask(self, request: VouchRequest) -> None:
+        try:
+            answer, table = await self._peers.ask(request)
+        except (PeerUnavailable, FrameError, KeyError):
+            return
+        if self._found_for == request.holder:
+            self._found.append(table)
+        self.tracker.vouch_answered(request, answer, _now())
+        self._sync()
+
+    def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, SendGrant):
+            self._start(self._send_grant(effect))
+        elif isinstance(effect, WriteTable):
+            self._start(self._write(effect.table))
+            for host in self._peers.listed():
+                self._start(self._copy(host, effect.table))
+        elif isinstance(effect, PublishTable):
+            self._peers.publish(effect.table)
+        elif isinstance(effect, EpochSeen):
+            self.tracker.epoch_seen(effect.epoch)
+        elif isinstance(effect, ReleaseRole):
+            _log.info("role_released", service=self.service)
+            self._dispatch(self.tracker.release(_now(), effect.terms_until))
+
+    async def _send_grant(self, effect: SendGrant) -> None:
+        try:
+            _, document = await self._endpoints.post_json(
+                effect.address, "/-/grant", encode_grant(effect.grant), GRANT_TIMEOUT_S
+            )
+            answer = decode_answer(document)
+        except (aiohttp.ClientError, TimeoutError, OSError, FrameError, ValueError):
+            return
+        self.handle(GrantAnswered(effect.server, answer))
+
+    async def _write(self, table: SliceTable) -> None:
+        try:
+            written = await self._store.write_table(table)
+        except StoreError:
+            return
+        if written:
+            self.handle(TableWritten(table.epoch, table.version))
+
+    async def _copy(self, host: str, table: SliceTable) -> None:
+        data_centre = self._peers.listed().get(host, "")
+        try:
+            kept = await self._peers.send_draft(host, self.tracker.holder, table)
+        except KeyError:
+            return
+        if kept:
+            self.handle(TableKept(table.epoch, table.version, data_centre))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        if len(self._tasks) >= MAX_TASKS:
+            work.close()
+            return
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _now() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _plan(table: SliceTable, servers: Mapping[str, Endpoint], loads: Any) -> Plan:
+    states = {
+        name: ServerState(weight=server.weight, leaving=server.state != "active")
+        for name, server in servers.items()
+    }
+    return plan_moves(table, states, loads)
--- a/src/jacinthpath/settings.py
+++ b/src/jacinthpath/settings.py
@@ -38,11 +38,14 @@
     :param host: name of the host, unique in the system.
     :param data_centre: data centre of the host.
     :param region: region of the data centre.
+    :param data_centres: all data centres of the system, the same on every host;
+        coordinators count majorities over them.
     """
 
     host: str
     data_centre: str
     region: str = "default"
+    data_centres: tuple[str, ...] = ()
 
 
 class ListenSettings(NamedTuple):
