--- a/src/jacinthpath/dispatch.py
+++ b/src/jacinthpath/dispatch.py
@@ -137,7 +137,10 @@
         :param scope: ended when the key of an idempotent request moves to
             another server, so that a frozen server does not hold it up.
         """
-        if exchange.policy.keyed and exchange.policy.idempotent:
+        if not exchange.policy.keyed:
+            return
+        self._keyed[exchange.service, target.server].limit.in_flight += 1
+        if exchange.policy.idempotent:
             self._movable[target.request_id] = (exchange, target, scope)
 
     def release(
@@ -155,9 +158,7 @@
         endpoint = Endpoint(target.server, target.address)
         binding = service.lane.queue.waiting > 0
         service.pool.finished(endpoint, latency_s, _evidence(attempt), now, binding)
-        service.lane.queue.resize(
-            service.pool.capacity(now), self._estimator.long_after_s(exchange.service)
-        )
+        self._adjust_unkeyed(service, exchange.service, now)
         service.lane.release(target.request_id)
 
     async def wait_for_owner_change(self, exchange: Exchange, target: Target) -> None:
@@ -249,9 +250,14 @@
     ) -> None:
         if self._endpoints[policy.service] != policy.endpoints:
             known.pool.update(policy.endpoints, now)
-            known.lane.queue.resize(
-                known.pool.capacity(now), known.lane.queue.long_after_s
-            )
+            self._adjust_unkeyed(known, policy.service, now)
+
+    def _adjust_unkeyed(self, known: _UnkeyedService, service: str, now: float) -> None:
+        known.lane.queue.adjust(
+            known.pool.capacity(now),
+            self._estimator.long_after_s(service),
+            known.pool.pressure(now),
+        )
 
     def _new_lane(self, exchange: Exchange, slots: int) -> Lane:
         long_after_s = self._estimator.long_after_s(exchange.service)
@@ -267,14 +273,15 @@
         now: float,
     ) -> None:
         lane, limit = self._keyed[exchange.service, target.server]
-        limit.in_flight += 1
         if _evidence(attempt) == "cancelled":
             limit.in_flight -= 1
         else:
             refused = _evidence(attempt) == "refused"
             limit.release(now - latency_s, now, refused, lane.queue.waiting > 0)
-        lane.queue.resize(
-            int(limit.value), self._estimator.long_after_s(exchange.service)
+        lane.queue.adjust(
+            int(limit.value),
+            self._estimator.long_after_s(exchange.service),
+            limit.trend.ratio(now),
         )
         lane.release(target.request_id)
 
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -104,6 +104,19 @@
         except (_CallerLeft, ConnectionError, asyncio.CancelledError):
             self._count(exchange, "caller-left")
             raise
+        except Exception:
+            # A fault of the router itself; what reached an endpoint is not known.
+            _log.exception("request_failed", service=exchange and exchange.service)
+            return self._refuse(
+                exchange,
+                reply,
+                OutcomeUnknown(
+                    "The router failed.",
+                    "Ask for the outcome with the same idempotency key.",
+                    status=500,
+                    kind="router-fault",
+                ),
+            )
         finally:
             self.in_flight -= 1
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared fixtures, and the list of known failures."""
 
+import signal
 from pathlib import Path
 
 import pytest
@@ -7,6 +8,25 @@
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+TEST_LIMIT_S = 90
+
+
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_protocol(item):
+    """End a test that hangs, so that CI always reaches a verdict."""
+
+    def fail(_number, _frame):
+        raise TimeoutError(f"{item.nodeid} ran longer than {TEST_LIMIT_S} s")
+
+    previous = signal.signal(signal.SIGALRM, fail)
+    signal.alarm(TEST_LIMIT_S)
+    try:
+        return (yield)
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGALRM, previous)
+
+
 def known_red_tests() -> set[str]:
     """Return the node identities on the ``test:`` lines of KNOWN-RED.txt."""
     if not KNOWN_RED.exists():
