--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -28,6 +28,9 @@
 # unloaded. The queue orders only the work of this host, so without this rule
 # lower classes of one host would delay first-class work of the others.
 PRESSURE_LIMIT = {"first": math.inf, "normal": 4.0, "deferrable": 2.0}
+# Long work waits for its patience while the endpoints are slower than this:
+# long work of several hosts would otherwise meet in the slots of one server.
+LONG_PRESSURE_LIMIT = 1.5
 # Part of its allowed time after which deferrable work is treated as normal.
 PROMOTE_AT = 0.8
 
@@ -253,10 +256,11 @@
             return None
         short = self._may_start(False, now)
         long = self._may_start(True, now)
+        calm = self.pressure <= LONG_PRESSURE_LIMIT
         if not short and not long:
             return None
         for queue in self._by_turn():
-            lane = self._choose_lane(queue, short, long, now)
+            lane = self._choose_lane(queue, short, long, calm, now)
             if lane is not None:
                 return self._dispatch(queue, lane, now)
         return None
@@ -309,6 +313,8 @@
         """Return whether no request goes before this one and pressure allows it."""
         if self.pressure > PRESSURE_LIMIT[request.priority]:
             return False
+        if is_long and self.pressure > LONG_PRESSURE_LIMIT:
+            return False
         if not self.waiting:
             return True
         for name, queue in self._classes.items():
@@ -388,7 +394,7 @@
         return turn
 
     def _choose_lane(
-        self, queue: _Class, short: bool, long: bool, now: float
+        self, queue: _Class, short: bool, long: bool, calm: bool, now: float
     ) -> bool | None:
         if not queue.waiting:
             return None
@@ -397,8 +403,10 @@
         if long_head is None:
             return None if short_head is None else False
         request, offered = long_head
-        if short_head is None or now - offered > LONG_PATIENCE * request.expected_s:
+        if now - offered > LONG_PATIENCE * request.expected_s:
             return True
+        if short_head is None:
+            return True if calm else None
         return False
 
     def _dispatch(self, queue: _Class, is_long: bool, now: float) -> QueuedRequest:
