--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-__all__ = ["NaiveRouter", "ProductRouter", "Run", "simulate"]
+__all__ = ["NaiveRouter", "ProductRouter", "Router", "Run", "simulate"]
 
 from collections import Counter, deque
 from collections.abc import Callable
@@ -53,7 +53,7 @@
 
     def send(
         self,
-        router: ProductRouter | NaiveRouter,
+        router: Router,
         server: Server,
         job: Job,
         deadline: float,
@@ -284,9 +284,7 @@
             return
         self.run.counts["retries"] += 1
         self._tried[job.job_id] = tried
-        self.clock.call_at(
-            self.clock.now + retry.delay_s, self._offer, job.job_id
-        )
+        self.clock.call_at(self.clock.now + retry.delay_s, self._offer, job.job_id)
 
 
 class NaiveRouter:
@@ -386,10 +384,13 @@
             self._tries[job.job_id] += 1
 
 
+Router = ProductRouter | NaiveRouter
+
+
 def simulate(
     scenario: Scenario,
     jobs: list[Job],
-    make_router: Callable[[Run, int], ProductRouter | NaiveRouter],
+    make_router: Callable[[Run, int], Router],
     tail_s: float,
 ) -> Run:
     """Run a load through ten hosts; each job's ``ended`` tells how it went.
--- a/bench/model.py
+++ b/bench/model.py
@@ -9,15 +9,19 @@
 
 __all__ = [
     "CHIMBORAZO",
+    "SWINGS",
     "WENDELSTEIN",
     "Job",
     "Scenario",
     "Server",
     "ServiceModel",
     "VirtualClock",
+    "at_crest",
     "build_servers",
+    "crest_utilisation",
     "generate_jobs",
     "multiplier_at",
+    "percentile",
 ]
 
 import heapq
@@ -263,6 +267,24 @@
 # Demand over time: (seconds, multiple of the calm demand).
 Swings = tuple[tuple[float, float], ...]
 
+# Demand rises by 3, 10 and 6 times, each within a second.
+SWINGS: Swings = (
+    (0.0, 1.0),
+    (5.0, 1.0),
+    (6.0, 3.0),
+    (9.0, 3.0),
+    (10.0, 1.0),
+    (12.0, 1.0),
+    (13.0, 10.0),
+    (19.0, 10.0),
+    (20.0, 1.0),
+    (23.0, 1.0),
+    (24.0, 6.0),
+    (27.0, 6.0),
+    (28.0, 1.0),
+    (32.0, 1.0),
+)
+
 
 def multiplier_at(swings: Swings, when: float) -> float:
     """Return the multiple of the calm demand, interpolated between points."""
@@ -272,6 +294,26 @@
     return swings[-1][1]
 
 
+def at_crest(job: Job) -> bool:
+    """Return whether a job of a run under ``SWINGS`` arrived at the peak."""
+    return 13.0 <= job.arrival < 19.0
+
+
+def crest_utilisation(scenario: Scenario, jobs: list[Job], priority: str = "") -> float:
+    """Return the work offered at the peak over what the slots can do."""
+    work_s = sum(
+        job.length_s for job in jobs if at_crest(job) and priority in ("", job.priority)
+    )
+    slots = SLOTS * sum(service.servers for service in scenario.services)
+    return work_s / (slots * 6.0)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the smallest value with at least ``share`` of all at or below it."""
+    ordered = sorted(values)
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
 def generate_jobs(
     scenario: Scenario, swings: Swings, calm_utilisation: float, seed: int
 ) -> list[Job]:
@@ -315,8 +357,10 @@
         scale = STRAGGLER_FACTOR
         if random.random() < REVEALED_SHARE:
             shape = SHAPES
-    length_s = service.mean_s * scale * random.lognormvariate(
-        -(LENGTH_SIGMA**2) / 2, LENGTH_SIGMA
+    length_s = (
+        service.mean_s
+        * scale
+        * random.lognormvariate(-(LENGTH_SIGMA**2) / 2, LENGTH_SIGMA)
     )
     priority = random.choices(("first", "normal", "deferrable"), service.mix)[0]
     server = random.choices(range(len(weights)), weights)[0]
--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -19,9 +19,11 @@
 # Demand above this many times the typical demand is a peak.
 PEAK_FACTOR = 1.5
 
+# Pending work is counted by release time in buckets of this width, which
+# bounds the work of each second by the longest allowed time.
+_BUCKET_S = 15
 _FAST_GAIN = 0.3
 _SLOW_GAIN = 0.002
-_BUCKETS = 128
 
 
 class Release(NamedTuple):
@@ -44,13 +46,15 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._pending: list[tuple[float, int]] = []
-        self._cancelled: set[int] = set()
         self._waiting: set[int] = set()
+        self._buckets: dict[int, int] = {}
         self._attempts = 0
+        self._arrived = 0
         self._window: deque[int] = deque([0] * MINUTE_S, maxlen=MINUTE_S)
         self._window_total = 0
         self._fast = 0.0
         self._slow = 0.0
+        self._slow_arrivals = 0.0
         self._ticks = 0
         self.busiest_minute = 0
 
@@ -69,6 +73,9 @@
         release_by = now + RELEASE_BY * defer_limit_s
         heapq.heappush(self._pending, (release_by, request_id))
         self._waiting.add(request_id)
+        bucket = int(release_by) // _BUCKET_S
+        self._buckets[bucket] = self._buckets.get(bucket, 0) + 1
+        self._arrived += 1
 
     def cancel(self, request_id: int) -> None:
         """Forget a request whose caller has gone away."""
@@ -80,43 +87,44 @@
         Call this once a second.
         """
         demand = self._attempts
-        self._attempts = 0
-        self._learn(demand)
-        count = self._count(now)
-        released = self._take(count, now)
-        self._record(demand + len(released))
-        return released
+        self._learn(demand, self._arrived)
+        self._attempts = self._arrived = 0
+        releases = self._take(self._count(now), now)
+        self._record(demand + len(releases))
+        return releases
 
-    def _learn(self, demand: int) -> None:
+    def _learn(self, demand: int, arrived: int) -> None:
         self._ticks += 1
-        self._fast += max(_FAST_GAIN, 1 / self._ticks) * (demand - self._fast)
-        self._slow += max(_SLOW_GAIN, 1 / self._ticks) * (demand - self._slow)
+        fast = max(_FAST_GAIN, 1 / self._ticks)
+        slow = max(_SLOW_GAIN, 1 / self._ticks)
+        self._fast += fast * (demand - self._fast)
+        self._slow += slow * (demand - self._slow)
+        self._slow_arrivals += slow * (arrived - self._slow_arrivals)
 
     def _count(self, now: float) -> int:
-        if not self._waiting:
+        """Return how many requests to release in the next second."""
+        if not self._pending:
             return 0
-        forced = self._forced_rate(now)
-        level = FILL_SHARE * self.busiest_minute / MINUTE_S
-        room = level - self._fast
+        room = FILL_SHARE * self.busiest_minute / MINUTE_S - self._fast
         if self._fast < PEAK_FACTOR * self._slow:
-            room = max(room, 0.5 * self._slow)
-        rate = max(forced, room, 0.0)
+            room = max(room, self._slow_arrivals)
+        rate = max(self._forced_rate(now), room, 0.0)
         return int(rate + self._random.random())
 
     def _forced_rate(self, now: float) -> float:
         """Return the lowest constant rate that releases everything in time."""
-        ordered = sorted(self._pending)
-        step = max(1, len(ordered) // _BUCKETS)
         rate = 0.0
-        for index in range(step - 1, len(ordered), step):
-            rate = max(rate, (index + 1) / max(1.0, ordered[index][0] - now))
-        rate = max(rate, len(ordered) / max(1.0, ordered[-1][0] - now))
+        due = 0
+        for bucket in sorted(self._buckets):
+            due += self._buckets[bucket]
+            rate = max(rate, due / max(1.0, bucket * _BUCKET_S - now))
         return rate
 
     def _take(self, count: int, now: float) -> list[Release]:
         releases = []
         while self._pending and (count > 0 or self._pending[0][0] <= now + 1):
-            _, request_id = heapq.heappop(self._pending)
+            release_by, request_id = heapq.heappop(self._pending)
+            self._leave_bucket(int(release_by) // _BUCKET_S)
             if request_id in self._waiting:
                 self._waiting.remove(request_id)
                 release_at = now + self._random.random()
@@ -125,6 +133,13 @@
         releases.sort()
         return releases
 
+    def _leave_bucket(self, bucket: int) -> None:
+        left = self._buckets[bucket] - 1
+        if left:
+            self._buckets[bucket] = left
+        else:
+            del self._buckets[bucket]
+
     def _record(self, attempts: int) -> None:
         self._window_total += attempts - self._window[0]
         self._window.append(attempts)
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -19,7 +19,8 @@
 LONG_FACTOR = 6.0
 # Largest share of the slots that long work may hold while short work waits.
 LONG_SHARE = 0.34
-# Long work goes ahead of short work after waiting this many times its length.
+# Long work goes ahead of short work after waiting this many times its length,
+# or half of the time that it has to spare.
 LONG_PATIENCE = 2.0
 # Share of the dispatched work that a class gets while higher classes wait, so
 # that a steady stream of first-class work cannot starve the others.
@@ -403,7 +404,9 @@
         if long_head is None:
             return None if short_head is None else False
         request, offered = long_head
-        if now - offered > LONG_PATIENCE * request.expected_s:
+        slack_s = request.deadline - request.expected_s - offered
+        patience_s = min(LONG_PATIENCE * request.expected_s, 0.5 * slack_s)
+        if now - offered > patience_s:
             return True
         if short_head is None:
             return True if calm else None
