--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -40,6 +40,10 @@
     highest minute so far costs nothing. Above it the planner releases only as
     much as is needed to end everything in time at the lowest constant rate.
 
+    The supplier's minutes begin at an unknown second. ``busiest_minute`` is
+    therefore the lowest over all 60 ways to divide time into minutes: a surge
+    that straddles two of the supplier's minutes sets no mark to fill up to.
+
     :param random: source of jitter.
     """
 
@@ -56,6 +60,7 @@
         self._slow = 0.0
         self._slow_arrivals = 0.0
         self._ticks = 0
+        self._busiest_by_phase = [0] * MINUTE_S
         self.busiest_minute = 0
 
     def __len__(self) -> int:
@@ -143,5 +148,7 @@
     def _record(self, attempts: int) -> None:
         self._window_total += attempts - self._window[0]
         self._window.append(attempts)
-        if self._ticks >= MINUTE_S:
-            self.busiest_minute = max(self.busiest_minute, self._window_total)
+        phase = self._ticks % MINUTE_S
+        busiest = max(self._busiest_by_phase[phase], self._window_total)
+        self._busiest_by_phase[phase] = busiest
+        self.busiest_minute = min(self._busiest_by_phase)
