Recheck waiting work while endpoints are slow

Cause: a normal request that arrived within 0.25 s of a slow one was held back by the pressure rule; with nothing in flight no event started it, and it waited 10 s for its deadline (two tests of the request path). Ruled out: ejected endpoints and the adaptive limit, both allowed one request. The lane now adjusts its queue and dispatches every 50 ms while anything waits; both tests end in under 0.1 s.

--- a/src/jacinthpath/dispatch.py
+++ b/src/jacinthpath/dispatch.py
@@ -7,7 +7,7 @@
 import asyncio
 import random
 from collections.abc import Collection
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .configuration import Endpoint, ServicePolicy
 from .deferral import DeferralPlanner
@@ -46,14 +46,69 @@
     request_id: int = 0
 
 
-class _KeyedServer(NamedTuple):
-    lane: Lane
-    limit: ConcurrencyLimit
+class _KeyedServer:
+    """Lane and limit of one server of a keyed service."""
 
+    def __init__(
+        self, policy: ServicePolicy, estimator: LengthEstimator, **lane: Any
+    ) -> None:
+        self.limit = ConcurrencyLimit(
+            policy.slots_per_server, EXPECTED_HOSTS, policy.connections_per_server
+        )
+        self._service = policy.service
+        self._estimator = estimator
+        self.lane = Lane(policy.service, RequestQueue(1), self.adjust, **lane)
+        self.adjust(asyncio.get_running_loop().time())
+
+    def adjust(self, now: float) -> None:
+        """Set what was learned of the server in the queue."""
+        self.lane.queue.adjust(
+            int(self.limit.value),
+            self._estimator.long_after_s(self._service),
+            self.limit.trend.ratio(now),
+        )
 
-class _UnkeyedService(NamedTuple):
-    lane: Lane
-    pool: EndpointPool
+
+class _UnkeyedService:
+    """Lane and endpoint pool of a service without keys."""
+
+    def __init__(
+        self,
+        policy: ServicePolicy,
+        estimator: LengthEstimator,
+        data_centre: str,
+        **lane: Any,
+    ) -> None:
+        self.endpoints = policy.endpoints
+        self.pool = EndpointPool(
+            policy.endpoints,
+            data_centre,
+            lane["randomness"],
+            policy.slots_per_server,
+            EXPECTED_HOSTS,
+            policy.connections_per_server,
+        )
+        self._service = policy.service
+        self._estimator = estimator
+        self.lane = Lane(policy.service, RequestQueue(1), self.adjust, **lane)
+        self.adjust(asyncio.get_running_loop().time())
+
+    def update(self, endpoints: tuple[Endpoint, ...], now: float) -> None:
+        """Take the endpoints of a new configuration."""
+        if endpoints is self.endpoints:
+            return
+        if endpoints != self.endpoints:
+            self.pool.update(endpoints, now)
+            self.adjust(now)
+        self.endpoints = endpoints
+
+    def adjust(self, now: float) -> None:
+        """Set what was learned of the endpoints in the queue."""
+        self.lane.queue.adjust(
+            self.pool.capacity(now),
+            self._estimator.long_after_s(self._service),
+            self.pool.pressure(now),
+        )
 
 
 class Dispatcher:
@@ -79,7 +134,6 @@
         self._deferred: dict[int, asyncio.Future[None]] = {}
         self._keyed: dict[tuple[str, str], _KeyedServer] = {}
         self._unkeyed: dict[str, _UnkeyedService] = {}
-        self._endpoints: dict[str, tuple[Endpoint, ...]] = {}
         self._next_id = 0
         self._movable: dict[int, tuple[Exchange, Target, asyncio.Timeout]] = {}
         self._deferral_timer: asyncio.TimerHandle | None = None
@@ -158,7 +212,7 @@
         endpoint = Endpoint(target.server, target.address)
         binding = service.lane.queue.waiting > 0
         service.pool.finished(endpoint, latency_s, _evidence(attempt), now, binding)
-        self._adjust_unkeyed(service, exchange.service, now)
+        service.adjust(now)
         service.lane.release(target.request_id)
 
     async def wait_for_owner_change(self, exchange: Exchange, target: Target) -> None:
@@ -217,53 +271,29 @@
     def _keyed_server(self, exchange: Exchange, server: str) -> _KeyedServer:
         known = self._keyed.get((exchange.service, server))
         if known is None:
-            policy = exchange.policy
-            limit = ConcurrencyLimit(
-                policy.slots_per_server, EXPECTED_HOSTS, policy.connections_per_server
+            known = _KeyedServer(
+                exchange.policy,
+                self._estimator,
+                metrics=self._metrics,
+                randomness=self._random,
             )
-            known = _KeyedServer(self._new_lane(exchange, 1), limit)
             self._keyed[exchange.service, server] = known
         return known
 
     def _unkeyed_service(self, exchange: Exchange) -> _UnkeyedService:
         policy = exchange.policy
         known = self._unkeyed.get(exchange.service)
-        now = asyncio.get_running_loop().time()
         if known is None:
-            pool = EndpointPool(
-                policy.endpoints,
+            known = self._unkeyed[exchange.service] = _UnkeyedService(
+                policy,
+                self._estimator,
                 self._data_centre,
-                self._random,
-                policy.slots_per_server,
-                EXPECTED_HOSTS,
-                policy.connections_per_server,
+                metrics=self._metrics,
+                randomness=self._random,
             )
-            lane = self._new_lane(exchange, pool.capacity(now))
-            known = self._unkeyed[exchange.service] = _UnkeyedService(lane, pool)
-        elif self._endpoints[exchange.service] is not policy.endpoints:
-            self._update_endpoints(known, policy, now)
-        self._endpoints[exchange.service] = policy.endpoints
+        known.update(policy.endpoints, asyncio.get_running_loop().time())
         return known
 
-    def _update_endpoints(
-        self, known: _UnkeyedService, policy: ServicePolicy, now: float
-    ) -> None:
-        if self._endpoints[policy.service] != policy.endpoints:
-            known.pool.update(policy.endpoints, now)
-            self._adjust_unkeyed(known, policy.service, now)
-
-    def _adjust_unkeyed(self, known: _UnkeyedService, service: str, now: float) -> None:
-        known.lane.queue.adjust(
-            known.pool.capacity(now),
-            self._estimator.long_after_s(service),
-            known.pool.pressure(now),
-        )
-
-    def _new_lane(self, exchange: Exchange, slots: int) -> Lane:
-        long_after_s = self._estimator.long_after_s(exchange.service)
-        queue = RequestQueue(slots, long_after_s)
-        return Lane(exchange.service, queue, self._metrics, self._random)
-
     def _release_keyed(
         self,
         exchange: Exchange,
@@ -272,18 +302,15 @@
         latency_s: float,
         now: float,
     ) -> None:
-        lane, limit = self._keyed[exchange.service, target.server]
-        if _evidence(attempt) == "cancelled":
-            limit.in_flight -= 1
+        known = self._keyed[exchange.service, target.server]
+        evidence = _evidence(attempt)
+        if evidence == "cancelled":
+            known.limit.in_flight -= 1
         else:
-            refused = _evidence(attempt) == "refused"
-            limit.release(now - latency_s, now, refused, lane.queue.waiting > 0)
-        lane.queue.adjust(
-            int(limit.value),
-            self._estimator.long_after_s(exchange.service),
-            limit.trend.ratio(now),
-        )
-        lane.release(target.request_id)
+            binding = known.lane.queue.waiting > 0
+            known.limit.release(now - latency_s, now, evidence == "refused", binding)
+        known.adjust(now)
+        known.lane.release(target.request_id)
 
     def _cancel_moved(self, table: SliceTable) -> None:
         now = asyncio.get_running_loop().time()
--- a/src/jacinthpath/lanes.py
+++ b/src/jacinthpath/lanes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from .errors import NotRun
 from .metrics import Metrics
@@ -15,23 +16,31 @@
 EXPIRY_STEP_S = 0.005
 """Shortest time between two checks for requests that cannot end in time."""
 
+RECHECK_S = 0.05
+"""Time between two checks for work that was held back while endpoints were slow.
+The evidence of slowness fades by itself, and without requests in flight nothing
+else would start the waiting work."""
+
 
 class Lane:
     """The queue in front of one service, or of one server where keyed.
 
     :param service: service, for errors and metrics.
     :param queue: decides which request goes next.
+    :param adjust: sets what was learned of the endpoints in the queue.
     """
 
     def __init__(
         self,
         service: str,
         queue: RequestQueue,
+        adjust: Callable[[float], None],
         metrics: Metrics,
         randomness: random.Random,
     ) -> None:
         self.service = service
         self.queue = queue
+        self._adjust = adjust
         self._metrics = metrics
         self._random = randomness
         self._waiters: dict[int, asyncio.Future[None]] = {}
@@ -74,7 +83,7 @@
     ) -> None:
         waiter = loop.create_future()
         self._waiters[request.request_id] = waiter
-        self._schedule_expiry()
+        self._schedule_check()
         try:
             await waiter
         except asyncio.CancelledError:
@@ -89,23 +98,27 @@
         now = asyncio.get_running_loop().time()
         for request in self.queue.expire(now):
             self._fail(request, "deadline", self.queue.estimate_wait_s(request))
-        self._schedule_expiry()
+        self._schedule_check()
 
-    def _schedule_expiry(self) -> None:
+    def _schedule_check(self) -> None:
+        if not self._waiters:
+            return
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        at_s = now + RECHECK_S
         due = self.queue.next_expiry()
+        if due is not None:
+            at_s = min(at_s, max(due, now) + EXPIRY_STEP_S)
         if self._timer is not None:
-            if due is not None and self._timer.when() <= due + EXPIRY_STEP_S:
+            if now < self._timer.when() <= at_s:
                 return
             self._timer.cancel()
-            self._timer = None
-        if due is not None:
-            loop = asyncio.get_running_loop()
-            at_s = max(due, loop.time()) + EXPIRY_STEP_S
-            self._timer = loop.call_at(at_s, self._on_timer)
+        self._timer = loop.call_at(at_s, self._check)
 
-    def _on_timer(self) -> None:
+    def _check(self) -> None:
         self._timer = None
-        self._expire()
+        self._adjust(asyncio.get_running_loop().time())
+        self.dispatch()
 
     def _fail(self, request: QueuedRequest, reason: str, wait_s: float) -> None:
         waiter = self._waiters.pop(request.request_id, None)
