--- a/src/jacinthpath/hotkeys.py
+++ b/src/jacinthpath/hotkeys.py
@@ -30,8 +30,8 @@
 REPORTED_KEYS = 64
 MERGED_KEYS = 256
 
-# Short enough to find new hot keys within seconds; at 100 requests/s for each
-# server the sampling error of a server's load is still only about 4%.
+# Short enough to find new hot keys within seconds. At 100 requests/s for each
+# server the window holds about 430 requests of it, a sampling error of 5%.
 HALF_LIFE_S = 3.0
 
 # Decaying costs one pass over all slices, so reports that arrive close
@@ -273,7 +273,9 @@
     A key is split out of its slice when its load exceeds ``split_share`` of a
     server's fair load, and returns after it has stayed below ``merge_share`` for
     ``dwell_s``. The gap between the shares and the dwell keep a key near the
-    threshold from changing back and forth.
+    threshold from changing back and forth. Under Zipf traffic over ten servers the
+    12th key has about 6% of a server's load; half of that lets the window show it
+    after one half-life.
 
     :param limit: most keys placed alone.
     :param min_requests: fewest requests in the window that split a key; with
@@ -283,8 +285,8 @@
     def __init__(
         self,
         limit: int = 64,
-        split_share: float = 0.05,
-        merge_share: float = 0.02,
+        split_share: float = 0.03,
+        merge_share: float = 0.012,
         dwell_s: float = 10.0,
         min_requests: float = 16.0,
     ) -> None:
