--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -19,6 +19,7 @@
     AuthorityLost,
     EpochSeen,
     GrantAnswered,
+    LoadsChanged,
     PublishTable,
     ReleaseRequested,
     ReleaseRole,
@@ -38,12 +39,14 @@
 )
 from jacinthpath.leases import LEASE_TTL_S, LeaseCall, LeaseResult, LeaseView
 from jacinthpath.slices import NO_OWNER
-from jacinthpath.vouches import VouchLedger, VouchRequest, round_of
+from jacinthpath.vouches import VouchLedger, round_of
 
 SERVICE = "preview"
 SLICES = 8
 TICK_S = 0.025
 MIN_UPTIME_S = 4.0
+# Keys that tests place alone; all three are in slices that others keys share.
+HOT_KEYS = (5, 1 << 61, (1 << 61) + 9)
 CENTRES = ("d1", "d2", "d3", "d4")
 
 
@@ -77,8 +80,14 @@
             target = min(usable, key=lambda name: (held[name], name))
             held[target] += 1
             moves.append(Move(Unit("slice", index), target))
+    for key, owner in table.hot_keys.items():
+        if owner not in usable:
+            moves.append(Move(Unit("key", key), usable[0]))
     if moves:
         return Plan(tuple(moves), urgent=True)
+    hot_plan = plan_hot_keys(table, usable, loads or {})
+    if hot_plan != Plan():
+        return hot_plan
     fullest = max(usable, key=lambda name: (held[name], name))
     emptiest = min(usable, key=lambda name: (held[name], name))
     if held[fullest] - held[emptiest] < 2:
@@ -86,6 +95,23 @@
     return Plan((Move(Unit("slice", table.owners.index(fullest)), emptiest),))
 
 
+def plan_hot_keys(table, usable, wanted):
+    """Place the wanted keys alone, and take others back into their slice."""
+    splits, merges, moves = {}, [], []
+    plain = table._replace(hot_keys={})
+    for key, server in wanted.items():
+        if key not in table.hot_keys:
+            splits[key] = table.owner_of(key)
+        elif server in usable and table.hot_keys[key] != server:
+            moves.append(Move(Unit("key", key), server))
+    for key in table.hot_keys.keys() - wanted.keys():
+        if table.hot_keys[key] == plain.owner_of(key):
+            merges.append(key)
+        else:
+            moves.append(Move(Unit("key", key), plain.owner_of(key)))
+    return Plan(tuple(moves), splits, tuple(merges))
+
+
 def table_order(table):
     return (table.epoch, table.version) if table else (-1, -1)
 
@@ -101,7 +127,7 @@
         self.offset = world.random.uniform(1000, 9000)
         self.frozen = False
         self.alive = True
-        self.pause_at_send = False
+        self.pause_at_send = ""
         self.inbox = []
         self.outbox = []
 
@@ -110,7 +136,7 @@
         return self.offset + self.world.now * self.rate
 
     def send(self, target, message):
-        if self.pause_at_send:
+        if self.pause_at_send in (target, "any"):
             self.frozen = True
         if self.frozen:
             self.outbox.append((target, message))
@@ -126,7 +152,7 @@
             self.receive(sender, message)
 
     def wake(self):
-        self.frozen = self.pause_at_send = False
+        self.frozen, self.pause_at_send = False, ""
         outbox, self.outbox = self.outbox, []
         for target, message in outbox:
             self.world.send(self, target, message)
@@ -146,11 +172,18 @@
 
     def receive(self, sender, message):
         answer = self.holder.receive(decode_grant(message), self.clock_ms)
+        # A second owner can only appear where a grant is handled.
+        self.world.check()
         self.send(sender, ("answer", self.name, encode_answer(answer)))
 
     def owned(self):
         return self.holder.owned_slices(self.clock_ms) if self.alive else ()
 
+    def owned_hot_keys(self):
+        if not self.alive:
+            return ()
+        return [key for key in HOT_KEYS if self.holder.owns(key, self.clock_ms)]
+
 
 class Host(Process):
     def __init__(self, world, name, data_centre, identity, age_s):
@@ -173,6 +206,7 @@
         self.store_read = ""
         self.wanted = True
         self.handle(ServersChanged(world.listed_servers()))
+        self.handle(LoadsChanged(dict(world.wanted_hot_keys)))
 
     def tick(self):
         self.tracker.hosts_changed(self.world.listed_hosts(), self.clock)
@@ -369,6 +403,7 @@
         self.servers: dict[str, Server] = {}
         self.zombies: list[Server] = []
         self.draining: set[str] = set()
+        self.wanted_hot_keys: dict[int, str] = {}
         self.newest_acknowledged: Any = None
         self.unserved_since = 0.0
         self.longest_gap = 0.0
@@ -435,6 +470,7 @@
         for host in self.hosts.values():
             if host.alive and not host.frozen:
                 host.handle(ServersChanged(self.listed_servers()))
+                host.handle(LoadsChanged(dict(self.wanted_hot_keys)))
 
     def release(self, host):
         host.wanted = False
@@ -462,7 +498,7 @@
 
     def send(self, sender, target, message):
         if not self.connected(sender.name, target):
-            if target != "store" or not self.relay(sender, message):
+            if not self.relayed(sender.name, target, message):
                 return
         copies = 1 + (self.random.random() < self.doubling)
         for _ in range(copies):
@@ -473,14 +509,17 @@
                 delay = self.random.uniform(0.05, 1.5)
             self.at(self.now + delay, ("message", sender.name, target, message))
 
-    def relay(self, sender, message):
-        if message[0] == "lease" and not message[1].relay:
+    def relayed(self, sender, target, message):
+        """Whether a store call or its answer goes through another host."""
+        if "store" not in (sender, target):
+            return False
+        if message[0] in ("lease", "leased") and not message[1].relay:
             return False
         return any(
             host.alive
             and not host.frozen
-            and self.connected(sender.name, host.name)
-            and self.connected(host.name, "store")
+            and self.connected(sender, host.name)
+            and self.connected(host.name, target)
             for host in self.hosts.values()
         )
 
@@ -491,10 +530,15 @@
 
     def run_for(self, duration_s):
         end = self.now + duration_s
+        sample = self.now
         while self.events and self.events[0][0] <= end:
+            if self.events[0][0] >= sample:
+                self.now = sample
+                sample += 0.01
+                self.check()
+                continue
             self.now, _, event = heapq.heappop(self.events)
             self.step(event)
-            self.check()
         self.now = end
         self.check()
 
@@ -513,20 +557,23 @@
     # Checks
 
     def check(self):
-        """Never two owners of a slice, by the servers' own clocks."""
+        """Never two owners of a key, by the servers' own clocks."""
         owners: dict[int, Server] = {}
+        key_owners: dict[int, Server] = {}
         for server in (*self.servers.values(), *self.zombies):
             for index in server.owned():
-                other = owners.setdefault(index, server)
-                if other is not server:
-                    raise TwoOwners(
-                        f"slice {index} at {self.now:.3f} s: "
-                        f"{other.holder.incarnation}, {server.holder.incarnation}"
-                    )
+                self.check_one(owners.setdefault(index, server), server, index)
+            for key in server.owned_hot_keys():
+                self.check_one(key_owners.setdefault(key, server), server, key)
         if len(owners) == SLICES:
             self.unserved_since = self.now
         self.longest_gap = max(self.longest_gap, self.now - self.unserved_since)
 
+    def check_one(self, owner, server, item):
+        if owner is not server:
+            names = f"{owner.holder.incarnation}, {server.holder.incarnation}"
+            raise TwoOwners(f"{item} at {self.now:.3f} s: {names}")
+
     def acknowledged(self, table):
         if table_order(table) > table_order(self.newest_acknowledged):
             self.newest_acknowledged = table
@@ -537,7 +584,10 @@
             raise LostAssignment(f"{host.name} at {self.now:.3f} s")
 
     def served(self):
-        return sum(len(server.owned()) for server in self.servers.values()) == SLICES
+        servers = self.servers.values()
+        slices = sum(len(server.owned()) for server in servers)
+        keys = sum(len(server.owned_hot_keys()) for server in servers)
+        return slices == SLICES and keys == len(HOT_KEYS)
 
     def gap_over(self, duration_s):
         """Run, and return the longest time that any slice had no owner."""
@@ -551,12 +601,16 @@
         return set(table.owners) - {NO_OWNER} if table else set()
 
 
-class TwoOwners(AssertionError):
-    pass
+class Violation(AssertionError):
+    """A promise was broken."""
+
+
+class TwoOwners(Violation):
+    """Two processes may serve the same slice at one time."""
 
 
-class LostAssignment(AssertionError):
-    pass
+class LostAssignment(Violation):
+    """An acknowledged table was not found by a successor that is sure of its own."""
 
 
-__all__ = ["LostAssignment", "TwoOwners", "VouchRequest", "World"]
+__all__ = ["CENTRES", "HOT_KEYS", "SLICES", "Violation", "World", "simple_planner"]
