Move waiting deferrable work up by class and compare more endpoints

Deferrable work that waited through a crest ended late, and gating normal work cost it more than it gave first-class work.

--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -36,6 +36,8 @@
 
 NAIVE_ATTEMPTS = 3
 HINT_LAG_S = 2.0
+# A deferrable request that found no place is planned again with this much left.
+REPLAN_S = 2.0
 # Resolution of the timer for waiting requests that are given up.
 TIMER_S = 0.001
 
@@ -165,7 +167,6 @@
         if job.priority == "deferrable" and self._planned:
             self._planner.defer(job.job_id, self._defer_limit_s, self.clock.now)
         else:
-            self._planner.attempted()
             self._offer(job.job_id)
 
     def _tick(self) -> None:
@@ -216,9 +217,14 @@
             self.clock.call_at(lane.timer, self._drain, lane)
 
     def _give_up(self, job_id: int, reason: str) -> None:
-        job = self._jobs.pop(job_id)
+        job = self._jobs[job_id]
         self._tried.pop(job_id, None)
         self.run.counts[f"{reason}_{job.priority}"] += 1
+        left_s = job.deadline - self.clock.now
+        if job.priority == "deferrable" and self._planned and left_s > REPLAN_S:
+            self._planner.defer(job_id, left_s, self.clock.now)
+        else:
+            del self._jobs[job_id]
 
     def _start(self, lane: _Lane, job_id: int) -> None:
         job = self._jobs[job_id]
@@ -241,6 +247,8 @@
         def done(outcome: str) -> None:
             self._finished(lane, job_id, server, outcome, now)
 
+        if job.priority != "deferrable":
+            self._planner.attempted()
         self.run.send(self, server, job, job.deadline, done)
 
     def _finished(
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -27,13 +27,14 @@
 FLOOR_SHARE = {"first": 0.0, "normal": 0.05, "deferrable": 0.01}
 # A class starts no work while the endpoints are this many times slower than
 # unloaded. The queue orders only the work of this host, so without this rule
-# lower classes of one host would delay first-class work of the others.
-PRESSURE_LIMIT = {"first": math.inf, "normal": 4.0, "deferrable": 2.0}
+# deferrable work of one host would delay first-class work of the others.
+PRESSURE_LIMIT = {"first": math.inf, "normal": math.inf, "deferrable": 2.0}
 # Long work waits for its patience while the endpoints are slower than this:
 # long work of several hosts would otherwise meet in the slots of one server.
-LONG_PRESSURE_LIMIT = 1.5
-# Part of its allowed time after which deferrable work is treated as normal.
-PROMOTE_AT = 0.8
+LONG_PRESSURE_LIMIT = 2.5
+# Part of its remaining time after which waiting deferrable work moves up one
+# class: it may wait, but must end by its stated time.
+PROMOTE_AT = 0.5
 
 _LOG_GAIN = 0.1
 _SHAPE_LIMIT = 4096
@@ -207,7 +208,7 @@
         self._running: dict[int, float] = {}
         self._long_running: set[int] = set()
         self._expiries: list[tuple[float, int, str]] = []
-        self._promotions: list[tuple[float, int]] = []
+        self._promotions: list[tuple[float, int, str]] = []
         self._given_up: list[QueuedRequest] = []
         self.waiting = 0
         self.adjust(slots, long_after_s)
@@ -363,9 +364,10 @@
         if len(self._expiries) > _COMPACT_AT + 2 * self.waiting:
             self._compact()
         heapq.heappush(self._expiries, (latest_start, request.request_id, priority))
-        if priority == "deferrable":
+        if request.priority == "deferrable" and priority != "first":
             promote_at = now + PROMOTE_AT * (latest_start - now)
-            heapq.heappush(self._promotions, (promote_at, request.request_id))
+            entry = (promote_at, request.request_id, priority)
+            heapq.heappush(self._promotions, entry)
 
     def _compact(self) -> None:
         """Drop timer entries of requests that no longer wait.
@@ -373,18 +375,14 @@
         Deferrable requests may be due hours later, so their entries would
         otherwise outlive them.
         """
-        self._expiries = [
-            entry
-            for entry in self._expiries
-            if entry[1] in self._classes[entry[2]].waiting
-        ]
-        deferrable = self._classes["deferrable"].waiting
-        self._promotions = [
-            entry for entry in self._promotions if entry[1] in deferrable
-        ]
+        self._expiries = [entry for entry in self._expiries if self._waits(entry)]
+        self._promotions = [entry for entry in self._promotions if self._waits(entry)]
         heapq.heapify(self._expiries)
         heapq.heapify(self._promotions)
 
+    def _waits(self, entry: tuple[float, int, str]) -> bool:
+        return entry[1] in self._classes[entry[2]].waiting
+
     def _by_turn(self) -> list[_Class]:
         """Return the classes in the order in which they are served now."""
         classes = list(self._classes.values())
@@ -447,11 +445,11 @@
                 self._given_up.append(self._remove(queue, request_id))
 
     def _promote(self, now: float) -> None:
-        deferrable = self._classes["deferrable"]
         while self._promotions and self._promotions[0][0] <= now:
-            _, request_id = heapq.heappop(self._promotions)
-            entry = deferrable.waiting.get(request_id)
-            if entry is not None:
-                request, is_long, _ = entry
-                self._remove(deferrable, request_id)
-                self._enqueue(request, "normal", is_long, now)
+            entry = heapq.heappop(self._promotions)
+            if self._waits(entry):
+                queue = self._classes[entry[2]]
+                request, is_long, _ = queue.waiting[entry[1]]
+                self._remove(queue, entry[1])
+                higher = PRIORITIES[PRIORITIES.index(entry[2]) - 1]
+                self._enqueue(request, higher, is_long, now)
--- a/src/jacinthpath/selection.py
+++ b/src/jacinthpath/selection.py
@@ -11,9 +11,8 @@
 from .configuration import Endpoint
 from .limits import ConcurrencyLimit, LatencyTrend
 
-# Endpoints compared for each choice. A choice among all of them makes hosts
-# with the same evidence send to the same endpoint.
-CANDIDATES = 3
+# Endpoints compared for each choice; bounds its cost in a large service.
+CANDIDATES = 8
 # A cold endpoint receives this share of the normal load at first.
 COLD_SHARE = 0.1
 SLOW_START_S = 10.0
