--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -284,7 +284,9 @@
             return
         self.run.counts["retries"] += 1
         self._tried[job.job_id] = tried
-        self.clock.call_at(self.clock.now + retry.delay_s, self._offer, job.job_id)
+        self.clock.call_at(
+            self.clock.now + retry.delay_s, self._offer, job.job_id
+        )
 
 
 class NaiveRouter:
--- a/bench/model.py
+++ b/bench/model.py
@@ -315,10 +315,8 @@
         scale = STRAGGLER_FACTOR
         if random.random() < REVEALED_SHARE:
             shape = SHAPES
-    length_s = (
-        service.mean_s
-        * scale
-        * random.lognormvariate(-(LENGTH_SIGMA**2) / 2, LENGTH_SIGMA)
+    length_s = service.mean_s * scale * random.lognormvariate(
+        -(LENGTH_SIGMA**2) / 2, LENGTH_SIGMA
     )
     priority = random.choices(("first", "normal", "deferrable"), service.mix)[0]
     server = random.choices(range(len(weights)), weights)[0]
--- a/src/jacinthpath/limits.py
+++ b/src/jacinthpath/limits.py
@@ -79,7 +79,9 @@
     :param connections: connections that the server accepts from all hosts.
     """
 
-    def __init__(self, slots: int = 3, hosts: int = 10, connections: int = 100) -> None:
+    def __init__(
+        self, slots: int = 3, hosts: int = 10, connections: int = 100
+    ) -> None:
         hosts = max(1, hosts)
         self.minimum = slots / hosts
         self.maximum = max(1.0, min(float(slots), connections / hosts))
