--- a/src/jacinthpath/record_roster.py
+++ b/src/jacinthpath/record_roster.py
@@ -24,7 +24,7 @@
 ]
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -72,11 +72,13 @@
 
     :param process: identity of the process, random at each start; empty for a
         founding host, whose first process is known by its marker in the store.
+    :param address: peer address of the control process.
     """
 
     host: str
     data_centre: str
     process: str = ""
+    address: str = ""
 
 
 # The member that left and the one that joined; both when a process replaces another.
@@ -142,13 +144,12 @@
     return Roster(roster.version - steps, tuple(sorted(members)), roster.changes[:kept])
 
 
-def founding_roster(hosts: Mapping[str, str]) -> Roster:
+def founding_roster(members: Iterable[Member]) -> Roster:
     """Return the roster that founds a fleet.
 
-    :param hosts: data centre of each host that the host list names.
+    :param members: the hosts of the host list, without process identities.
     """
-    members = sorted(Member(host, centre) for host, centre in hosts.items())
-    return Roster(1, tuple(members))
+    return Roster(1, tuple(sorted(members)))
 
 
 def encode_roster(roster: Roster) -> bytes:
@@ -209,15 +210,15 @@
     marker and is young. An unclear answer is resolved by reading back.
 
     :param member: this process.
-    :param hosts: data centre of each host that the host list names; used when
-        no roster exists yet.
+    :param founders: the hosts of the host list, without process identities; used
+        when no roster exists yet.
     """
 
-    def __init__(self, member: Member, hosts: Mapping[str, str]) -> None:
+    def __init__(self, member: Member, founders: Iterable[Member]) -> None:
         self.member = member
         self.roster: Roster | None = None
         self.first_start: bool | None = None
-        self._hosts = hosts
+        self._founders = tuple(founders)
         self._marker_key = MARKER_PREFIX + member.host
         self._call: StoreCall | None = StoreCall("read", ROSTER_KEY)
 
@@ -239,12 +240,13 @@
 
     def _take_roster(self, call: StoreCall, reply: StoreReply) -> None:
         if reply.kind == "absent":
-            content = encode_roster(founding_roster(self._hosts))
+            content = encode_roster(founding_roster(self._founders))
             self._call = StoreCall("create", ROSTER_KEY, content)
             return
         content = call.value if reply.kind == "created" else reply.value
         self.roster = decode_roster(content)
-        if self.roster.member(self.member.host) == self.member._replace(process=""):
+        listed = self.roster.member(self.member.host)
+        if listed is not None and not listed.process:
             self._call = self._create_marker()
         else:
             self._finish(first_start=False)
--- a/src/jacinthpath/record_standing.py
+++ b/src/jacinthpath/record_standing.py
@@ -124,7 +124,9 @@
         listed = roster.member(self.member.host)
         if listed is None:
             return False
-        return listed == self.member or (self._founder and not listed.process)
+        if not listed.process:
+            return self._founder
+        return listed.process == self.member.process
 
     def _carry_base(self, previous: Roster | None, roster: Roster) -> None:
         steps = roster.version - (previous.version if previous else 0)
--- a/tests/record_fleet.py
+++ b/tests/record_fleet.py
@@ -48,7 +48,7 @@
         self.randomness = random.Random(7)
         self.numbers = itertools.count(1)
         self.attempts = itertools.count(1)
-        self.roster = founding_roster(HOSTS)
+        self.roster = founding_roster(Member(*each) for each in HOSTS.items())
         self.holders = {host: Holder(self, host, f"{host}-0") for host in HOSTS}
         for holder in self.holders.values():
             holder.standing.found(self.roster, self.roster)
