Claim idempotency keys at record holders before sending

Non-idempotent requests with an idempotency key are claimed at two of three holders first. The frames carry the roster version, the holder's attempt and the reason for which it cannot tell.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -303,8 +303,11 @@
             return response.status, dict(response.headers), await response.read()
 
     async def wait_until_ready(self, timeout_s: float = 20.0) -> None:
-        """Return when every entry process is ready and every keyed service serves."""
+        """Return when all entry processes serve every service of the fleet."""
         async with asyncio.timeout(timeout_s):
+            if self.host_count > 1:
+                for control in self.controls:
+                    await self._wait_records(control)
             for entry in self.entries:
                 await self._wait_ready(entry)
                 for spec in self.services:
@@ -319,6 +322,15 @@
                     return
             await asyncio.sleep(0.02)
 
+    async def _wait_records(self, control: Process) -> None:
+        url = f"http://{control.addresses['admin_address']}/status"
+        while True:
+            async with self.session.get(url) as response:
+                status = await response.json()
+            if status["records"]["roster_version"]:
+                return
+            await asyncio.sleep(0.05)
+
     async def _wait_served(self, entry: Process, spec: ServiceSpec) -> None:
         for probe in range(4 * spec.servers):
             while True:
--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -26,6 +26,7 @@
     from .entry import EntryService
     from .forwarding import Forwarder
     from .intake import Intake
+    from .record_client import HolderClient
     from .routing import RoutingState
     from .subscription import Subscription
 
@@ -41,11 +42,15 @@
     subscription = Subscription(own, settings.control_addresses, keys, routing, metrics)
     endpoints = EndpointClient()
     dispatcher = Dispatcher(routing, own.data_centre, metrics)
+    records = HolderClient(
+        subscription.pool,
+        lambda: subscription.connected_address or settings.control_addresses[0],
+    )
     forwarder = Forwarder(
         Intake(routing, settings.limits, tracer),
         dispatcher,
         endpoints,
-        None,
+        records,
         tracer,
         metrics,
         settings.limits.requests_in_flight,
@@ -56,6 +61,7 @@
         subscription,
         endpoints,
         dispatcher,
+        records,
         forwarder,
         metrics,
         tracer,
@@ -68,6 +74,7 @@
     from .coordinator_service import CoordinatorService
     from .endpoints import EndpointClient
     from .hosts import HttpHostList
+    from .record_service import RecordService
     from .store import HttpKeyValueStore
     from .topics import TopicService
 
@@ -82,7 +89,8 @@
     topics = TopicService(store, host_list, pool)
     endpoints = EndpointClient()
     coordinators = CoordinatorService(own.process_id, store, topics, endpoints)
-    handlers = topics.handlers()
+    records = RecordService(store, host_list, topics, pool)
+    handlers = {**topics.handlers(), **records.handlers()}
     peer_server = PeerServer(own, settings.listen.peer_address, keys, handlers, metrics)
     control = ControlService(
         settings,
@@ -92,6 +100,7 @@
         pool,
         topics,
         coordinators,
+        records,
         endpoints,
         metrics,
     )
--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -17,6 +17,7 @@
 from .logs import get_logger
 from .metrics import Metrics
 from .peers import Handler, PeerConnection, PeerPool, PeerServer
+from .record_service import RecordService
 from .settings import ControlSettings
 from .store import HttpKeyValueStore
 from .topics import TopicService
@@ -39,6 +40,7 @@
         pool: PeerPool,
         topics: TopicService,
         coordinators: CoordinatorService,
+        records: RecordService,
         endpoints: EndpointClient,
         metrics: Metrics,
     ) -> None:
@@ -51,6 +53,7 @@
         self._pool = pool
         self._topics = topics
         self._coordinators = coordinators
+        self._records = records
         self._endpoints = endpoints
         self._admin = AdminServer(
             settings.listen.admin_address, metrics, self.unready_reason, self.status
@@ -68,7 +71,9 @@
         await self._admin.start()
         await self._peer_server.start()
         self._coordinators.control_address = self._peer_server.address
+        self._records.set_address(self._peer_server.address)
         await self.add_runtime_dependency(self._topics)
+        await self.add_runtime_dependency(self._records)
         await self.add_runtime_dependency(self._coordinators)
         _log.info(
             "listening",
@@ -104,6 +109,7 @@
             "role": "control",
             "configuration_version": configuration.version if configuration else 0,
             "coordinates": sorted(self._coordinators.coordinated),
+            "records": self._records.status(),
             "unready_reason": self.unready_reason(),
         }
 
--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -17,6 +17,7 @@
 from .logs import get_logger
 from .metrics import Metrics
 from .peers import split_address
+from .record_client import HolderClient
 from .routing import RoutingState
 from .settings import EntrySettings
 from .subscription import Subscription
@@ -42,6 +43,7 @@
         subscription: Subscription,
         endpoints: EndpointClient,
         dispatcher: Dispatcher,
+        records: HolderClient,
         forwarder: Forwarder,
         metrics: Metrics,
         tracer: Tracer,
@@ -54,6 +56,7 @@
         self._subscription = subscription
         self._endpoints = endpoints
         self._dispatcher = dispatcher
+        self._records = records
         self._forwarder = forwarder
         self._metrics = metrics
         self._tracer = tracer
@@ -104,6 +107,7 @@
             await self._runner.cleanup()
         await self._admin.close()
         self._dispatcher.close()
+        await self._records.close()
         await self._endpoints.close()
         self._tracer.close()
 
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -135,6 +135,7 @@
   entry @4 :Text;           # Process identity of the claiming entry process.
   attempt @5 :UInt64;       # Random identity of this claim.
   deadlineMs @6 :UInt32;
+  rosterVersion @7 :UInt64; # Roster from which the holders were chosen.
 }
 
 enum RecordState {
@@ -153,6 +154,9 @@
   body @3 :Data;
   bodyKept @4 :Bool;
   ageMs @5 :UInt32;
+  attempt @6 :UInt64;       # Attempt that holds the record.
+  reason @7 :Text;          # Why the holder cannot tell.
+  rosterVersion @8 :UInt64;
 }
 
 struct Header {
@@ -170,6 +174,8 @@
   headers @6 :List(Header);
   body @7 :Data;
   bodyKept @8 :Bool;
+  requestDigest @9 :Data;
+  entry @10 :Text;
 }
 
 struct Transfer {
@@ -185,6 +191,9 @@
 struct Records {
   records @0 :List(Record);
   next @1 :UInt64;          # Cursor of the next page, 0 at the end.
+  rosterVersion @2 :UInt64; # Roster of the sender.
+  base @3 :UInt64;          # Roster version up to which its records are complete.
+  storeDown @4 :Bool;       # Whether the sender cannot reach the store.
 }
 
 struct Lease {
