Spread topics and membership by push and exchange

Each control process had to watch the store itself, so calls grew with the fleet, and nothing told a host that its configuration might be old.

Three processes watch the store; a new version is pushed to two successors on a ring and two random peers, and one exchange of digests a second carries it past lost relays. Confirmations that the store was read travel in the answers, from the time of the request, so a host that was frozen takes none from before. A host without one for 5 s is stale, unless most data centres report the store down. A loss of a host needs an own failed contact and a second witness.

Ruled out: random peers only (a host of ten is missed more often than the goal of 99 in 100 allows) and probes of the store by every host in an outage (calls would grow with the fleet; two of each data centre probe).

--- /dev/null
+++ b/src/jacinthpath/dissemination.py
@@ -0,0 +1,360 @@
+"""Spread of versioned topics to all control processes.
+
+A new version is pushed to a few peers, which push it on. Each process also
+compares versions with a random peer each second, which carries an update past
+relays that were lost. Both only ever raise a version.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "Action",
+    "Announce",
+    "Digest",
+    "Disseminator",
+    "Exchange",
+    "Fetch",
+    "Offer",
+    "Push",
+    "Topic",
+    "TopicStore",
+    "choose_watchers",
+]
+
+import enum
+import random
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from .hashing import key_hash, rendezvous_rank
+
+WATCHERS = 3
+FAN_OUT = 4
+
+# Two successors on the ring reach every live host past one lost relay; with
+# random peers alone one change in twenty misses a host of ten until the next
+# exchange.
+RING_SUCCESSORS = 2
+
+EXCHANGE_INTERVAL_S = 1.0
+
+# Exchange partners are drawn from a small set that changes slowly: a new
+# connection costs a handshake of several hundred bytes.
+PARTNERS = 24
+PARTNER_CHANGE_S = 10.0
+
+# Larger contents are announced and fetched, so that a host receives them once
+# and not up to four times.
+PUSH_LIMIT_BYTES = 2_048
+FETCH_TIMEOUT_S = 0.5
+
+# 16 topics take about 500 bytes of a digest; more take turns.
+MAX_DIGEST_TOPICS = 16
+MAX_TOPICS = 1_000
+MAX_NAME_CHARACTERS = 200
+TIER_GROWTH = 16
+
+
+class Topic(NamedTuple):
+    """One version of a topic."""
+
+    name: str
+    version: int
+    content: bytes
+
+
+class Digest(NamedTuple):
+    """What a process tells a peer in each exchange.
+
+    :param versions: version of each topic, or of some in turn.
+    :param confirmed_age_s: age of the newest proof that the store was read.
+    :param store_down: whether the sender finds the store down.
+    :param incarnation: grows with each start and each refuted suspicion.
+    :param suspects: ``host@incarnation`` of hosts that the sender suspects.
+    """
+
+    sender: str
+    versions: Mapping[str, int]
+    confirmed_age_s: float = float("inf")
+    store_down: bool = False
+    incarnation: int = 0
+    leaving: bool = False
+    suspects: tuple[str, ...] = ()
+
+
+class Push(NamedTuple):
+    """Send topics to a peer."""
+
+    peer: str
+    topics: tuple[Topic, ...]
+
+
+class Announce(NamedTuple):
+    """Tell a peer the version of a topic that is too large to push."""
+
+    peer: str
+    name: str
+    version: int
+
+
+class Fetch(NamedTuple):
+    """Ask a peer for topics."""
+
+    peer: str
+    names: tuple[str, ...]
+
+
+class Exchange(NamedTuple):
+    """Exchange digests with a peer."""
+
+    peer: str
+
+
+Action = Push | Announce | Fetch | Exchange
+
+
+class Offer(enum.Enum):
+    """What became of an offered version."""
+
+    ACCEPTED = "accepted"
+    KNOWN = "known"
+    OLDER = "older"
+    CONFLICTING = "conflicting"
+    REFUSED = "refused"
+
+
+class TopicStore:
+    """Newest version of each topic; versions only go up.
+
+    ``conflicts`` counts offers of a known version with other content. They are
+    refused, because compare-and-swap never accepts two contents of a version.
+    """
+
+    def __init__(self) -> None:
+        self._topics: dict[str, Topic] = {}
+        self.conflicts = 0
+
+    def offer(self, topic: Topic) -> Offer:
+        """Take a version if it is newer than the known one."""
+        known = self._topics.get(topic.name)
+        if known is None:
+            too_many = len(self._topics) >= MAX_TOPICS
+            if too_many or len(topic.name) > MAX_NAME_CHARACTERS or topic.version < 1:
+                return Offer.REFUSED
+        elif topic.version < known.version:
+            return Offer.OLDER
+        elif topic.version == known.version:
+            if topic.content == known.content:
+                return Offer.KNOWN
+            self.conflicts += 1
+            return Offer.CONFLICTING
+        self._topics[topic.name] = topic
+        return Offer.ACCEPTED
+
+    def get(self, name: str) -> Topic | None:
+        """Return the newest version of a topic, if any."""
+        return self._topics.get(name)
+
+    def version(self, name: str) -> int:
+        """Return the version of a topic, 0 if it is not known."""
+        topic = self._topics.get(name)
+        return topic.version if topic else 0
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each topic."""
+        return {name: topic.version for name, topic in self._topics.items()}
+
+    def newer_than(self, versions: Mapping[str, int]) -> tuple[Topic, ...]:
+        """Return the topics that somebody with ``versions`` lacks."""
+        return tuple(
+            topic
+            for topic in self._topics.values()
+            if topic.version > versions.get(topic.name, 0)
+        )
+
+
+def choose_watchers(
+    data_centres: Mapping[str, str], count: int = WATCHERS
+) -> tuple[str, ...]:
+    """Return the hosts that watch the configuration in the store.
+
+    They are the first by rendezvous hash, in different data centres as far as
+    there are, so that a cut data centre does not hold them all.
+
+    :param data_centres: data centre of each live host.
+    """
+    ranked = rendezvous_rank("configuration", data_centres)
+    first_of: dict[str, str] = {}
+    for host in ranked:
+        first_of.setdefault(data_centres[host], host)
+    spread = list(first_of.values())
+    rest = [host for host in ranked if host not in set(spread)]
+    return tuple((spread + rest)[:count])
+
+
+class Disseminator:
+    """Decides what one process sends to whom.
+
+    Methods return the actions to carry out. Failed ones are reported with
+    :meth:`contact_failed`.
+
+    :param host: name of the own host.
+    :param topics: the topics to spread.
+    :param randomness: source of all random choices.
+    """
+
+    def __init__(
+        self, host: str, topics: TopicStore, randomness: random.Random
+    ) -> None:
+        self.host = host
+        self.topics = topics
+        self._random = randomness
+        self._peers: list[str] = []
+        self._ring: list[str] = []
+        self._tiers: list[str] = []
+        self._rank = 0
+        self._partners: list[str] = []
+        self._partner_change_at_s = 0.0
+        self._sources: dict[str, list[str]] = {}
+        self._fetches: dict[str, tuple[str, float]] = {}
+        self._digest_offset = 0
+        self._next_exchange_s = 0.0
+
+    def set_hosts(self, data_centres: Mapping[str, str]) -> None:
+        """Take the live hosts, the own one included, and their data centres."""
+        if data_centres.keys() == {self.host, *self._peers}:
+            return
+        ordered = sorted(data_centres, key=key_hash)
+        start = ordered.index(self.host) if self.host in ordered else 0
+        ring = ordered[start:] + ordered[:start]
+        self._ring = [host for host in ring if host != self.host]
+        self._peers = sorted(self._ring)
+        watchers = choose_watchers(data_centres)
+        ranked = rendezvous_rank("configuration", data_centres)
+        first = set(watchers)
+        self._tiers = [*watchers, *(host for host in ranked if host not in first)]
+        self._rank = (
+            self._tiers.index(self.host) if self.host in data_centres else len(ranked)
+        )
+        self._partners = [peer for peer in self._partners if peer in data_centres]
+        self._fill_partners()
+
+    def publish(self, topic: Topic) -> tuple[Offer, list[Action]]:
+        """Offer a version that was made or read here, and spread it if new."""
+        return self.receive(topic, "")
+
+    def receive(self, topic: Topic, sender: str) -> tuple[Offer, list[Action]]:
+        """Offer a version that a peer sent, and spread it if new."""
+        offer = self.topics.offer(topic)
+        if offer is not Offer.ACCEPTED:
+            return offer, []
+        self._forget_fetch(topic)
+        return offer, [
+            self._spread(peer, topic) for peer in self._choose_relays({sender})
+        ]
+
+    def learn_versions(
+        self, sender: str, versions: Mapping[str, int], now_s: float
+    ) -> list[Action]:
+        """Fetch what a digest or announcement shows to be newer.
+
+        A topic that is being fetched elsewhere is not fetched twice; the sender
+        is kept as a further source of it.
+        """
+        wanted = []
+        for name, version in versions.items():
+            if version <= self.topics.version(name):
+                continue
+            _, started_s = self._fetches.get(name, ("", float("-inf")))
+            if now_s - started_s < FETCH_TIMEOUT_S:
+                self._sources.setdefault(name, []).append(sender)
+                continue
+            self._fetches[name] = (sender, now_s)
+            wanted.append(name)
+        return [Fetch(sender, tuple(wanted))] if wanted else []
+
+    def contact_failed(self, action: Action, now_s: float) -> list[Action]:
+        """Return what replaces an action whose peer did not answer."""
+        if isinstance(action, Fetch):
+            return [
+                again for name in action.names for again in self._refetch(name, now_s)
+            ]
+        if isinstance(action, Exchange) or len(self._peers) < 2:
+            return []
+        beyond = self._ring[RING_SUCCESSORS:] or self._ring
+        peer = self._random.choice([peer for peer in beyond if peer != action.peer])
+        return [action._replace(peer=peer)]
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Return the exchange that is due, and fetches that timed out."""
+        actions: list[Action] = []
+        for name, (_, started_s) in list(self._fetches.items()):
+            if now_s - started_s >= FETCH_TIMEOUT_S:
+                actions += self._refetch(name, now_s)
+        if now_s < self._next_exchange_s or not self._peers:
+            return actions
+        jitter = 0.75 + 0.5 * self._random.random()
+        self._next_exchange_s = now_s + EXCHANGE_INTERVAL_S * jitter
+        if now_s >= self._partner_change_at_s:
+            self._change_partner(now_s)
+        actions.append(Exchange(self._random.choice(self._partners)))
+        return actions
+
+    def choose_nearer(self) -> str | None:
+        """Return a random host of the next tier towards the watchers.
+
+        The watchers are the first tier; each further one is
+        :data:`TIER_GROWTH` times as large, so 500 hosts have three tiers.
+        """
+        start, end = 0, WATCHERS
+        while self._rank >= end + (end - start) * TIER_GROWTH:
+            start, end = end, end + (end - start) * TIER_GROWTH
+        nearer = [host for host in self._tiers[start:end] if host != self.host]
+        return self._random.choice(nearer) if nearer else None
+
+    def digest_versions(self) -> dict[str, int]:
+        """Return the versions for a digest; many topics take turns."""
+        versions = self.topics.versions()
+        if len(versions) <= MAX_DIGEST_TOPICS:
+            return versions
+        names = sorted(versions)
+        start = self._digest_offset % len(names)
+        self._digest_offset += MAX_DIGEST_TOPICS
+        return {
+            name: versions[name] for name in (names + names)[start:][:MAX_DIGEST_TOPICS]
+        }
+
+    def _choose_relays(self, excluded: Iterable[str]) -> list[str]:
+        relays = [p for p in self._ring[:RING_SUCCESSORS] if p not in excluded]
+        others = [p for p in self._peers if p not in excluded and p not in relays]
+        count = min(FAN_OUT - len(relays), len(others))
+        return relays + self._random.sample(others, count)
+
+    def _spread(self, peer: str, topic: Topic) -> Action:
+        if len(topic.content) > PUSH_LIMIT_BYTES:
+            return Announce(peer, topic.name, topic.version)
+        return Push(peer, (topic,))
+
+    def _forget_fetch(self, topic: Topic) -> None:
+        self._fetches.pop(topic.name, None)
+        self._sources.pop(topic.name, None)
+
+    def _refetch(self, name: str, now_s: float) -> list[Action]:
+        self._fetches.pop(name, None)
+        sources = self._sources.get(name)
+        if not sources:
+            return []
+        source = sources.pop(0)
+        self._fetches[name] = (source, now_s)
+        return [Fetch(source, (name,))]
+
+    def _change_partner(self, now_s: float) -> None:
+        self._partner_change_at_s = now_s + PARTNER_CHANGE_S
+        if self._partners:
+            self._partners.pop(self._random.randrange(len(self._partners)))
+        self._fill_partners()
+
+    def _fill_partners(self) -> None:
+        others = [peer for peer in self._peers if peer not in self._partners]
+        count = min(PARTNERS - len(self._partners), len(others))
+        self._partners += self._random.sample(others, count)
--- /dev/null
+++ b/src/jacinthpath/gossip.py
@@ -0,0 +1,200 @@
+"""Decisions of one process about topics, freshness and membership together.
+
+The service carries out the actions over connections; the bench does so over
+queues, with the same decisions.
+"""
+
+from __future__ import annotations
+
+__all__ = ["GossipNode"]
+
+import random
+from collections.abc import Iterable
+
+from .dissemination import (
+    Action,
+    Digest,
+    Disseminator,
+    Exchange,
+    Offer,
+    Topic,
+    TopicStore,
+    choose_watchers,
+)
+from .freshness import STALENESS_LIMIT_S, Freshness, FreshnessTracker, choose_probers
+from .membership import HostState, MembershipView
+
+# A host two tiers from the watchers then still learns of a confirmation well
+# within the staleness limit of 5 s.
+REFRESH_AGE_S = 1.5
+EXTRA_INTERVAL_S = 0.5
+
+
+class GossipNode:
+    """One control process.
+
+    :param incarnation: higher at each start of the process.
+    :param staleness_limit_s: see :class:`~.freshness.FreshnessTracker`.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        incarnation: int,
+        randomness: random.Random,
+        staleness_limit_s: float = STALENESS_LIMIT_S,
+    ) -> None:
+        self.host = host
+        self.data_centre = data_centre
+        self.leaving = False
+        self.topics = TopicStore()
+        self.membership = MembershipView(host, incarnation)
+        self.freshness = FreshnessTracker(data_centre, staleness_limit_s)
+        self._disseminator = Disseminator(host, self.topics, randomness)
+        self._random = randomness
+        self._seen = (-1, False)
+        self._watchers: frozenset[str] = frozenset()
+        self._probers: dict[str, str] = {}
+        self._data_centres: set[str] = {data_centre}
+        self._next_extra_s = 0.0
+        self._refresh_hosts()
+
+    def apply_host_list(
+        self, hosts: Iterable[tuple[str, str, str, bool]], now_s: float
+    ) -> None:
+        """Take the lagging list: host, data centre, address, leaving."""
+        self.membership.apply_host_list(hosts, now_s)
+        self._refresh_hosts()
+
+    def watches(self) -> bool:
+        """Return whether this process is one of those that watch the store."""
+        return self.host in self._watchers
+
+    def probes(self, now_s: float) -> bool:
+        """Return whether this process should read the store once now."""
+        return self.host in self._probers and self.freshness.should_probe(now_s)
+
+    def state(self, now_s: float) -> Freshness:
+        """Return whether the configuration of this host is current."""
+        return self.freshness.state(now_s, self._data_centres)
+
+    def make_digest(self, now_s: float) -> Digest:
+        """Return the digest to send now."""
+        return Digest(
+            self.host,
+            self._disseminator.digest_versions(),
+            self.freshness.age_s(now_s),
+            self.freshness.finds_store_down(now_s),
+            self.membership.incarnation,
+            self.leaving,
+            self.membership.suspects(self._random),
+        )
+
+    def publish(self, topic: Topic) -> tuple[Offer, list[Action]]:
+        """Offer a topic that was made or read from the store here."""
+        return self._disseminator.publish(topic)
+
+    def on_topic(self, topic: Topic, sender: str) -> tuple[Offer, list[Action]]:
+        """Offer a topic that a peer sent."""
+        return self._disseminator.receive(topic, sender)
+
+    def on_announcement(
+        self, sender: str, versions: dict[str, int], now_s: float
+    ) -> list[Action]:
+        """Take the announcement of a version."""
+        return self._disseminator.learn_versions(sender, versions, now_s)
+
+    def on_digest(self, digest: Digest, now_s: float) -> tuple[Digest, list[Action]]:
+        """Take a peer's request for an exchange; return the answer to it."""
+        self._hear(digest, now_s, answered=False)
+        actions = self._disseminator.learn_versions(
+            digest.sender, digest.versions, now_s
+        )
+        return self.make_digest(now_s), actions
+
+    def on_answer(
+        self, digest: Digest, asked_at_s: float, now_s: float
+    ) -> list[Action]:
+        """Take the answer to an exchange that was asked for at a time."""
+        self._hear(digest, now_s, answered=True)
+        member = self.membership.get(digest.sender)
+        if member is not None:
+            self.freshness.learn(
+                digest.sender,
+                member.data_centre,
+                digest.confirmed_age_s,
+                digest.store_down,
+                asked_at_s,
+            )
+        return self._disseminator.learn_versions(digest.sender, digest.versions, now_s)
+
+    def on_failed(self, action: Action, now_s: float) -> list[Action]:
+        """Take the failure of an action; return what replaces it."""
+        self.membership.contact_failed(action.peer, now_s)
+        self._refresh_hosts()
+        return self._disseminator.contact_failed(action, now_s)
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Return what is due; to be called several times a second."""
+        self.membership.tick(now_s)
+        self._refresh_hosts()
+        actions = self._disseminator.tick(now_s)
+        if now_s >= self._next_extra_s:
+            peer = self._extra_peer(now_s)
+            if peer is not None:
+                interval_s = EXTRA_INTERVAL_S * (0.75 + 0.5 * self._random.random())
+                self._next_extra_s = now_s + interval_s
+                actions.append(Exchange(peer))
+        return actions
+
+    def _extra_peer(self, now_s: float) -> str | None:
+        """Choose the peer of an exchange beside the regular ones, if any.
+
+        Random exchanges alone take over 5 s to bring a confirmation to all of
+        500 hosts, or the reports of an outage from most data centres.
+        """
+        missing = self.freshness.missing_reports(now_s, self._data_centres)
+        if missing:
+            probers = sorted(
+                host
+                for host, data_centre in self._probers.items()
+                if data_centre in missing and host != self.host
+            )
+            if probers:
+                return self._random.choice(probers)
+        suspect = self.membership.to_contact(now_s, self._random)
+        if suspect is not None:
+            return suspect
+        if self.freshness.age_s(now_s) > REFRESH_AGE_S:
+            return self._disseminator.choose_nearer()
+        return None
+
+    def _hear(self, digest: Digest, now_s: float, answered: bool) -> None:
+        self.membership.heard(
+            digest.sender,
+            digest.incarnation,
+            digest.leaving,
+            digest.suspects,
+            now_s,
+            answered,
+        )
+        self._refresh_hosts()
+
+    def _refresh_hosts(self) -> None:
+        seen = (self.membership.revision, self.leaving)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        live = {**self.membership.usable(), self.host: self.data_centre}
+        self._disseminator.set_hosts(live)
+        members = self.membership.members()
+        self._data_centres = {m.data_centre for m in members} | {self.data_centre}
+        staying = {
+            host: data_centre
+            for host, data_centre in live.items()
+            if self.membership.state(host) is not HostState.LEAVING
+            and not (host == self.host and self.leaving)
+        }
+        self._watchers = frozenset(choose_watchers(staying))
+        self._probers = {host: staying[host] for host in choose_probers(staying)}
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,139 @@
+"""Membership: suspicion, refutation, isolation, replacement."""
+
+import random
+
+import pytest
+
+from jacinthpath.membership import HostState, MembershipView
+
+NAMES = [f"host-{number}" for number in range(6)]
+LIST = [(name, "dc", f"10.0.0.{i}:1", False) for i, name in enumerate(NAMES)]
+
+
+@pytest.fixture
+def view():
+    view = MembershipView("host-0", 1)
+    view.apply_host_list(LIST, 0.0)
+    for name in NAMES[1:]:
+        view.heard(name, 1, False, (), 0.0, answered=True)
+    return view
+
+
+def suspect_and_confirm(view, now_s):
+    view.contact_failed("host-1", now_s)
+    view.heard("host-2", 1, False, ("host-1@1",), now_s, answered=True)
+    view.tick(now_s + 2.5)
+
+
+class NaiveView:
+    """Takes one failed contact for a loss and one digest for a return."""
+
+    def __init__(self):
+        self.lost, self.changes = False, 0
+
+    def note(self, lost):
+        self.changes += lost != self.lost
+        self.lost = lost
+
+
+def test_host_with_a_poor_link_does_not_flap(view):
+    """Guards against a host that joins and leaves with each lost message."""
+    naive, changes, state = NaiveView(), 0, HostState.ALIVE
+    for step in range(40):
+        now_s = step / 2
+        if step % 2:
+            view.contact_failed("host-1", now_s)
+        else:
+            view.heard("host-1", 1, False, (), now_s, answered=True)
+        naive.note(bool(step % 2))
+        view.tick(now_s)
+        lost = view.state("host-1") is HostState.LOST
+        changes += lost != (state is HostState.LOST)
+        state = view.state("host-1")
+    assert changes == 0
+    assert naive.changes == 39
+
+
+def test_loss_needs_a_second_witness_or_a_long_time(view):
+    view.contact_failed("host-1", 1.0)
+    view.tick(4.0)
+    assert view.state("host-1") is HostState.SUSPECTED
+    view.heard("host-2", 1, False, ("host-1@1",), 4.0, answered=False)
+    assert view.state("host-1") is HostState.LOST
+    view.contact_failed("host-3", 1.0)
+    view.tick(11.5)
+    assert view.state("host-3") is HostState.LOST
+
+
+def test_suspicion_of_others_is_checked_before_it_is_passed_on(view):
+    """Guards against a rumour that lives on after the host was reached."""
+    view.heard("host-2", 1, False, ("host-1@1",), 1.0, answered=False)
+    assert view.state("host-1") is HostState.ALIVE
+    assert view.suspects(random.Random(1)) == ()
+    assert view.to_contact(1.0, random.Random(1)) == "host-1"
+    view.heard("host-1", 1, False, (), 1.1, answered=True)
+    assert view.to_contact(5.0, random.Random(1)) is None
+
+
+def test_digest_from_before_the_loss_does_not_revive_the_host(view):
+    """Guards against a digest that waited in a socket buffer."""
+    suspect_and_confirm(view, 1.0)
+    assert not view.heard("host-1", 1, False, (), 4.0, answered=False)
+    assert view.state("host-1") is HostState.LOST
+    assert view.heard("host-1", 2, False, (), 5.0, answered=False)
+    assert view.state("host-1") is HostState.ALIVE
+
+
+def test_suspected_host_refutes_with_a_higher_incarnation():
+    accused = MembershipView("host-1", 1)
+    accused.apply_host_list(LIST, 0.0)
+    accused.heard("host-2", 1, False, ("host-1@1",), 1.0, answered=True)
+    assert accused.incarnation == 2
+    accused.heard("host-3", 1, False, ("host-1@1",), 1.0, answered=True)
+    assert accused.incarnation == 2
+
+
+def test_isolated_host_declares_nobody_lost_and_recovers_at_once(view):
+    """Guards against a cut host that takes all others for lost."""
+    for name in NAMES[1:]:
+        view.contact_failed(name, 1.0)
+    view.tick(60.0)
+    assert HostState.LOST not in {member.state for member in view.members()}
+    view.heard("host-4", 1, False, (), 61.0, answered=True)
+    assert len(view.usable()) == 5
+
+
+def test_replaced_host_starts_without_the_suspicion_of_its_predecessor(view):
+    suspect_and_confirm(view, 1.0)
+    replaced = [(n, d, "10.0.1.1:1" if n == "host-1" else a, s) for n, d, a, s in LIST]
+    view.apply_host_list(replaced, 5.0)
+    assert view.state("host-1") is HostState.ALIVE
+    assert view.get("host-1").incarnation == 0
+
+
+def test_lagging_list_neither_revives_nor_drops_a_host(view):
+    suspect_and_confirm(view, 1.0)
+    view.apply_host_list(LIST, 4.0)
+    assert view.state("host-1") is HostState.LOST
+    without = [host for host in LIST if host[0] not in ("host-1", "host-2")]
+    view.apply_host_list(without, 4.0)
+    assert view.get("host-1") is None
+    assert view.state("host-2") is HostState.ALIVE, "exchanges with it succeed"
+    view.apply_host_list(without, 90.0)
+    assert view.get("host-2") is None
+
+
+def test_leaving_is_learnt_from_the_list_or_the_host(view):
+    view.heard("host-1", 1, True, (), 1.0, answered=False)
+    view.apply_host_list([(n, d, a, n == "host-2") for n, d, a, _ in LIST], 1.0)
+    states = [view.state(name) for name in NAMES[1:4]]
+    assert states == [HostState.LEAVING, HostState.LEAVING, HostState.ALIVE]
+
+
+def test_digest_lists_a_bounded_number_of_suspects():
+    view = MembershipView("host", 1)
+    hosts = [(f"h{number}", "dc", f"a:{number}", False) for number in range(100)]
+    view.apply_host_list(hosts, 0.0)
+    for name, *_ in hosts[:30]:
+        view.contact_failed(name, 1.0)
+    assert len(view.suspects(random.Random(1))) == 8
