--- /dev/null
+++ b/src/jacinthpath/coordination.py
@@ -0,0 +1,360 @@
+"""Coordinator of one keyed service, as a state machine without I/O.
+
+:meth:`Coordinator.handle` takes one event and returns the effects to carry out.
+A table counts as durable once the store has it, or hosts in a majority of data
+centres have. A server is granted a slice only under a durable table, and only
+after every other process that may hold it has given it up or let its term end.
+"""
+
+from __future__ import annotations
+
+__all__ = ["Coordinator"]
+
+import math
+from collections.abc import Callable, Iterable
+from typing import Any, ClassVar
+
+from .configuration import Endpoint
+from .coordination_events import (
+    AuthorityExtended,
+    AuthorityGained,
+    AuthorityLost,
+    Effect,
+    EpochSeen,
+    Event,
+    GrantAnswered,
+    LeaseRouter,
+    LoadsChanged,
+    PublishTable,
+    ReleaseRequested,
+    ReleaseRole,
+    RouterAsked,
+    ServersChanged,
+    TableKept,
+    TableWritten,
+    Tick,
+    WriteTable,
+)
+from .drafts import TableDraft
+from .grant_schedule import GrantSchedule
+from .grants import GrantAnswer
+from .holdings import Holdings
+from .planning import Planner, apply_plan
+from .recovery import recover_table
+from .router_leases import RouterLeases
+from .slices import NO_OWNER, SliceTable
+
+RECOVERY_LIMIT_S = 0.15  # Silent servers count as lost after this.
+GRADUAL_PLAN_S = 0.2  # Two renewals, so that a batch is confirmed before the next.
+
+
+class Coordinator:
+    """Decides which server owns each slice of one service, under an authority.
+
+    :param service: service to coordinate.
+    :param planner: ``planner(table, servers, loads)`` returns the next batch of
+        moves, given the servers that are up.
+    :param address: control address that routers ask for sending leases.
+    :param data_centre: where this process runs.
+    :param data_centres: all data centres of the system.
+    :param longest_deadline_s: longest deadline of a request, for services whose
+        servers do not check grants.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        planner: Planner,
+        *,
+        data_centre: str,
+        data_centres: Iterable[str],
+        slice_count: int = 1024,
+        address: str = "",
+        fencing: str = "server",
+        longest_deadline_s: float = 10.0,
+    ) -> None:
+        self.service = service
+        self._planner = planner
+        self._data_centre = data_centre
+        self._data_centres = tuple(data_centres)
+        self._slice_count = slice_count
+        self._address = address
+        self._fencing = fencing
+        self._longest_deadline_s = longest_deadline_s
+        self._servers: dict[str, Endpoint] = {}
+        self._loads: Any = None
+        self._last_epoch = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        self._phase = "idle"
+        self._epoch = 0
+        self._end = -math.inf
+        self._started = -math.inf
+        self._inherited_until = -math.inf
+        self._found: SliceTable | None = None
+        self._found_is_newest = False
+        self._claims: dict[str, GrantAnswer] = {}
+        self._holdings = Holdings(self.service, self._slice_count)
+        self._schedule = GrantSchedule(self._holdings)
+        self._routers = RouterLeases(self._longest_deadline_s)
+        self._draft = TableDraft(self._data_centre, self._data_centres)
+        self._next_plan = -math.inf
+
+    @property
+    def acting(self) -> bool:
+        """Whether the coordinator was last known to have authority."""
+        return self._phase != "idle"
+
+    @property
+    def table(self) -> SliceTable | None:
+        """Newest table, which may not be durable yet."""
+        return self._draft.table
+
+    def handle(self, event: Event, now: float) -> list[Effect]:
+        """Take one event and return what is to be done.
+
+        Effects are carried out in order. Those that are delayed do no harm: a
+        grant is worth nothing after its echoed stamp plus its term.
+
+        :param now: monotonic time at which the event is handled.
+        """
+        if self._phase != "idle" and now >= self._end:
+            self._reset()
+        effects = self._HANDLERS[type(event)](self, event, now)
+        if self._phase != "idle":
+            effects += self._advance(now)
+        return effects
+
+    def _authority_gained(self, event: AuthorityGained, now: float) -> list[Effect]:
+        if event.epoch <= self._last_epoch:
+            # Sequences begin anew with each recovery, so its epoch must be new.
+            return [ReleaseRole(self._bound())]
+        self._reset()
+        if now >= event.end:
+            return []
+        self._phase = "recovering"
+        self._last_epoch = event.epoch
+        self._epoch = event.epoch
+        self._end = event.end
+        self._started = now
+        self._inherited_until = event.inherited_until
+        self._found = event.table
+        self._found_is_newest = event.table_is_newest
+        self._holdings.begin_epoch(event.epoch)
+        if event.table is not None:
+            self._routers.begin(max(now, event.inherited_until))
+        for hash_value in event.table.hot_keys if event.table else ():
+            self._holdings.track(hash_value)
+        return self._inquiries(self._known_servers(), now)
+
+    def _authority_extended(self, event: AuthorityExtended, now: float) -> list[Effect]:
+        if self._phase == "idle":
+            return []
+        self._end = max(self._end, event.end)
+        if event.epoch != self._epoch:
+            self._epoch = self._last_epoch = event.epoch
+            self._holdings.begin_epoch(event.epoch)
+            self._schedule.changed()
+            if self._draft.table is not None:
+                self._replace_table(self._draft.table)
+        return []
+
+    def _authority_lost(self, event: AuthorityLost, now: float) -> list[Effect]:
+        self._reset()
+        return []
+
+    def _servers_changed(self, event: ServersChanged, now: float) -> list[Effect]:
+        known = self._known_servers()
+        self._servers = {
+            name: endpoint
+            for name, endpoint in event.servers.items()
+            if endpoint.state != "gone"
+        }
+        self._next_plan = now
+        if self._phase == "idle":
+            return []
+        return self._inquiries(self._servers.keys() - known, now)
+
+    def _grant_answered(self, event: GrantAnswered, now: float) -> list[Effect]:
+        if self._phase == "idle" or event.server not in self._known_servers():
+            return []
+        answer = event.answer
+        was_up = self._is_up(event.server, now)
+        if not self._schedule.answered(event.server, answer, now):
+            return []
+        if not was_up:
+            self._next_plan = now
+        if answer.held is not None and answer.held_epoch < self._epoch:
+            self._holdings.inherited(event.server, answer, now)
+        if answer.held is not None and self._phase == "recovering":
+            self._claims[event.server] = answer
+        if answer.reason == "stale-epoch":
+            return [EpochSeen(answer.epoch)]
+        return []
+
+    def _loads_changed(self, event: LoadsChanged, now: float) -> list[Effect]:
+        self._loads = event.loads
+        return []
+
+    def _table_written(self, event: TableWritten, now: float) -> list[Effect]:
+        self._draft.written(event.epoch, event.version)
+        self._schedule.changed()
+        return []
+
+    def _table_kept(self, event: TableKept, now: float) -> list[Effect]:
+        self._draft.kept(event.epoch, event.version, event.data_centre)
+        self._schedule.changed()
+        return []
+
+    def _router_asked(self, event: RouterAsked, now: float) -> list[Effect]:
+        if self._phase == "idle":
+            return []
+        version = self._draft.published_version
+        lease = self._routers.ask(event, version, self._end, now)
+        return [LeaseRouter(event.router, lease._replace(epoch=self._epoch))]
+
+    def _release_requested(self, event: ReleaseRequested, now: float) -> list[Effect]:
+        if self._phase == "idle":
+            return []
+        effects = self._renewals(now, force=True)
+        bound = self._bound()
+        self._reset()
+        return [*effects, ReleaseRole(bound)]
+
+    def _bound(self) -> float:
+        """Return when everything that was granted has ended."""
+        bounds = [self._holdings.terms.bound(name) for name in self._known_servers()]
+        return max([*bounds, self._routers.bound(), self._inherited_until])
+
+    def _tick(self, event: Tick, now: float) -> list[Effect]:
+        return []
+
+    _HANDLERS: ClassVar[dict[type, Callable[[Any, Any, float], list[Effect]]]] = {
+        AuthorityGained: _authority_gained,
+        AuthorityExtended: _authority_extended,
+        AuthorityLost: _authority_lost,
+        ServersChanged: _servers_changed,
+        GrantAnswered: _grant_answered,
+        LoadsChanged: _loads_changed,
+        TableWritten: _table_written,
+        TableKept: _table_kept,
+        RouterAsked: _router_asked,
+        ReleaseRequested: _release_requested,
+        Tick: _tick,
+    }
+
+    def _advance(self, now: float) -> list[Effect]:
+        self._schedule.expire(now)
+        if self._phase == "recovering" and self._recovered(now):
+            self._phase = "acting"
+            claims = {} if self._found_is_newest else self._claims
+            found = recover_table(self.service, self._slice_count, self._found, claims)
+            self._replace_table(found)
+        effects: list[Effect] = []
+        if self._phase == "acting":
+            # Routers are leased only the published version, so a plan that
+            # counts on the newest version being in force comes after it.
+            if self._draft.publication_due():
+                effects.append(PublishTable(self._draft.table))
+            self._plan(now)
+            if self._draft.write_due(now):
+                effects.append(WriteTable(self._draft.table))
+        return effects + self._renewals(now)
+
+    def _newest_table(self) -> SliceTable | None:
+        return self._draft.table or self._found
+
+    def _known_servers(self) -> set[str]:
+        table = self._newest_table()
+        owners = {*table.owners, *table.hot_keys.values()} if table else set()
+        return {*self._servers, *owners} - {NO_OWNER}
+
+    def _address_of(self, server: str) -> str:
+        if server in self._servers:
+            return self._servers[server].address
+        table = self._newest_table()
+        return table.addresses.get(server, "") if table else ""
+
+    def _inquiries(self, servers: Iterable[str], now: float) -> list[Effect]:
+        if self._fencing == "router":
+            return []
+        return [
+            self._schedule.inquire(server, self._address_of(server), now)
+            for server in sorted(servers)
+        ]
+
+    def _is_up(self, server: str, now: float) -> bool:
+        """Whether a server may be given slices."""
+        if self._fencing == "router":
+            return server in self._servers
+        return self._schedule.is_up(server, now)
+
+    def _recovered(self, now: float) -> bool:
+        if now >= self._started + RECOVERY_LIMIT_S:
+            return True
+        if self._fencing == "router":
+            return bool(self._servers)
+        return self._known_servers() <= self._claims.keys()
+
+    def _replace_table(self, table: SliceTable) -> None:
+        """Make a table the newest one, to be written before it is acted on."""
+        named = {*table.owners, *table.hot_keys.values()} - {NO_OWNER}
+        for hash_value in table.hot_keys:
+            self._holdings.track(hash_value)
+        self._draft.replace(
+            table._replace(
+                version=table.version + 1,
+                epoch=self._epoch,
+                addresses={name: self._address_of(name) for name in sorted(named)},
+                coordinator=self._address,
+                fencing=self._fencing,
+            )
+        )
+        self._schedule.changed()
+
+    def _plan(self, now: float) -> None:
+        table = self._draft.table
+        if not self._draft.durable:
+            return
+        self._holdings.untrack_settled(table.hot_keys)
+        up = {name: e for name, e in self._servers.items() if self._is_up(name, now)}
+        usable = {name for name, e in up.items() if e.state == "active"}
+        urgent = not self._draft.owners() <= usable
+        if not urgent and (now < self._next_plan or self._handing_off(now)):
+            return
+        self._next_plan = now + GRADUAL_PLAN_S
+        planned = apply_plan(table, self._planner(table, up, self._loads))
+        if self._fencing == "router":
+            planned = self._routers.staged(table, planned, now)
+        if planned != table:
+            self._replace_table(planned)
+
+    def _handing_off(self, now: float) -> bool:
+        """Whether a server that is up does not hold yet what the table gives it."""
+        if self._fencing == "router":
+            return False
+        targets = self._draft.targets(self._holdings.tracked)
+        return any(
+            self._is_up(server, now)
+            and not items <= self._holdings.acknowledged(server)
+            for server, items in targets.items()
+        )
+
+    def _renewals(self, now: float, *, force: bool = False) -> list[Effect]:
+        if self._fencing == "router":
+            return []
+        servers = self._known_servers()
+        if self._phase == "recovering":
+            # What is held is known only after recovery.
+            servers = self._schedule.silent(servers)
+        unseen = now < self._inherited_until and bool(self._schedule.silent(servers))
+        return self._schedule.renewals(
+            {server: self._address_of(server) for server in servers},
+            self._draft.targets(self._holdings.tracked),
+            now,
+            authority_end=self._end,
+            # A silent server may still serve what a released predecessor granted.
+            may_add=self._draft.durable and not unseen,
+            force=force,
+        )
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -5,6 +5,7 @@
 __all__ = ["Forwarder", "RecordClient"]
 
 import asyncio
+import contextlib
 import json
 import random
 from typing import Protocol
@@ -13,7 +14,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from .dispatch import Dispatcher, Target
+from .dispatch import INTERRUPTED, UNREACHABLE, Dispatcher, Target
 from .endpoints import EndpointClient
 from .errors import NotRun, OutcomeUnknown, RequestError
 from .exchange import Attempt, AttemptOutcome, Exchange
@@ -24,7 +25,6 @@
 from .retries import Retry, RetryBudget, decide_retry
 from .tracing import Tracer
 
-UNREACHABLE = "endpoint-unreachable"
 OWNER_MOVED = "owner-moved"
 OWNER_CHANGES = frozenset({"not-owner", UNREACHABLE, OWNER_MOVED})
 """Reasons after which a keyed request is sent again once the owner has changed."""
@@ -101,6 +101,22 @@
             return reply.finish(attempt)
         except RequestError as error:
             return self._refuse(exchange, reply, error)
+        except (_CallerLeft, ConnectionError, asyncio.CancelledError):
+            self._count(exchange, "caller-left")
+            raise
+        except Exception:
+            # A fault of the router itself; what reached an endpoint is not known.
+            _log.exception("request_failed", service=exchange and exchange.service)
+            return self._refuse(
+                exchange,
+                reply,
+                OutcomeUnknown(
+                    "The router failed.",
+                    "Ask for the outcome with the same idempotency key.",
+                    status=500,
+                    kind="router-fault",
+                ),
+            )
         finally:
             self.in_flight -= 1
 
@@ -125,7 +141,7 @@
         earlier = await self._records.claim(exchange)
         if earlier is not None:
             return earlier
-        attempt = Attempt(AttemptOutcome.UNKNOWN, "interrupted")
+        attempt = Attempt(AttemptOutcome.UNKNOWN, INTERRUPTED)
         try:
             attempt = await self._within_deadline(exchange, reply)
         except NotRun as error:
@@ -159,6 +175,8 @@
     async def _attempt_until_answered(
         self, exchange: Exchange, reply: _Reply, progress: _Progress
     ) -> Attempt:
+        if exchange.policy.priority == "deferrable" and exchange.policy.defer_limit_s:
+            await self._dispatcher.defer(exchange)
         budget = self._budget_of(exchange)
         budget.deposit()
         tried: tuple[str, ...] = ()
@@ -224,10 +242,10 @@
         context = exchange.trace if span is None else span.context
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        attempt = Attempt(AttemptOutcome.UNKNOWN, "interrupted")
+        attempt = Attempt(AttemptOutcome.UNKNOWN, INTERRUPTED)
         progress.reached_endpoint = True
         scope = asyncio.timeout(None)
-        ticket = self._dispatcher.begin(exchange, target, scope)
+        self._dispatcher.begin(exchange, target, scope)
         try:
             async with scope:
                 attempt = await self._endpoints.attempt(
@@ -243,9 +261,7 @@
                 raise
             attempt = Attempt(AttemptOutcome.UNKNOWN, OWNER_MOVED)
         finally:
-            self._dispatcher.release(
-                exchange, target, ticket, attempt, loop.time() - started_s
-            )
+            self._dispatcher.release(exchange, target, attempt, loop.time() - started_s)
             self._tracer.end(span, server=target.server, outcome=attempt.outcome.value)
             if attempt.outcome is not AttemptOutcome.ANSWERED:
                 self._metrics.count(
@@ -277,6 +293,10 @@
         self._metrics.count("requests_total", service=exchange.service, outcome=outcome)
 
 
+class _CallerLeft(Exception):
+    """The caller closed its connection before it had the whole answer."""
+
+
 class _Progress:
     """Whether an attempt may have reached an endpoint."""
 
@@ -303,10 +323,18 @@
     ) -> None:
         """Pass a long answer on piece by piece, as fast as the caller reads."""
         self._response = web.StreamResponse(status=upstream.status, headers=headers)
-        await self._response.prepare(self._request)
+        try:
+            await self._response.prepare(self._request)
+        except ConnectionError as error:
+            raise _CallerLeft from error
         async for chunk in upstream.content.iter_any():
-            await self._response.write(chunk)
-        await self._response.write_eof()
+            try:
+                await self._response.write(chunk)
+            except ConnectionError as error:
+                # Told apart from a failure of the endpoint, whose evidence it is not.
+                raise _CallerLeft from error
+        with contextlib.suppress(ConnectionError):
+            await self._response.write_eof()
 
     def finish(self, attempt: Attempt) -> web.StreamResponse:
         """Return the response of an answered attempt."""
