--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -13,7 +13,23 @@
 
 
 class _Command(click.Group):
-    """Shows typed errors with their remedy and ends with their exit status."""
+    """Shows typed errors with their remedy and ends with their exit status.
+
+    The operators' commands are loaded when they are used, so that the daemons
+    do not hold them in memory.
+    """
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*super().list_commands(ctx), "configuration"])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """Return the command called ``name``."""
+        if name == "configuration":
+            from .operator_cli import configuration
+
+            return configuration
+        return super().get_command(ctx, name)
 
     def invoke(self, ctx: click.Context) -> object:
         """Run the command that was chosen."""
