Estimate waits from the dispatch rate of each class

The queue's classes and the length estimator move to modules of their own; a full queue drops the work of the account furthest ahead of its share.

--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -50,7 +50,7 @@
         self.clock = VirtualClock()
         self.servers = build_servers(scenario, self.clock)
         self.counts: Counter[str] = Counter()
-        self.attempts_by_second: Counter[int] = Counter()
+        self.given_up_at: list[float] = []
         self._attempt = 0
 
     def send(
@@ -64,7 +64,6 @@
         """Send an attempt over the network and return its number."""
         self._attempt += 1
         self.counts["attempts"] += 1
-        self.attempts_by_second[int(self.clock.now)] += 1
         near = server.endpoint.data_centre == router.data_centre
         delay = NEAR_S if near else self.scenario.between_s
         name = server.endpoint.server
@@ -220,6 +219,9 @@
         job = self._jobs[job_id]
         self._tried.pop(job_id, None)
         self.run.counts[f"{reason}_{job.priority}"] += 1
+        if job.priority != "deferrable":
+            share = (self.clock.now - job.arrival) / (job.deadline - job.arrival)
+            self.run.given_up_at.append(share)
         left_s = job.deadline - self.clock.now
         if job.priority == "deferrable" and self._planned and left_s > REPLAN_S:
             self._planner.defer(job_id, left_s, self.clock.now)
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -8,15 +8,14 @@
 import math
 from typing import NamedTuple
 
+from .classes import QueuedRequest, RequestClass
 from .configuration import PRIORITIES
+from .lengths import LengthEstimator
 
 ADMITTED = "admitted"
 QUEUED = "queued"
 REFUSED = "refused"
 
-# A request this many times longer than is typical for its service is long.
-# Stragglers run about 30 times longer, ordinary requests vary by two or three.
-LONG_FACTOR = 6.0
 # Largest share of the slots that long work may hold while short work waits.
 LONG_SHARE = 0.34
 # Long work goes ahead of short work after waiting this many times its length,
@@ -32,35 +31,18 @@
 # Long work waits for its patience while the endpoints are slower than this:
 # long work of several hosts would otherwise meet in the slots of one server.
 LONG_PRESSURE_LIMIT = 2.5
+# Estimated waits count this many times. Without a margin the queue grows until
+# the requests at its head are as late as their deadlines allow. First-class work
+# is not the excess of an overload, so it is given up only when lost.
+WAIT_MARGIN = {"first": 1.0, "normal": 2.0, "deferrable": 1.0}
 # Part of its remaining time after which waiting deferrable work moves up one
 # class: it may wait, but must end by its stated time.
 PROMOTE_AT = 0.5
 
-_LOG_GAIN = 0.1
-_SHAPE_LIMIT = 4096
 # Timer entries of requests that no longer wait, before they are cleared.
 _COMPACT_AT = 256
 
 
-class QueuedRequest(NamedTuple):
-    """What the queue needs to know of a request.
-
-    :param request_id: unique in the entry process.
-    :param account: client account.
-    :param priority: ``first``, ``normal`` or ``deferrable``.
-    :param expected_s: from :meth:`LengthEstimator.expected_s`.
-    :param deadline: monotonic time by which the response must have ended.
-    :param weight: share of the account under contention.
-    """
-
-    request_id: int
-    account: str
-    priority: str
-    expected_s: float
-    deadline: float
-    weight: float = 1.0
-
-
 class Admission(NamedTuple):
     """Answer to :meth:`RequestQueue.offer`.
 
@@ -81,112 +63,6 @@
 _ADMITTED = Admission(ADMITTED)
 
 
-class LengthEstimator:
-    """Learns how long requests of each (service, shape) run.
-
-    The estimate is an exponentially weighted geometric mean: one straggler
-    among ordinary requests of the same shape raises it by less than half.
-    The shapes used least recently are forgotten beyond ``shape_limit``.
-    """
-
-    def __init__(
-        self, default_s: float = 0.05, shape_limit: int = _SHAPE_LIMIT
-    ) -> None:
-        self._default = math.log(default_s)
-        self._limit = shape_limit
-        self._shapes: dict[tuple[str, str], float] = {}
-        self._services: dict[str, float] = {}
-
-    def expected_s(self, service: str, shape: str) -> float:
-        """Return the expected length of a request in seconds."""
-        value = self._shapes.get((service, shape))
-        if value is None:
-            value = self._services.get(service, self._default)
-        return math.exp(value)
-
-    def long_after_s(self, service: str) -> float:
-        """Return the length from which a request of a service counts as long."""
-        return LONG_FACTOR * math.exp(self._services.get(service, self._default))
-
-    def observe(self, service: str, shape: str, length_s: float) -> None:
-        """Record the length of a request that was answered."""
-        length = math.log(max(length_s, 1e-6))
-        typical = self._services.get(service)
-        if typical is None:
-            typical = length
-        self._services[service] = typical + _LOG_GAIN * (length - typical)
-        key = (service, shape)
-        known = self._shapes.pop(key, None)
-        if known is None:
-            known = length
-            if len(self._shapes) >= self._limit:
-                del self._shapes[next(iter(self._shapes))]
-        self._shapes[key] = known + _LOG_GAIN * (length - known)
-
-    def __len__(self) -> int:
-        return len(self._shapes)
-
-
-class _Class:
-    """Waiting requests of one class, in two lanes by expected length.
-
-    Accounts share each class by start-time fair queueing: a request is tagged
-    with the virtual time at which its account's earlier work would be done if
-    each account were served in proportion to its weight.
-    """
-
-    def __init__(self, name: str) -> None:
-        self.pressure_limit = PRESSURE_LIMIT[name]
-        self.waiting: dict[int, tuple[QueuedRequest, bool, float]] = {}
-        self.lanes: tuple[list, list] = ([], [])
-        self.work_s = 0.0
-        self.credit_s = 0.0
-        self.virtual = 0.0
-        self.finish: dict[str, float] = {}
-
-    def start_tag(self, request: QueuedRequest) -> float:
-        return max(self.virtual, self.finish.get(request.account, 0.0))
-
-    def add(self, request: QueuedRequest, is_long: bool, now: float) -> None:
-        tag = self.start_tag(request)
-        self.finish[request.account] = tag + request.expected_s / request.weight
-        self.waiting[request.request_id] = (request, is_long, now)
-        self.work_s += request.expected_s
-        heapq.heappush(self.lanes[is_long], (tag, request.request_id))
-
-    def head(self, is_long: bool) -> tuple[QueuedRequest, float] | None:
-        """Return the next request of a lane and when it was offered."""
-        lane = self.lanes[is_long]
-        while lane:
-            entry = self.waiting.get(lane[0][1])
-            if entry is not None:
-                return entry[0], entry[2]
-            heapq.heappop(lane)
-        return None
-
-    def take(self, is_long: bool) -> QueuedRequest:
-        """Remove and return the request that :meth:`head` returned."""
-        tag, request_id = heapq.heappop(self.lanes[is_long])
-        self.virtual = max(self.virtual, tag)
-        return self.remove(request_id)
-
-    def remove(self, request_id: int) -> QueuedRequest:
-        request = self.waiting.pop(request_id)[0]
-        self.work_s -= request.expected_s
-        if not self.waiting:
-            self._reset()
-        return request
-
-    def _reset(self) -> None:
-        """Forget tags and rounding errors while nothing waits."""
-        self.work_s = 0.0
-        self.credit_s = 0.0
-        self.virtual = 0.0
-        self.finish.clear()
-        self.lanes[0].clear()
-        self.lanes[1].clear()
-
-
 class RequestQueue:
     """Requests of one service (one server, where keyed) in an entry process.
 
@@ -204,7 +80,9 @@
         self, slots: int, long_after_s: float = 1.0, waiting_limit: int = 1000
     ) -> None:
         self.waiting_limit = waiting_limit
-        self._classes = {name: _Class(name) for name in PRIORITIES}
+        self._classes = {
+            name: RequestClass(margin) for name, margin in WAIT_MARGIN.items()
+        }
         self._running: dict[int, float] = {}
         self._long_running: set[int] = set()
         self._expiries: list[tuple[float, int, str]] = []
@@ -243,7 +121,7 @@
             return Admission(REFUSED, "deadline", wait_s)
         shed: tuple[QueuedRequest, ...] = ()
         if self.waiting >= self.waiting_limit:
-            dropped = self._shed_below(request.priority)
+            dropped = self._shed_for(request)
             if dropped is None:
                 return Admission(REFUSED, "full", wait_s)
             shed = (dropped,)
@@ -299,17 +177,21 @@
     def estimate_wait_s(self, request: QueuedRequest) -> float:
         """Return the estimated time that a request would wait for a slot.
 
-        Work of higher classes goes first; within the class an account waits
-        no longer than its own backlog takes at its share of the slots.
+        The class is taken to go on at the rate at which it was dispatched
+        lately, which shows what the higher classes leave to it. Before that is
+        known, work of higher classes and its own share the slots. Within the
+        class an account waits no longer than its own backlog takes at its share.
         """
-        ahead_s = 0.0
-        for name, queue in self._classes.items():
+        queue = self._classes[request.priority]
+        wait_s = queue.wait_s(request.account, request.weight)
+        if wait_s is not None and request.priority != "deferrable":
+            return wait_s
+        ahead_s = queue.work_ahead_s(request.account, request.weight)
+        for name, higher in self._classes.items():
             if name == request.priority:
                 break
-            ahead_s += queue.work_s
-        own_s = queue.start_tag(request) - queue.virtual
-        share_s = own_s * max(1, len(queue.finish)) * request.weight
-        return (ahead_s + min(queue.work_s, share_s)) / self.slots
+            ahead_s += higher.short_work_s
+        return ahead_s / self.slots
 
     def _may_pass(self, request: QueuedRequest, is_long: bool) -> bool:
         """Return whether no request goes before this one and pressure allows it."""
@@ -383,17 +265,21 @@
     def _waits(self, entry: tuple[float, int, str]) -> bool:
         return entry[1] in self._classes[entry[2]].waiting
 
-    def _by_turn(self) -> list[_Class]:
+    def _by_turn(self) -> list[RequestClass]:
         """Return the classes in the order in which they are served now."""
         classes = list(self._classes.values())
-        turn = [queue for queue in classes if self.pressure <= queue.pressure_limit]
+        turn = [
+            queue
+            for name, queue in self._classes.items()
+            if self.pressure <= PRESSURE_LIMIT[name]
+        ]
         for queue in classes[:0:-1]:
             if queue.waiting and queue.credit_s > 0.0:
                 return [queue, *turn]
         return turn
 
     def _choose_lane(
-        self, queue: _Class, short: bool, long: bool, calm: bool, now: float
+        self, queue: RequestClass, short: bool, long: bool, calm: bool, now: float
     ) -> bool | None:
         if not queue.waiting:
             return None
@@ -401,7 +287,7 @@
         short_head = queue.head(False) if short else None
         if long_head is None:
             return None if short_head is None else False
-        request, offered = long_head
+        request, _, offered, _ = long_head
         slack_s = request.deadline - request.expected_s - offered
         patience_s = min(LONG_PATIENCE * request.expected_s, 0.5 * slack_s)
         if now - offered > patience_s:
@@ -410,7 +296,9 @@
             return True if calm else None
         return False
 
-    def _dispatch(self, queue: _Class, is_long: bool, now: float) -> QueuedRequest:
+    def _dispatch(
+        self, queue: RequestClass, is_long: bool, now: float
+    ) -> QueuedRequest:
         request = queue.take(is_long)
         self.waiting -= 1
         self._start(request, is_long, now)
@@ -422,18 +310,24 @@
                 other.credit_s += FLOOR_SHARE[name] * request.expected_s
         return request
 
-    def _remove(self, queue: _Class, request_id: int) -> QueuedRequest:
+    def _remove(self, queue: RequestClass, request_id: int) -> QueuedRequest:
         self.waiting -= 1
         return queue.remove(request_id)
 
-    def _shed_below(self, priority: str) -> QueuedRequest | None:
-        """Drop the newest request of the lowest class below ``priority``."""
+    def _shed_for(self, request: QueuedRequest) -> QueuedRequest | None:
+        """Drop a request of the lowest class that is no higher than this one's.
+
+        In its own class it replaces only the work of an account that is
+        further ahead of its share.
+        """
         for name in reversed(PRIORITIES):
-            if name == priority:
-                return None
             queue = self._classes[name]
             if queue.waiting:
-                return self._remove(queue, next(reversed(queue.waiting)))
+                entry = queue.newest_of_largest()
+                if name != request.priority or queue.is_behind(request, entry):
+                    return self._remove(queue, entry.request.request_id)
+            if name == request.priority:
+                return None
         return None
 
     def _collect_expired(self, now: float) -> None:
@@ -443,13 +337,29 @@
             queue = self._classes[priority]
             if request_id in queue.waiting:
                 self._given_up.append(self._remove(queue, request_id))
+        for queue in self._classes.values():
+            if queue.waiting:
+                queue.measure_rate(now)
+                self._trim(queue, now)
+
+    def _trim(self, queue: RequestClass, now: float) -> None:
+        """Give up the newest requests that the class cannot reach in time.
+
+        Deferrable work is left to the planner, which knows its end.
+        """
+        while queue.waiting:
+            entry = queue.newest()
+            deferrable = entry.request.priority == "deferrable"
+            if deferrable or not queue.beyond_reach(entry, now):
+                return
+            self._given_up.append(self._remove(queue, entry.request.request_id))
 
     def _promote(self, now: float) -> None:
         while self._promotions and self._promotions[0][0] <= now:
             entry = heapq.heappop(self._promotions)
             if self._waits(entry):
                 queue = self._classes[entry[2]]
-                request, is_long, _ = queue.waiting[entry[1]]
+                request, is_long, _, _ = queue.waiting[entry[1]]
                 self._remove(queue, entry[1])
                 higher = PRIORITIES[PRIORITIES.index(entry[2]) - 1]
                 self._enqueue(request, higher, is_long, now)
