--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -136,6 +136,7 @@
         }
         for service in run.scenario.services:
             self._add_lanes(service)
+        self.clock.call_at(HINT_LAG_S, self._read_reports)
         if planned:
             self.clock.call_at(self._random.random(), self._tick)
 
@@ -173,6 +174,15 @@
             self.clock.call_at(release.release_at, self._offer, release.request_id)
         self.clock.call_at(self.clock.now + 1.0, self._tick)
 
+    def _read_reports(self) -> None:
+        """Pass the servers' lagging health reports on as hints."""
+        for name, servers in self.run.servers.items():
+            pool = self._lanes[name].pool if name in self._lanes else None
+            for server in servers.values() if pool else ():
+                healthy = server.reports_healthy()
+                pool.hint(server.endpoint.server, healthy, self.clock.now)
+        self.clock.call_at(self.clock.now + HINT_LAG_S, self._read_reports)
+
     def _offer(self, job_id: int) -> None:
         job = self._jobs[job_id]
         lane = self._lanes[job.key_server or job.service]
--- a/src/jacinthpath/selection.py
+++ b/src/jacinthpath/selection.py
@@ -19,6 +19,10 @@
 # An endpoint in another data centre counts as this many times slower, so that
 # the near one is chosen unless it is measurably slower.
 FAR_FACTOR = 1.1
+# An endpoint whose own report says unhealthy counts as this many times slower for
+# this long. Reports lag and can be wrong, so they never exclude an endpoint.
+HINT_FACTOR = 1.5
+HINT_S = 5.0
 # Failures in a row, or a latency this many times the median, eject an endpoint.
 EJECT_FAILURES = 5
 EJECT_LATENCY_FACTOR = 4.0
@@ -45,6 +49,7 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until = -math.inf
+        self.hinted_until = -math.inf
 
 
 class EndpointPool:
@@ -124,6 +129,12 @@
                 break
         return None if best is None else best.endpoint
 
+    def hint(self, server: str, healthy: bool, now: float) -> None:
+        """Record a health report of a server."""
+        state = self._states.get(server)
+        if state is not None:
+            state.hinted_until = -math.inf if healthy else now + HINT_S
+
     def started(self, endpoint: Endpoint, now: float) -> None:
         """Record that an attempt was sent to an endpoint."""
         state = self._states.get(endpoint.server)
@@ -180,6 +191,8 @@
             score /= self._warmth(state, now)
         if state.endpoint.data_centre != self._data_centre:
             score *= FAR_FACTOR
+        if now < state.hinted_until:
+            score *= HINT_FACTOR
         return score * (1 + state.failures)
 
     def _warmth(self, state: _State, now: float) -> float:
