--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -50,7 +50,7 @@
         self.clock = VirtualClock()
         self.servers = build_servers(scenario, self.clock)
         self.counts: Counter[str] = Counter()
-        self.attempts_by_second: Counter[int] = Counter()
+        self.given_up_at: list[float] = []
         self._attempt = 0
 
     def send(
@@ -64,7 +64,6 @@
         """Send an attempt over the network and return its number."""
         self._attempt += 1
         self.counts["attempts"] += 1
-        self.attempts_by_second[int(self.clock.now)] += 1
         near = server.endpoint.data_centre == router.data_centre
         delay = NEAR_S if near else self.scenario.between_s
         name = server.endpoint.server
@@ -137,6 +136,7 @@
         }
         for service in run.scenario.services:
             self._add_lanes(service)
+        self.clock.call_at(HINT_LAG_S, self._read_reports)
         if planned:
             self.clock.call_at(self._random.random(), self._tick)
 
@@ -174,6 +174,15 @@
             self.clock.call_at(release.release_at, self._offer, release.request_id)
         self.clock.call_at(self.clock.now + 1.0, self._tick)
 
+    def _read_reports(self) -> None:
+        """Pass the servers' lagging health reports on as hints."""
+        for name, servers in self.run.servers.items():
+            pool = self._lanes[name].pool if name in self._lanes else None
+            for server in servers.values() if pool else ():
+                healthy = server.reports_healthy()
+                pool.hint(server.endpoint.server, healthy, self.clock.now)
+        self.clock.call_at(self.clock.now + HINT_LAG_S, self._read_reports)
+
     def _offer(self, job_id: int) -> None:
         job = self._jobs[job_id]
         lane = self._lanes[job.key_server or job.service]
@@ -220,6 +229,9 @@
         job = self._jobs[job_id]
         self._tried.pop(job_id, None)
         self.run.counts[f"{reason}_{job.priority}"] += 1
+        if job.priority != "deferrable":
+            share = (self.clock.now - job.arrival) / (job.deadline - job.arrival)
+            self.run.given_up_at.append(share)
         left_s = job.deadline - self.clock.now
         if job.priority == "deferrable" and self._planned and left_s > REPLAN_S:
             self._planner.defer(job_id, left_s, self.clock.now)
