--- a/bench/drivers.py
+++ b/bench/drivers.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-__all__ = ["NaiveRouter", "ProductRouter", "Run", "simulate"]
+__all__ = ["NaiveRouter", "ProductRouter", "Router", "Run", "simulate"]
 
 from collections import Counter, deque
 from collections.abc import Callable
@@ -36,6 +36,8 @@
 
 NAIVE_ATTEMPTS = 3
 HINT_LAG_S = 2.0
+# A deferrable request that found no place is planned again with this much left.
+REPLAN_S = 2.0
 # Resolution of the timer for waiting requests that are given up.
 TIMER_S = 0.001
 
@@ -48,12 +50,12 @@
         self.clock = VirtualClock()
         self.servers = build_servers(scenario, self.clock)
         self.counts: Counter[str] = Counter()
-        self.attempts_by_second: Counter[int] = Counter()
+        self.given_up_at: list[float] = []
         self._attempt = 0
 
     def send(
         self,
-        router: ProductRouter | NaiveRouter,
+        router: Router,
         server: Server,
         job: Job,
         deadline: float,
@@ -62,7 +64,6 @@
         """Send an attempt over the network and return its number."""
         self._attempt += 1
         self.counts["attempts"] += 1
-        self.attempts_by_second[int(self.clock.now)] += 1
         near = server.endpoint.data_centre == router.data_centre
         delay = NEAR_S if near else self.scenario.between_s
         name = server.endpoint.server
@@ -135,6 +136,7 @@
         }
         for service in run.scenario.services:
             self._add_lanes(service)
+        self.clock.call_at(HINT_LAG_S, self._read_reports)
         if planned:
             self.clock.call_at(self._random.random(), self._tick)
 
@@ -165,7 +167,6 @@
         if job.priority == "deferrable" and self._planned:
             self._planner.defer(job.job_id, self._defer_limit_s, self.clock.now)
         else:
-            self._planner.attempted()
             self._offer(job.job_id)
 
     def _tick(self) -> None:
@@ -173,6 +174,15 @@
             self.clock.call_at(release.release_at, self._offer, release.request_id)
         self.clock.call_at(self.clock.now + 1.0, self._tick)
 
+    def _read_reports(self) -> None:
+        """Pass the servers' lagging health reports on as hints."""
+        for name, servers in self.run.servers.items():
+            pool = self._lanes[name].pool if name in self._lanes else None
+            for server in servers.values() if pool else ():
+                healthy = server.reports_healthy()
+                pool.hint(server.endpoint.server, healthy, self.clock.now)
+        self.clock.call_at(self.clock.now + HINT_LAG_S, self._read_reports)
+
     def _offer(self, job_id: int) -> None:
         job = self._jobs[job_id]
         lane = self._lanes[job.key_server or job.service]
@@ -216,9 +226,17 @@
             self.clock.call_at(lane.timer, self._drain, lane)
 
     def _give_up(self, job_id: int, reason: str) -> None:
-        job = self._jobs.pop(job_id)
+        job = self._jobs[job_id]
         self._tried.pop(job_id, None)
         self.run.counts[f"{reason}_{job.priority}"] += 1
+        if job.priority != "deferrable":
+            share = (self.clock.now - job.arrival) / (job.deadline - job.arrival)
+            self.run.given_up_at.append(share)
+        left_s = job.deadline - self.clock.now
+        if job.priority == "deferrable" and self._planned and left_s > REPLAN_S:
+            self._planner.defer(job_id, left_s, self.clock.now)
+        else:
+            del self._jobs[job_id]
 
     def _start(self, lane: _Lane, job_id: int) -> None:
         job = self._jobs[job_id]
@@ -241,6 +259,8 @@
         def done(outcome: str) -> None:
             self._finished(lane, job_id, server, outcome, now)
 
+        if job.priority != "deferrable":
+            self._planner.attempted()
         self.run.send(self, server, job, job.deadline, done)
 
     def _finished(
@@ -384,10 +404,13 @@
             self._tries[job.job_id] += 1
 
 
+Router = ProductRouter | NaiveRouter
+
+
 def simulate(
     scenario: Scenario,
     jobs: list[Job],
-    make_router: Callable[[Run, int], ProductRouter | NaiveRouter],
+    make_router: Callable[[Run, int], Router],
     tail_s: float,
 ) -> Run:
     """Run a load through ten hosts; each job's ``ended`` tells how it went.
