--- a/src/jacinthpath/authority.py
+++ b/src/jacinthpath/authority.py
@@ -31,7 +31,7 @@
 FOUNDING_LIMIT_S = 1.5  # Hosts of a new system appear on the list one by one.
 BACKOFF_S = 0.5
 # A lease that was not renewed for this long is backed by a majority of vouches.
-LEASE_DOUBT_S = 0.3
+LEASE_DOUBT_S = 0.2
 
 
 class Authority(NamedTuple):
@@ -197,7 +197,7 @@
         :param terms_until: when the last granted term has ended; successors wait
             for it where a server does not answer.
         """
-        terms_ms = max(0, math.ceil((terms_until - now) * 1000))
+        terms_ms = math.ceil(max(0.0, terms_until - now) * 1000)
         requests = self._requests("release", self._quorum.hosts, 0, now, terms_ms)
         requests += _present(self.lease.release(now, terms_ms))
         self._become_idle(now + backoff_s)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -371,6 +371,16 @@
         assert world.coordinator() not in (None, host)
 
 
+def test_release_before_the_first_grant():
+    """Guards against a release that fails because no term was ever granted."""
+    world = World()
+    while world.coordinator() is None:
+        world.run_for(0.001)
+    world.release(world.coordinator())
+    world.run_for(2.0)
+    assert world.served()
+
+
 @pytest.mark.parametrize("repeat", range(2))
 @pytest.mark.parametrize("seed", range(4))
 def test_loss_of_server_coordinator_and_data_centre_is_over_within_a_second(
