--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -126,6 +126,10 @@
             runner.release()
         await asyncio.gather(*(runner.sent() for runner in self._running.values()))
 
+    async def on_stop(self) -> None:
+        """Cancel what is in flight."""
+        await asyncio.gather(*(runner.close() for runner in self._running.values()))
+
     @Service.task
     async def _read_hosts(self) -> None:
         while not self.should_stop:
--- a/src/jacinthpath/leases.py
+++ b/src/jacinthpath/leases.py
@@ -13,7 +13,8 @@
 LEASE_RENEWAL_S = 0.15
 CALL_LIMIT_S = 0.1
 RELAY_S = 2.0  # Calls go through a peer for this long after a direct one failed.
-POLL_S = 0.1  # Fallback beside the watch; bounds the delay after a lost event.
+POLL_S = 0.1  # While no watch reports changes.
+WATCHED_POLL_S = 1.0  # Bounds the delay after a lost event of a watch.
 RETRY_S = 0.05
 # One failure may be a lost packet; the second one has gone through a peer.
 FAILURES_TO_UNREACHABLE = 2
@@ -84,6 +85,7 @@
     def __init__(self, process: str) -> None:
         self.end = -math.inf
         self.generation = 0
+        self.poll_s = POLL_S
         self._process = process
         self._acquisitions = 0
         self._phase = "watching"
@@ -129,7 +131,7 @@
         """Whether a candidacy has a chance: free, or the store is unreachable."""
         if not self.reachable:
             return True
-        fresh = self._view is not None and now < self._view_time + 3 * POLL_S
+        fresh = self._view is not None and now < self._view_time + 3 * self.poll_s
         return fresh and not self._view.live_holder
 
     @property
@@ -146,8 +148,12 @@
             self._phase = "acquired"
             self._next_time = -math.inf
 
+    def watched(self, healthy: bool) -> None:
+        """Note whether a watch reports changes; without one, polls are frequent."""
+        self.poll_s = WATCHED_POLL_S if healthy else POLL_S
+
     def changed(self) -> None:
-        """Note that a watch reported a change of the lease."""
+        """Note that a watch reported a change; the lease is read at once."""
         if self._phase == "watching":
             self._next_time = -math.inf
 
@@ -252,7 +258,7 @@
             self._view = view
             self._view_time = call.sent
         if self._phase == "watching":
-            self._next_time = now + POLL_S
+            self._next_time = now + self.poll_s
             return
         if self._phase != "unsure":
             return
--- a/src/jacinthpath/service_coordinator.py
+++ b/src/jacinthpath/service_coordinator.py
@@ -45,6 +45,8 @@
 
 GRANT_TIMEOUT_S = 0.3
 TABLE_READ_RETRY_S = 0.05
+WATCH_S = 20.0
+WATCH_RETRY_S = 0.2
 MAX_TASKS = 4_096
 
 _log = get_logger()
@@ -112,7 +114,9 @@
         self._found_for = ""
         self._read_for = ""
         self._reading = False
+        self._watching = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._watches: set[asyncio.Task[None]] = set()
         self.servers_changed(policy)
 
     def servers_changed(self, policy: ServicePolicy) -> None:
@@ -129,6 +133,11 @@
         """Do what is due."""
         now = _now()
         self.tracker.hosts_changed(self._peers.listed(), now)
+        if wanted and not self._watching:
+            self._watching = True
+            watch = asyncio.create_task(self._watch_lease())
+            self._watches.add(watch)
+            watch.add_done_callback(self._watches.discard)
         requests = self.tracker.tick(now, jitter, wanted=wanted)
         self._sync()
         self.handle(Tick())
@@ -143,6 +152,13 @@
         """Return when all messages in flight are answered or have failed."""
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def close(self) -> None:
+        """Cancel what is in flight."""
+        tasks = [*self._tasks, *self._watches]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def handle(self, event: Event) -> list[Effect]:
         """Pass an event to the coordinator, carry out and return the effects."""
         effects = self._coordinator.handle(event, _now())
@@ -209,6 +225,24 @@
                 self._found = [self._own_table]
             self._start(self._ask(request))
 
+    async def _watch_lease(self) -> None:
+        lease = self.tracker.lease
+        version = 0
+        try:
+            while True:
+                known, version = (
+                    version,
+                    await self._store.watch_lease(version, WATCH_S),
+                )
+                lease.watched(True)
+                if version != known:
+                    lease.changed()
+        except StoreError:
+            lease.watched(False)
+            await asyncio.sleep(WATCH_RETRY_S)
+        finally:
+            self._watching = False
+
     async def _call_store(self, call: LeaseCall) -> None:
         result = await self._store.carry_out(call)
         self.tracker.lease_answered(call, result, _now())
--- a/src/jacinthpath/store_leases.py
+++ b/src/jacinthpath/store_leases.py
@@ -63,6 +63,15 @@
         except (StoreError, KeyError, TypeError, ValueError):
             return LeaseResult("unknown")
 
+    async def watch_lease(self, version: int, wait_s: float) -> int:
+        """Wait until the lease changes; return its version, 0 when it is free.
+
+        :param version: version that is known.
+        :raises StoreError: the store cannot be reached.
+        """
+        value = await self._store.watch(self._lease_key, version, wait_s)
+        return value.version if value is not None else 0
+
     async def read_table(self) -> tuple[int, SliceTable | None]:
         """Return the table in the store with the version of its key.
 
