Ask again soon after a refused vouch

When the store goes down, hosts notice it one after another. A host that refused because it had just reached the store was asked again after 0.25 s, and the others only beside the lease for 0.5 s, which used up what was left of the lease.

A refusal is repeated after 0.1 s. The process tests wait for the minimum uptime after the fleet is ready; counted from its start, hosts were still too young to answer, which was the cause of the gaps of up to 1.5 s that they had shown.

--- a/src/jacinthpath/authority.py
+++ b/src/jacinthpath/authority.py
@@ -18,7 +18,6 @@
 from .quorums import VOUCH_VALID_S, VouchQuorum
 from .vouches import (
     VOUCH_MIN_UPTIME_S,
-    VOUCH_RENEWAL_S,
     VouchAnswer,
     VouchLedger,
     VouchRequest,
@@ -32,6 +31,8 @@
 BACKOFF_S = 0.5
 # A lease that was not renewed for this long is backed by a majority of vouches.
 LEASE_DOUBT_S = 0.2
+# After a host has reached the store, one round of vouches beside the lease.
+STORE_SEEN_S = 0.1
 
 
 class Authority(NamedTuple):
@@ -156,6 +157,7 @@
         if request.holder != self.holder or self._phase == "idle":
             return
         if not answer.granted:
+            self._quorum.vouch_refused(request)
             self._refused(answer, now)
             return
         if answer.remaining_ms:
@@ -285,7 +287,7 @@
 
     def _requested_epoch(self, now: float) -> int:
         doubtful = not self.lease.reachable and self.lease.doubtful(now, LEASE_DOUBT_S)
-        if now < self._store_seen + VOUCH_RENEWAL_S:
+        if now < self._store_seen + STORE_SEEN_S:
             # Hosts that reach the store still vouch beside the lease.
             doubtful = False
         if now < self.lease.end and self.lease.next_generation and not doubtful:
--- a/src/jacinthpath/quorums.py
+++ b/src/jacinthpath/quorums.py
@@ -13,6 +13,8 @@
 
 INQUIRY_REPEAT_S = 0.1
 VOUCH_ANSWER_LIMIT_S = 0.25
+# Hosts notice a store outage one after another; a refusal may be over soon.
+REFUSAL_RETRY_S = 0.1
 VOUCH_VALID_S = VOUCH_S - drift_margin_s(VOUCH_S)
 
 
@@ -34,6 +36,7 @@
     epoch: int
     sent: float
     granted: bool
+    refused: bool = False
 
 
 class VouchQuorum:
@@ -131,6 +134,12 @@
         if last is not None and last.sent == request.sent:
             self._renewals[host.data_centre] = last._replace(granted=True)
 
+    def vouch_refused(self, request: VouchRequest) -> None:
+        """Note a refusal, so that the data centre is asked again soon."""
+        for data_centre, last in self._renewals.items():
+            if (last.host, last.sent) == (request.host, request.sent):
+                self._renewals[data_centre] = last._replace(refused=True)
+
     def end(self, count: int, *, outage: bool) -> float:
         """Return until when hosts in this many data centres vouch.
 
@@ -160,7 +169,8 @@
             return last.host
         if last.granted:
             return last.host if now >= last.sent + VOUCH_RENEWAL_S else ""
-        if now < last.sent + VOUCH_ANSWER_LIMIT_S:
+        wait_s = REFUSAL_RETRY_S if last.refused else VOUCH_ANSWER_LIMIT_S
+        if now < last.sent + wait_s:
             return ""
         return names[(names.index(last.host) + 1) % len(names)]
 
--- a/tests/test_coordinator_service.py
+++ b/tests/test_coordinator_service.py
@@ -21,7 +21,6 @@
     services = [
         ServiceSpec("preview", True, SERVERS, fields=(f"slice_count = {SLICES}",))
     ]
-    started = time.monotonic()
     async with Fleet(
         tmp_path,
         services,
@@ -29,9 +28,8 @@
         control_settings=f"vouch_min_uptime_s = {MIN_UPTIME_S}",
     ) as fleet:
         await fleet.wait_until_ready()
-        # Hosts answer inquiries only from the minimum uptime on.
-        age_s = time.monotonic() - started
-        await asyncio.sleep(max(0.0, MIN_UPTIME_S + 0.5 - age_s))
+        # Hosts that are younger than this answer no inquiry.
+        await asyncio.sleep(MIN_UPTIME_S)
         yield fleet
 
 
