Add the gossip service and the measures of the spread

TopicService pushes to every listed host and watches the store from every control process, so calls and connections grow with the fleet.

GossipService has the same interface (handlers, get, on_change, publish) and carries out the decisions of GossipNode: three processes watch the store, and the host list travels as a topic that only the watchers read. Only control processes may send topics. Entry processes get the age of the newest confirmation once a second.

Ruled out: deltas of the configuration; the 4 copies of a push are avoided by announcing contents over 2,048 bytes, which needs no history on the hosts.

--- /dev/null
+++ b/bench/measures/control_cost.py
@@ -0,0 +1,109 @@
+"""Cost of spreading the configuration against the number of hosts."""
+
+from __future__ import annotations
+
+__all__ = ["run"]
+
+import asyncio
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from ..gossip_fleet import GossipFleet
+from ..gossip_model import GossipModel
+from . import MEASURES, Result, print_variant
+
+SIZES = (4, 8, 12, 16)
+TARGET = 500
+WARM_UP_S = 3.0
+WINDOW_S = 10.0
+MODEL_DATA_CENTRES = 6
+
+# A watch that ends without news, as the stand-in answers it: about 230 bytes of
+# request and 130 of answer. One a second keeps the staleness limit.
+WATCH_BYTES = 360
+
+
+@MEASURES.register("control-cost")
+def run(seed: int) -> Result:
+    """Fit bytes, CPU and memory of a process to the number of processes."""
+    rows = []
+    for size in SIZES:
+        with tempfile.TemporaryDirectory() as directory:
+            rows.append(asyncio.run(_measure(Path(directory), size)))
+    variants = [print_variant(f"processes-{row['hosts']}", **row) for row in rows]
+    fitted = {
+        name: _extrapolate([(row["hosts"], row[name]) for row in rows])
+        for name in ("bytes_per_s", "cpu_percent", "rss_mb", "store_calls_per_s")
+    }
+    variants.append(print_variant(f"fitted-{TARGET}", **fitted))
+    variants.append(_model(seed))
+    naive = _naive_bytes_per_s()
+    variants.append(
+        print_variant("naive", bytes_per_s=naive, store_calls_per_s=float(TARGET))
+    )
+    product = max(fitted["bytes_per_s"], variants[-2]["bytes_per_s"])
+    return Result(product, naive, "bytes/node/s", tuple(variants))
+
+
+async def _measure(directory: Path, size: int) -> dict[str, Any]:
+    async with GossipFleet(directory, size) as fleet:
+        await fleet.wait_members()
+        await asyncio.sleep(WARM_UP_S)
+        before = await _usage(fleet)
+        await asyncio.sleep(WINDOW_S)
+        after = await _usage(fleet)
+    seconds = after["at_s"] - before["at_s"]
+
+    def rate(name: str) -> float:
+        return (after[name] - before[name]) / seconds
+
+    return {
+        "hosts": size,
+        "bytes_per_s": rate("bytes_sent") / size,
+        "cpu_percent": 100 * rate("cpu_s") / size,
+        "rss_mb": after["rss_bytes"] / size / 2**20,
+        "store_calls_per_s": rate("store_calls"),
+    }
+
+
+async def _usage(fleet: GossipFleet) -> dict[str, float]:
+    statuses = (await fleet.statuses()).values()
+    rss = [await process.rss_bytes() for process in fleet.controls]
+    return {
+        "at_s": asyncio.get_running_loop().time(),
+        "bytes_sent": sum(status["bytes_sent"] for status in statuses),
+        "store_calls": sum(status["store_calls"] for status in statuses),
+        "cpu_s": sum(process.cpu_s() for process in fleet.controls),
+        "rss_bytes": sum(rss),
+    }
+
+
+def _extrapolate(points: list[tuple[float, float]]) -> float:
+    """Return the least-squares line through the points at the target size."""
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return mean_y + slope * (TARGET - mean_x)
+
+
+def _model(seed: int) -> dict[str, Any]:
+    """Count the bytes of 500 modelled processes with the same decisions."""
+    model = GossipModel(TARGET, MODEL_DATA_CENTRES, seed)
+    model.write(b"first")
+    model.run_until(5.0)
+    before = sum(node.bytes_sent for node in model.nodes.values())
+    calls = model.store_calls
+    model.run_until(15.0)
+    sent = sum(node.bytes_sent for node in model.nodes.values()) - before
+    return print_variant(
+        f"model-{TARGET}",
+        bytes_per_s=sent / TARGET / 10.0,
+        store_calls_per_s=(model.store_calls - calls) / 10.0,
+    )
+
+
+def _naive_bytes_per_s() -> float:
+    """Return the bytes of one node that watches the platform itself."""
+    return float(WATCH_BYTES)
--- a/src/jacinthpath/dissemination.py
+++ b/src/jacinthpath/dissemination.py
@@ -282,8 +282,8 @@
         if isinstance(action, Exchange) or len(self._peers) < 2:
             return []
         beyond = self._ring[RING_SUCCESSORS:] or self._ring
-        peer = self._random.choice([peer for peer in beyond if peer != action.peer])
-        return [action._replace(peer=peer)]
+        others = [peer for peer in beyond if peer != action.peer]
+        return [action._replace(peer=self._random.choice(others))] if others else []
 
     def tick(self, now_s: float) -> list[Action]:
         """Return the exchange that is due, and fetches that timed out."""
--- /dev/null
+++ b/src/jacinthpath/gossip_service.py
@@ -0,0 +1,384 @@
+"""Spreads topics between control processes and to their entry processes.
+
+Carries out the decisions of :class:`~.gossip.GossipNode` over authenticated
+connections, and watches the configuration while this process is chosen to.
+"""
+
+from __future__ import annotations
+
+__all__ = ["GossipService"]
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from mode import Service
+
+from .change_values import CONFIGURATION_KEY, DamagedValue, decode_value, topic_content
+from .dissemination import Action, Announce, Exchange, Fetch, Offer, Push, Topic
+from .errors import FrameError, PeerUnavailable, StoreError
+from .freshness import STALENESS_LIMIT_S, Freshness
+from .gossip import GossipNode
+from .gossip_frames import (
+    announce_frame,
+    digest_frame,
+    fetch_frame,
+    publish_frame,
+    read_digest,
+    read_topics,
+)
+from .hosts import HostList
+from .logs import get_logger
+from .metrics import Metrics
+from .peers import Handler, PeerConnection, PeerPool
+from .store import KeyValueStore, StoredValue
+
+CONFIGURATION_TOPIC = "configuration"
+HOSTS_TOPIC = "hosts"
+TICK_S = 0.25
+
+# Each end of a wait confirms that the configuration is current, so the wait is
+# short against the staleness limit.
+WATCH_WAIT_S = 1.0
+STORE_RETRY_S = 0.5
+HOST_LIST_S = 2.0
+SUBSCRIBER_DIGEST_S = 1.0
+REQUEST_TIMEOUT_S = 1.0
+MAX_ACTIONS = 64
+MAX_NAMES = 1_000
+
+_log = get_logger()
+
+
+class GossipService(Service):
+    """Topics of one control process.
+
+    :param staleness_limit_s: time without a confirmation after which the
+        configuration of this host counts as stale.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        host_list: HostList,
+        pool: PeerPool,
+        metrics: Metrics,
+        staleness_limit_s: float = STALENESS_LIMIT_S,
+        randomness: random.Random | None = None,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._host_list = host_list
+        self._pool = pool
+        self._metrics = metrics
+        self._random = randomness or random.Random()
+        self.node = GossipNode(
+            pool.own.host,
+            pool.own.data_centre,
+            int(time.time() * 1000),
+            self._random,
+            staleness_limit_s,
+        )
+        self._subscribers: set[PeerConnection] = set()
+        self._listeners: list[Callable[[Topic], None]] = []
+        self._running: set[asyncio.Task[None]] = set()
+        self._store_version = 0
+        self._state = Freshness.STALE
+        self._damaged_version = 0
+
+    def handlers(self) -> dict[str, Handler]:
+        """Return the handlers of the frames that concern topics."""
+        return {
+            "digest": self._on_digest,
+            "fetch": self._on_fetch,
+            "publish": self._on_publish,
+            "subscribe": self._on_subscribe,
+        }
+
+    def get(self, name: str) -> Topic | None:
+        """Return the newest version of a topic."""
+        return self.node.topics.get(name)
+
+    def on_change(self, listener: Callable[[Topic], None]) -> None:
+        """Call ``listener`` with each new version of a topic."""
+        self._listeners.append(listener)
+
+    def publish(self, topic: tuple[str, int, bytes]) -> bool:
+        """Take a version made here and spread it; return whether it was new."""
+        own = Topic(*topic)
+        offer, actions = self.node.publish(own)
+        return self._took(own, offer, actions)
+
+    def unready_reason(self) -> str:
+        """Return why this host should get no traffic, or an empty string."""
+        if self.get(CONFIGURATION_TOPIC) is None:
+            return "no configuration"
+        if self.node.state(_now_s()) is Freshness.STALE:
+            return "configuration may be stale"
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """Return what operators are shown."""
+        now_s = _now_s()
+        members = self.node.membership.members()
+        age_s = self.node.freshness.age_s(now_s)
+        return {
+            "configuration_version": self.node.topics.version(CONFIGURATION_TOPIC),
+            "freshness": self.node.state(now_s).value,
+            "confirmed_age_s": round(age_s, 3) if age_s < float("inf") else None,
+            "watches_store": self.node.watches(),
+            "conflicting_topics": self.node.topics.conflicts,
+            "members": [
+                {"host": m.host, "address": m.address, "state": m.state.value}
+                for m in members
+            ],
+        }
+
+    async def on_stop(self) -> None:
+        """End the actions that are under way."""
+        for task in tuple(self._running):
+            task.cancel()
+        await asyncio.gather(*self._running, return_exceptions=True)
+
+    @Service.task
+    async def _exchange_digests(self) -> None:
+        next_report_s = 0.0
+        while not self.should_stop:
+            now_s = _now_s()
+            self._carry_out(self.node.tick(now_s))
+            if now_s >= next_report_s:
+                next_report_s = now_s + SUBSCRIBER_DIGEST_S
+                self._report(now_s)
+            await self.sleep(TICK_S * (0.75 + 0.5 * self._random.random()))
+
+    @Service.task
+    async def _follow_store(self) -> None:
+        while not self.should_stop:
+            started_s = _now_s()
+            if self.node.watches():
+                await self._watch_once(started_s)
+            elif self.node.probes(started_s):
+                await self._probe_once(started_s)
+            else:
+                await self.sleep(TICK_S)
+
+    @Service.task
+    async def _follow_hosts(self) -> None:
+        while not self.should_stop:
+            known = self.get(HOSTS_TOPIC)
+            # The topic carries the list to the others, so that the calls of it
+            # do not grow with the fleet.
+            lost = self.node.state(_now_s()) is Freshness.STALE
+            if self.node.watches() or known is None or lost:
+                await self._read_hosts(known)
+            await self.sleep(HOST_LIST_S * (0.75 + 0.5 * self._random.random()))
+
+    async def _watch_once(self, started_s: float) -> None:
+        try:
+            value = await self._store.watch(
+                CONFIGURATION_KEY, self._store_version, WATCH_WAIT_S
+            )
+        except StoreError as error:
+            await self._note_store_failure(error)
+            return
+        # An answer without news was made at the end of the wait, not later.
+        waited_s = WATCH_WAIT_S if value is None else 0.0
+        if not self._take_value(value, min(_now_s(), started_s + waited_s)):
+            rest_s = STORE_RETRY_S - (_now_s() - started_s)
+            await self.sleep(max(0.0, rest_s))
+
+    async def _probe_once(self, started_s: float) -> None:
+        try:
+            self._take_value(await self._store.get(CONFIGURATION_KEY), started_s)
+        except StoreError as error:
+            await self._note_store_failure(error)
+            return
+        await self.sleep(STORE_RETRY_S * (1.5 + self._random.random()))
+
+    async def _note_store_failure(self, error: StoreError) -> None:
+        self.node.freshness.store_failed(_now_s())
+        self._metrics.count("configuration_store_failures_total")
+        _log.warning("configuration_store_unreachable", error=str(error))
+        await self.sleep(STORE_RETRY_S * (1.0 + self._random.random()))
+
+    def _take_value(self, value: StoredValue | None, at_s: float) -> bool:
+        """Take what the store holds; return whether it brought news."""
+        if value is None:
+            self.node.freshness.store_read(at_s)
+            return False
+        if value.version < self._store_version:
+            # A replica that lags proves nothing about the newest version.
+            self._metrics.count("configuration_older_reads_total")
+            return False
+        news = value.version > self._store_version
+        self._store_version = value.version
+        self.node.freshness.store_read(at_s)
+        try:
+            read = decode_value(CONFIGURATION_KEY, value.data)
+        except DamagedValue as error:
+            if value.version != self._damaged_version:
+                self._damaged_version = value.version
+                self._metrics.count("configuration_damaged_total")
+                _log.error("configuration_damaged", error=str(error))
+            return news
+        self.publish(
+            Topic(CONFIGURATION_TOPIC, read.entry.version, topic_content(read))
+        )
+        return news
+
+    async def _read_hosts(self, known: Topic | None) -> None:
+        try:
+            hosts = await self._host_list.read()
+        except StoreError as error:
+            _log.warning("host_list_unreachable", error=str(error))
+            return
+        entries = sorted(
+            [h.host, h.data_centre, h.control_address, h.state == "leaving"]
+            for h in hosts
+        )
+        content = json.dumps(entries).encode()
+        if known is None or content != known.content:
+            # Lists have no version; the time orders those of several readers.
+            older = known.version if known else 0
+            version = max(older + 1, int(time.time() * 1000))
+            self.publish(Topic(HOSTS_TOPIC, version, content))
+
+    def _took(self, topic: Topic, offer: Offer, actions: list[Action]) -> bool:
+        if offer in (Offer.CONFLICTING, Offer.REFUSED):
+            self._metrics.count("topics_refused_total", reason=offer.value)
+            _log.error(
+                "topic_refused",
+                topic=topic.name,
+                version=topic.version,
+                reason=offer.value,
+            )
+        if offer is not Offer.ACCEPTED:
+            return False
+        self._carry_out(actions)
+        if topic.name == HOSTS_TOPIC:
+            self._apply_hosts(topic)
+            return True
+        for listener in self._listeners:
+            listener(topic)
+        for subscriber in tuple(self._subscribers):
+            _send(subscriber, publish_frame([topic]))
+        return True
+
+    def _apply_hosts(self, topic: Topic) -> None:
+        try:
+            entries = json.loads(topic.content)
+            hosts = [(str(h), str(d), str(a), bool(x)) for h, d, a, x in entries]
+        except (ValueError, TypeError) as error:
+            _log.error("host_list_refused", error=str(error))
+            return
+        self.node.apply_host_list(hosts, _now_s())
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if len(self._running) >= MAX_ACTIONS:
+                self._metrics.count("gossip_actions_dropped_total")
+                return
+            task = asyncio.get_running_loop().create_task(self._act(action))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _act(self, action: Action) -> None:
+        member = self.node.membership.get(action.peer)
+        if member is None:
+            return
+        try:
+            await self._send_action(action, member.address)
+        except (PeerUnavailable, FrameError) as error:
+            self._metrics.count("gossip_failures_total")
+            _log.info("peer_contact_failed", peer=action.peer, error=str(error))
+            self._carry_out(self.node.on_failed(action, _now_s()))
+
+    async def _send_action(self, action: Action, address: str) -> None:
+        now_s = _now_s()
+        if isinstance(action, Exchange):
+            frame = digest_frame(self.node.make_digest(now_s))
+            answer = await self._pool.request(address, frame, REQUEST_TIMEOUT_S)
+            digest = read_digest(answer)._replace(sender=action.peer)
+            self._carry_out(self.node.on_answer(digest, now_s, _now_s()))
+        elif isinstance(action, Push):
+            frame = publish_frame(action.topics)
+            await self._pool.request(address, frame, REQUEST_TIMEOUT_S)
+        elif isinstance(action, Announce):
+            connection = await self._pool.connect(address)
+            connection.send(announce_frame(self.node.host, action.name, action.version))
+        elif isinstance(action, Fetch):
+            frame = fetch_frame(action.names)
+            answer = await self._pool.request(address, frame, REQUEST_TIMEOUT_S)
+            self._take_topics(read_topics(answer), action.peer)
+
+    def _take_topics(self, topics: tuple[Topic, ...], sender: str) -> None:
+        for topic in topics:
+            offer, actions = self.node.on_topic(topic, sender)
+            self._took(topic, offer, actions)
+
+    def _report(self, now_s: float) -> None:
+        """Tell the entry processes how current the configuration is."""
+        state = self.node.state(now_s)
+        if state is not self._state:
+            _log.warning("configuration_freshness", state=state.value)
+            self._state = state
+        age_s = self.node.freshness.age_s(now_s)
+        self._metrics.gauge("configuration_confirmed_age_seconds", min(age_s, 1e9))
+        self._metrics.gauge("configuration_stale", float(state is Freshness.STALE))
+        digest = self.node.make_digest(now_s)
+        digest = digest._replace(
+            store_down=state is Freshness.OUTAGE, versions={}, suspects=()
+        )
+        for subscriber in tuple(self._subscribers):
+            _send(subscriber, digest_frame(digest))
+
+    async def _on_digest(self, connection: PeerConnection, frame: Any) -> Any:
+        sender = _require_control(connection)
+        digest = read_digest(frame)._replace(sender=sender)
+        if not frame.id:
+            self._carry_out(
+                self.node.on_announcement(sender, dict(digest.versions), _now_s())
+            )
+            return None
+        answer, actions = self.node.on_digest(digest, _now_s())
+        self._carry_out(actions)
+        return digest_frame(answer)
+
+    async def _on_publish(self, connection: PeerConnection, frame: Any) -> Any:
+        self._take_topics(read_topics(frame), _require_control(connection))
+
+    async def _on_fetch(self, connection: PeerConnection, frame: Any) -> Any:
+        names = [*frame.body.fetch.names][:MAX_NAMES]
+        known = [self.get(name) for name in names]
+        return publish_frame([topic for topic in known if topic is not None])
+
+    async def _on_subscribe(self, connection: PeerConnection, frame: Any) -> Any:
+        self._subscribers.add(connection)
+        connection.on_close(self._subscribers.discard)
+        known = {entry.name: entry.version for entry in frame.body.subscribe.topics}
+        newer = self.node.topics.newer_than(known)
+        return publish_frame([t for t in newer if t.name != HOSTS_TOPIC])
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _require_control(connection: PeerConnection) -> str:
+    """Return the name of a peer that may spread topics."""
+    if connection.remote.role != "control":
+        raise FrameError(
+            f"A process with the role {connection.remote.role} sent topics.",
+            "Only control processes spread topics.",
+        )
+    return connection.remote.host
+
+
+def _send(connection: PeerConnection, frame: Any) -> None:
+    try:
+        connection.send(frame)
+    except PeerUnavailable:
+        return
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,6 +1,8 @@
 """Configuration documents: reading, checking and resolving."""
 
 import random
+import textwrap
+from pathlib import Path
 
 import pytest
 
@@ -177,3 +179,9 @@
     assert lines["c", 2, "d"] == 5
     assert lines["t", 1, "q"] == 8
     assert ("b",) not in lines
+
+
+def test_example_of_the_operators_page_is_valid():
+    page = Path(__file__).parent.parent / "docs" / "configuration.md"
+    section = page.read_text().split("## The document\n")[1].split("\n- ")[0]
+    assert parse_configuration(textwrap.dedent(section)).resolve("school", "publish")
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -121,6 +121,28 @@
     assert set(network.versions()) == {1}
 
 
+def test_outage_right_after_the_first_read_does_not_stop_the_spread():
+    """Guards against hosts that each wait for the store: it is down from here."""
+    network = Network()
+    network.cut = set(NAMES) - {"host-0"}
+    topic = Topic(CONFIGURATION, 1, b"x" * 5_000)
+    network.carry_out("host-0", network.nodes["host-0"].publish(topic)[1])
+    assert sum(network.versions()) == 1
+    network.cut = set()
+    network.pass_time(8)
+    assert set(network.versions()) == {1}
+
+
+def test_host_replaced_during_an_outage_learns_the_version_from_its_peers():
+    network = Network()
+    topic = Topic(CONFIGURATION, 4, b"x")
+    network.carry_out("host-0", network.nodes["host-0"].publish(topic)[1])
+    network.start("host-7")
+    assert network.nodes["host-7"].topics.version(CONFIGURATION) == 0
+    network.pass_time(3)
+    assert network.nodes["host-7"].topics.version(CONFIGURATION) == 4
+
+
 class NaiveTopicStore(TopicStore):
     """Takes what was received last."""
 
