Keep what hosts receive independent of the release

Watchers encoded the configuration from the fields they know, so two releases would have published other bytes for one version, which hosts refuse. The content is now the stored value without its history, whatever its fields. A process that starts no longer publishes the first host list it reads: that spread a new version through the fleet with each replaced host.

The test of the host list looked at the topics before it waited for them, and its wait was satisfied while nobody had the topic. It now waits until every process has the same one.

--- a/src/jacinthpath/change_values.py
+++ b/src/jacinthpath/change_values.py
@@ -16,6 +16,7 @@
     "DamagedValue",
     "decode_value",
     "derive_change_id",
+    "encode_fields",
     "encode_value",
     "history_key",
     "topic_content",
@@ -102,7 +103,7 @@
 
     :raises StoreError: the value would exceed the store's limit.
     """
-    data = _encode({**_fields(value), "history": [*map(list, value.history)]})
+    data = encode_fields({**_fields(value), "history": [*map(list, value.history)]})
     if len(data) > MAX_VALUE_BYTES:
         raise StoreError(
             f"The stored value would have {len(data)} bytes of {MAX_VALUE_BYTES}.",
@@ -111,12 +112,18 @@
     return data
 
 
-def topic_content(value: ConfigurationValue) -> bytes:
-    """Return what hosts receive: the value without its history.
+def topic_content(data: bytes) -> bytes:
+    """Return what hosts receive: a stored value without its history.
 
-    The bytes depend on nothing else, so all watchers publish the same.
+    The bytes depend on the stored ones alone, so all watchers publish the same,
+    also when a newer release added a field.
+
+    :param data: a value that :func:`decode_value` accepts.
     """
-    return _encode(_fields(value))
+    fields = json.loads(data)
+    fields.pop("history", None)
+    fields.pop("checksum")
+    return encode_fields(fields)
 
 
 def decode_value(key: str, data: bytes) -> ConfigurationValue:
@@ -146,7 +153,8 @@
     return {**value.entry._asdict(), "content": value.content}
 
 
-def _encode(fields: dict[str, Any]) -> bytes:
+def encode_fields(fields: dict[str, Any]) -> bytes:
+    """Return the bytes of a value's fields with their checksum."""
     fields = json.loads(json.dumps(fields))
     fields["checksum"] = _checksum(fields)
     return json.dumps(fields, ensure_ascii=False, sort_keys=True).encode()
--- a/src/jacinthpath/gossip_service.py
+++ b/src/jacinthpath/gossip_service.py
@@ -88,6 +88,7 @@
         self._store_version = 0
         self._state = Freshness.STALE
         self._damaged_version = 0
+        self._lists_read = 0
 
     def handlers(self) -> dict[str, Handler]:
         """Return the handlers of the frames that concern topics."""
@@ -225,7 +226,7 @@
                 _log.error("configuration_damaged", error=str(error))
             return news
         self.publish(
-            Topic(CONFIGURATION_TOPIC, read.entry.version, topic_content(read))
+            Topic(CONFIGURATION_TOPIC, read.entry.version, topic_content(value.data))
         )
         return news
 
@@ -239,7 +240,12 @@
             [h.host, h.data_centre, h.control_address, h.state == "leaving"]
             for h in hosts
         )
+        self.node.apply_host_list((tuple(entry) for entry in entries), _now_s())
         content = json.dumps(entries).encode()
+        # The first list only tells a new process whom to ask for the topic.
+        first, self._lists_read = self._lists_read == 0, self._lists_read + 1
+        if first or not self.node.watches():
+            return
         if known is None or content != known.content:
             # Lists have no version; the time orders those of several readers.
             older = known.version if known else 0
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -12,8 +12,10 @@
     ConfigurationValue,
     DamagedValue,
     decode_value,
+    encode_fields,
     encode_value,
     history_key,
+    topic_content,
 )
 from jacinthpath.changes import ChangeClient, ChangeConflict
 from jacinthpath.configuration_merge import merge_documents
@@ -231,6 +233,17 @@
     assert (await client(store).read()).content == document(a=3, b=1)
 
 
+async def test_content_for_hosts_keeps_a_field_of_a_newer_release(store):
+    """Guards against two releases that publish other bytes for one version."""
+    fields = json.loads(store.values[CONFIGURATION_KEY].data)
+    del fields["checksum"]
+    stored = encode_fields({**fields, "note": "newer"})
+    spread = topic_content(stored)
+    assert json.loads(spread)["note"] == "newer"
+    assert "history" not in json.loads(spread)
+    assert decode_value("topic", spread).content == BASE
+
+
 async def test_damaged_value_is_replaced_by_the_newest_kept_content(store):
     """Guards against taking kept content for content in force."""
     store.values[CONFIGURATION_KEY] = StoredValue(store.version, b"{")
--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -298,7 +298,7 @@
         if value is None:
             return
         read = decode_value(CONFIGURATION_KEY, value.data)
-        topic = Topic(CONFIGURATION, read.entry.version, topic_content(read))
+        topic = Topic(CONFIGURATION, read.entry.version, topic_content(value.data))
         _, actions = self.network.nodes[name].publish(topic)
         self.network.carry_out(name, actions)
 
--- a/tests/test_gossip_service.py
+++ b/tests/test_gossip_service.py
@@ -163,9 +163,8 @@
     controls, store, host_list, _ = fleet
     await apply(store, 1)
     await until(lambda: all(not c.service.unready_reason() for c in controls))
-    topics = [c.service.get("hosts") for c in controls]
+    await until(lambda: all(c.service.get("hosts") for c in controls))
     await until(lambda: len({c.service.get("hosts") for c in controls}) == 1)
-    assert all(topics)
     first = host_list.reads
     await asyncio.sleep(2.5)
     assert host_list.reads - first <= 6, "three watchers, each about every 2 s"
