Run topics by gossip and operators' changes by the change client

The simple topic service had every process watch the store and push to all. Three watchers now read it, topics spread by push and anti-entropy, and hosts turn unready when they cannot tell whether they are current.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,7 @@
 
 import aiohttp
 
-from jacinthpath.errors import VersionConflict
+from jacinthpath.changes import ChangeClient
 from jacinthpath.store import HttpKeyValueStore
 
 START_TIMEOUT_S = 20.0
@@ -182,24 +182,11 @@
         return "\n".join(lines) + "\n"
 
     async def apply(self, content: str) -> int:
-        """Write a configuration document; return its version."""
-        key = "configuration/current"
-        current = await self.store.get(key)
-        version = json.loads(current.data)["version"] + 1 if current else 1
-        value = {
-            "version": version,
-            "change_id": secrets.token_hex(8),
-            "author": "fleet",
-            "content": content,
-        }
-        data = json.dumps(value).encode()
-        try:
-            await self.store.compare_and_swap(
-                key, current.version if current else 0, data
-            )
-        except VersionConflict:
-            return await self.apply(content)
-        return version
+        """Apply a configuration document; return its version."""
+        changes = ChangeClient(self.store)
+        parent = (await changes.read()).entry.version
+        result = await changes.apply(content, "fleet", parent)
+        return result.entry.version
 
     async def start_control(self, index: int) -> Process:
         """Start the control process of a host and list the host."""
--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -73,10 +73,10 @@
     from .control import ControlService
     from .coordinator_service import CoordinatorService
     from .endpoints import EndpointClient
+    from .gossip_service import GossipService
     from .hosts import HttpHostList
     from .record_service import RecordService
     from .store import HttpKeyValueStore
-    from .topics import TopicService
 
     own = _identity(settings, "control")
     metrics = Metrics()
@@ -86,7 +86,7 @@
     )
     host_list = HttpHostList(settings.platform.host_list_url)
     pool = PeerPool(own, keys, {}, metrics)
-    topics = TopicService(store, host_list, pool)
+    topics = GossipService(store, host_list, pool, metrics, settings.staleness_limit_s)
     endpoints = EndpointClient()
     coordinators = CoordinatorService(
         own.process_id,
--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -13,6 +13,7 @@
 from .codec import new_frame
 from .coordinator_service import CoordinatorService
 from .endpoints import EndpointClient
+from .gossip_service import GossipService
 from .hosts import HttpHostList
 from .logs import get_logger
 from .metrics import Metrics
@@ -20,7 +21,6 @@
 from .record_service import RecordService
 from .settings import ControlSettings
 from .store import HttpKeyValueStore
-from .topics import TopicService
 
 _log = get_logger()
 
@@ -38,7 +38,7 @@
         host_list: HttpHostList,
         peer_server: PeerServer,
         pool: PeerPool,
-        topics: TopicService,
+        topics: GossipService,
         coordinators: CoordinatorService,
         records: RecordService,
         endpoints: EndpointClient,
@@ -99,16 +99,15 @@
 
     def unready_reason(self) -> str:
         """Return why this process should not be relied on, if it should not."""
-        return "draining" if self.draining else ""
+        return "draining" if self.draining else self._topics.unready_reason()
 
     def status(self) -> dict[str, Any]:
         """Return what this process has in force and coordinates."""
-        configuration = self._topics.get("configuration")
         return {
             "host": self.settings.process.host,
             "data_centre": self.settings.process.data_centre,
             "role": "control",
-            "configuration_version": configuration.version if configuration else 0,
+            **self._topics.status(),
             "coordinates": sorted(self._coordinators.coordinated),
             "records": self._records.status(),
             "unready_reason": self.unready_reason(),
--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -16,6 +16,7 @@
 from .codec import new_frame
 from .configuration import ServicePolicy, parse_configuration
 from .coordination_events import LeaseRouter, RouterAsked
+from .dissemination import Topic
 from .endpoints import EndpointClient
 from .errors import (
     ConfigurationError,
@@ -23,6 +24,7 @@
     PeerUnavailable,
     StoreError,
 )
+from .gossip_service import CONFIGURATION_TOPIC, GossipService
 from .hashing import rendezvous_rank
 from .hosts import HostList, ListedHost
 from .logs import get_logger
@@ -31,7 +33,6 @@
 from .slices import SliceTable, decode_table, encode_table
 from .store import HttpKeyValueStore, StoreCallResult
 from .store_leases import CoordinationStore, RelayedStore
-from .topics import CONFIGURATION_TOPIC, Topic, TopicService
 from .vouches import (
     VOUCH_MIN_UPTIME_S,
     VOUCH_S,
@@ -68,7 +69,7 @@
         self,
         process_id: str,
         store: HttpKeyValueStore,
-        topics: TopicService,
+        topics: GossipService,
         endpoints: EndpointClient,
         host_list: HostList,
         pool: PeerPool,
--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -119,6 +119,8 @@
             return "no-configuration"
         if not self._subscription.connected_address:
             return "no-control-process"
+        if self._subscription.may_be_stale(self.settings.staleness_limit_s):
+            return "configuration-may-be-stale"
         return ""
 
     def status(self) -> dict[str, Any]:
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -16,7 +16,15 @@
 
 DESCRIPTIONS = {
     "attempts_failed_total": "Attempts without an answer, by outcome and reason.",
+    "configuration_confirmed_age_seconds": "Age of the newest proof that the "
+    "configuration is current.",
+    "configuration_damaged_total": "Stored configurations that could not be read.",
+    "configuration_older_reads_total": "Reads of the store that were out of date.",
+    "configuration_stale": "1 while a newer configuration may exist unseen.",
+    "configuration_store_failures_total": "Reads of the configuration that failed.",
     "deferred_requests": "Deferrable requests that wait for a time off the peak.",
+    "gossip_actions_dropped_total": "Contacts that were dropped under load.",
+    "gossip_failures_total": "Contacts with other control processes that failed.",
     "peer_connections_refused_total": "Connections of peers that were refused.",
     "peer_frames_refused_total": "Frames of peers that were refused.",
     "peer_handler_errors_total": "Frames whose handler failed.",
--- a/src/jacinthpath/record_service.py
+++ b/src/jacinthpath/record_service.py
@@ -11,6 +11,7 @@
 
 from mode import Service
 
+from .dissemination import Topic
 from .errors import (
     FrameError,
     PeerUnavailable,
@@ -18,6 +19,7 @@
     StoreOutcomeUnknown,
     VersionConflict,
 )
+from .gossip_service import GossipService
 from .hashing import rendezvous_rank
 from .hosts import HostList, ListedHost
 from .logs import get_logger
@@ -45,7 +47,6 @@
 from .record_standing import HolderStanding
 from .records import RecordLedger
 from .store import KeyValueStore
-from .topics import Topic, TopicService
 
 ROSTER_TOPIC = "records/roster"
 
@@ -76,7 +77,7 @@
         self,
         store: KeyValueStore,
         host_list: HostList,
-        topics: TopicService,
+        topics: GossipService,
         pool: PeerPool,
         ledger: RecordLedger | None = None,
     ) -> None:
--- a/src/jacinthpath/settings.py
+++ b/src/jacinthpath/settings.py
@@ -120,6 +120,8 @@
     """Settings of an entry process.
 
     :param control_addresses: control processes, that of the own host first.
+    :param staleness_limit_s: time without a confirmation that the
+        configuration is current after which the process turns unready.
     """
 
     process: ProcessSettings
@@ -128,6 +130,7 @@
     security: SecuritySettings
     limits: EntryLimits = EntryLimits()
     observability: ObservabilitySettings = ObservabilitySettings()
+    staleness_limit_s: float = 5.0
 
 
 class ControlSettings(NamedTuple):
--- a/src/jacinthpath/subscription.py
+++ b/src/jacinthpath/subscription.py
@@ -47,17 +47,26 @@
             {"publish": self._on_publish, "digest": self._on_digest},
             metrics,
         )
-        self.confirmed_at_s = float("-inf")
-        self.store_down = False
+        self._confirmed_at_s = float("-inf")
+        self._store_down_at_s = float("-inf")
         self.connected_address = ""
 
     async def on_stop(self) -> None:
         """End the connection."""
         await self.pool.close()
 
-    def confirmed_age_s(self) -> float:
-        """Return the age of the newest proof that the configuration is current."""
-        return asyncio.get_running_loop().time() - self.confirmed_at_s
+    def may_be_stale(self, limit_s: float) -> bool:
+        """Return whether a newer configuration may have been accepted unseen.
+
+        In an outage of the store that a majority of data centres confirms nobody
+        can change the configuration, so it stays current.
+
+        :param limit_s: time for which a confirmation counts.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._store_down_at_s > now_s - limit_s:
+            return False
+        return now_s - self._confirmed_at_s > limit_s
 
     @Service.task
     async def _keep_connected(self) -> None:
@@ -115,8 +124,9 @@
         digest = frame.body.digest
         now_s = asyncio.get_running_loop().time()
         confirmed_at_s = now_s - digest.confirmedAgeMs / 1000
-        self.confirmed_at_s = max(self.confirmed_at_s, confirmed_at_s)
-        self.store_down = digest.storeDown
+        self._confirmed_at_s = max(self._confirmed_at_s, confirmed_at_s)
+        if digest.storeDown:
+            self._store_down_at_s = now_s
 
     def _apply(self, frame: Any) -> None:
         for topic in frame.body.publish.topics:
