--- a/src/jacinthpath/record_service.py
+++ b/src/jacinthpath/record_service.py
@@ -107,6 +107,16 @@
         """Take the peer address of this process once it listens."""
         self.member = self.member._replace(address=address)
 
+    def status(self) -> dict[str, int]:
+        """Return the roster version, whether it is complete, and the memory used."""
+        version, base = self.standing.standing()
+        return {
+            "roster_version": version,
+            "complete_up_to": base,
+            "records": len(self.ledger),
+            "bytes": self.ledger.bytes_used,
+        }
+
     async def _on_claim(self, connection: PeerConnection, frame: Any) -> Any:
         claim = read_claim(frame.body.claim)
         return write_answer(self.ledger.claim(claim, time.monotonic()))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -87,6 +87,19 @@
         self.fleet.admit(host)
         self._learn_and_pull(learners | {host})
 
+    @rule(reach=REACH, pulled=st.booleans())
+    def replace_holders(self, reach, pulled):
+        hosts = choose_holders("shop", "order", KEY, self.fleet.roster.hosts())
+        for host in [host for at, host in enumerate(hosts) if at in reach]:
+            self.fleet.restart(host)
+            self.fleet.admit(host)
+        for name in self.fleet.entries:
+            self.fleet.learn_entry(name)
+        for host in HOSTS:
+            self.fleet.learn(host)
+        if pulled:
+            self._learn_and_pull(HOSTS)
+
     @rule(host=HOST, learners=st.sets(HOST))
     def remove(self, host, learners):
         self.fleet.remove(host)
