--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -88,9 +88,22 @@
     pool = PeerPool(own, keys, {}, metrics)
     topics = TopicService(store, host_list, pool)
     endpoints = EndpointClient()
-    coordinators = CoordinatorService(own.process_id, store, topics, endpoints)
+    coordinators = CoordinatorService(
+        own.process_id,
+        store,
+        topics,
+        endpoints,
+        host_list,
+        pool,
+        data_centres=settings.process.data_centres,
+        min_uptime_s=settings.vouch_min_uptime_s,
+    )
     records = RecordService(store, host_list, topics, pool)
-    handlers = {**topics.handlers(), **records.handlers()}
+    handlers = {
+        **topics.handlers(),
+        **coordinators.handlers(),
+        **records.handlers(),
+    }
     peer_server = PeerServer(own, settings.listen.peer_address, keys, handlers, metrics)
     control = ControlService(
         settings,
