--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -22,6 +22,10 @@
 # Pending work is counted by release time in buckets of this width, which
 # bounds the work of each second by the longest allowed time.
 _BUCKET_S = 15
+# Arrivals are released as they come at the median of this many seconds, so that
+# a large batch is no reason to release quickly. Seconds before the start count
+# as empty for the first minute.
+_ARRIVAL_SECONDS = 600
 _FAST_GAIN = 0.3
 _SLOW_GAIN = 0.002
 
@@ -58,7 +62,7 @@
         self._window_total = 0
         self._fast = 0.0
         self._slow = 0.0
-        self._slow_arrivals = 0.0
+        self._arrivals: deque[int] = deque([0] * MINUTE_S, maxlen=_ARRIVAL_SECONDS)
         self._ticks = 0
         self._busiest_by_phase = [0] * MINUTE_S
         self.busiest_minute = 0
@@ -104,7 +108,7 @@
         slow = max(_SLOW_GAIN, 1 / self._ticks)
         self._fast += fast * (demand - self._fast)
         self._slow += slow * (demand - self._slow)
-        self._slow_arrivals += slow * (arrived - self._slow_arrivals)
+        self._arrivals.append(arrived)
 
     def _count(self, now: float) -> int:
         """Return how many requests to release in the next second."""
@@ -112,7 +116,7 @@
             return 0
         room = FILL_SHARE * self.busiest_minute / MINUTE_S - self._fast
         if self._fast < PEAK_FACTOR * self._slow:
-            room = max(room, self._slow_arrivals)
+            room = max(room, sorted(self._arrivals)[len(self._arrivals) // 2])
         rate = max(self._forced_rate(now), room, 0.0)
         return int(rate + self._random.random())
 
--- a/src/jacinthpath/limits.py
+++ b/src/jacinthpath/limits.py
@@ -22,6 +22,7 @@
 # Evidence of congestion fades within this time, since a limit that holds work
 # back receives no more evidence that would clear it.
 EVIDENCE_S = 0.25
+CLOCK_RESOLUTION_S = 1e-6
 
 _RECENT_GAIN = 0.1
 # The minimum of a slowly moving mean: the minimum of single latencies, or of a
@@ -42,6 +43,8 @@
 
     def observe(self, latency_s: float, now: float) -> None:
         """Record the latency of an answered request."""
+        # Two readings of a coarse clock can be equal.
+        latency_s = max(latency_s, CLOCK_RESOLUTION_S)
         if self._baseline == math.inf:
             self._recent = self._slow = self._baseline = latency_s
             self._period_end = now + BASELINE_PERIOD_S
@@ -81,9 +84,9 @@
 
     def __init__(self, slots: int = 3, hosts: int = 10, connections: int = 100) -> None:
         hosts = max(1, hosts)
-        self.minimum = slots / hosts
+        self.minimum = min(1.0, slots / hosts)
         self.maximum = max(1.0, min(float(slots), connections / hosts))
-        self.value = 1.0
+        self.value = min(self.maximum, max(1.0, slots / hosts))
         self.in_flight = 0
         self.trend = LatencyTrend()
         self._decreased = -math.inf
