--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -97,6 +97,8 @@
     :param services: services with their stand-in servers.
     :param hosts: number of hosts, each with one control and one entry process.
     :param data_centres: hosts are spread over this many data centres.
+    :param control_module: module that runs control processes; the naive
+        baselines have their own.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         host_list_lag_s: float = 0.0,
         control_settings: str = "",
         log_level: str = "info",
+        control_module: str = "jacinthpath",
     ) -> None:
         self.directory = Path(directory)
         self.services = tuple(services)
@@ -116,6 +119,7 @@
         self.host_list_lag_s = host_list_lag_s
         self.control_settings = control_settings
         self.log_level = log_level
+        self.control_module = control_module
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store: HttpKeyValueStore | None = None
@@ -202,7 +206,7 @@
             f'host_list_url = "http://{hosts}/"\n{self._security_table()}'
         )
         process = await self.spawn(
-            name, "jacinthpath", "control", "--settings", str(path)
+            name, self.control_module, "control", "--settings", str(path)
         )
         await self.list_hosts()
         return process
