Cut the cost of a choice and split the drivers of the measures

An attempt that ends at a replaced address no longer counts against the new one. Driver and router of the measures are modules of their own; the model's endpoints have one address.

--- a/bench/measures/crest.py
+++ b/bench/measures/crest.py
@@ -13,7 +13,7 @@
 
 from typing import Any
 
-from bench.drivers import NaiveRouter, ProductRouter, Router, Run, simulate
+from bench.drivers import NaiveRouter, Router, Run, simulate
 from bench.model import (
     CHIMBORAZO,
     SWINGS,
@@ -24,6 +24,7 @@
     crest_utilisation,
     generate_jobs,
 )
+from bench.product import ProductRouter
 
 from . import MEASURES, Result, print_variant
 
--- a/bench/measures/head_of_line.py
+++ b/bench/measures/head_of_line.py
@@ -14,7 +14,7 @@
 
 from typing import Any
 
-from bench.drivers import NaiveRouter, ProductRouter, Router, Run, simulate
+from bench.drivers import NaiveRouter, Router, Run, simulate
 from bench.model import (
     CHIMBORAZO,
     SWINGS,
@@ -25,6 +25,7 @@
     generate_jobs,
     percentile,
 )
+from bench.product import ProductRouter
 
 from . import MEASURES, Result, print_variant
 
--- a/bench/model.py
+++ b/bench/model.py
@@ -232,35 +232,36 @@
         self._start_next()
 
 
+def _endpoints(service: ServiceModel) -> tuple[Endpoint, ...]:
+    names = (f"{service.name}-{index}" for index in range(service.servers))
+    return tuple(
+        Endpoint(name, f"{name}:80", f"dc{index % DATA_CENTRES}")
+        for index, name in enumerate(names)
+    )
+
+
 def build_servers(
     scenario: Scenario, clock: VirtualClock
 ) -> dict[str, dict[str, Server]]:
     """Return the servers of each service by name."""
-    services = {}
-    for service in scenario.services:
-        servers = {}
-        for index in range(service.servers):
-            name = f"{service.name}-{index}"
-            centre = f"dc{index % DATA_CENTRES}"
-            endpoint = Endpoint(name, f"{name}:80", centre)
-            servers[name] = Server(clock, endpoint, scenario.connections)
-        services[service.name] = servers
-    return services
+    return {
+        service.name: {
+            endpoint.server: Server(clock, endpoint, scenario.connections)
+            for endpoint in _endpoints(service)
+        }
+        for service in scenario.services
+    }
 
 
 def policy_of(scenario: Scenario, service: ServiceModel) -> ServicePolicy:
     """Return the policy that the accounts' templates give a service."""
-    endpoints = tuple(
-        Endpoint(f"{service.name}-{index}", "", f"dc{index % DATA_CENTRES}")
-        for index in range(service.servers)
-    )
     return ServicePolicy(
         service.name,
         keyed=service.keyed,
         idempotent=service.idempotent,
         deadline_ms=int(service.deadline_s * 1000),
         connections_per_server=scenario.connections,
-        endpoints=endpoints,
+        endpoints=_endpoints(service),
     )
 
 
--- a/src/jacinthpath/selection.py
+++ b/src/jacinthpath/selection.py
@@ -33,6 +33,12 @@
 # remove all capacity.
 STAY_SHARE = 0.5
 
+# Latency of an endpoint without evidence, low so that it is tried soon.
+UNKNOWN_LATENCY_S = 0.001
+# The capacity is recomputed at most this often: it changes slowly and is read
+# for every request.
+CAPACITY_PERIOD_S = 0.01
+
 _LATENCY_GAIN = 0.15
 _FAILED = ("refused", "failed")
 
@@ -50,6 +56,8 @@
         self.ejections = 0
         self.ejected_until = -math.inf
         self.hinted_until = -math.inf
+        self.adjusted_until = warm_at
+        self.cost = 0.0
 
 
 class EndpointPool:
@@ -78,6 +86,8 @@
         self._states: dict[str, _State] = {}
         self._active: list[_State] = []
         self._trend = LatencyTrend()
+        self._capacity = 1
+        self._capacity_at = -math.inf
         self.update(endpoints, -math.inf)
 
     def update(self, endpoints: Iterable[Endpoint], now: float) -> None:
@@ -89,20 +99,26 @@
                 limit = ConcurrencyLimit(*self._limit_arguments)
                 state = _State(endpoint, limit, now + SLOW_START_S)
             state.endpoint = endpoint
+            self._set_cost(state)
             states[endpoint.server] = state
         self._states = states
         self._active = [
             state for state in states.values() if state.endpoint.state == "active"
         ]
+        self._capacity_at = -math.inf
 
     def capacity(self, now: float) -> int:
         """Return how many requests this process may have at the service."""
+        if now - self._capacity_at < CAPACITY_PERIOD_S:
+            return self._capacity
         total = sum(
             state.limit.value * self._warmth(state, now)
             for state in self._active
             if state.ejected_until <= now
         )
-        return max(1, int(total))
+        self._capacity = max(1, int(total))
+        self._capacity_at = now
+        return self._capacity
 
     def pressure(self, now: float) -> float:
         """Return how many times slower than unloaded the service is now."""
@@ -116,12 +132,15 @@
         best = None
         best_score = math.inf
         compared = 0
-        for state in self._shuffled():
-            if state.ejected_until > now or not state.limit.available():
+        for state in self._rotated():
+            limit = state.limit
+            if state.ejected_until > now or 1 <= limit.in_flight >= limit.value:
                 continue
-            if state.endpoint.server in exclude:
+            if exclude and state.endpoint.server in exclude:
                 continue
-            score = self._score(state, now)
+            score = (limit.in_flight + 1) * state.cost
+            if now < state.adjusted_until:
+                score *= self._adjustment(state, now)
             if score < best_score:
                 best, best_score = state, score
             compared += 1
@@ -134,6 +153,7 @@
         state = self._states.get(server)
         if state is not None:
             state.hinted_until = -math.inf if healthy else now + HINT_S
+            state.adjusted_until = max(state.warm_at, state.hinted_until)
 
     def started(self, endpoint: Endpoint, now: float) -> None:
         """Record that an attempt was sent to an endpoint."""
@@ -156,7 +176,7 @@
         :param binding: whether requests were waiting for a place.
         """
         state = self._states.get(endpoint.server)
-        if state is None or state.limit.in_flight == 0:
+        if state is None or state.endpoint.address != endpoint.address:
             return
         if outcome == "cancelled":
             state.limit.in_flight -= 1
@@ -169,13 +189,13 @@
             state.failures = 0
             self._trend.observe(latency_s, now)
             self._learn(state, latency_s)
+        self._set_cost(state)
         self._eject_outlier(state, now)
 
-    def _shuffled(self) -> list[_State]:
-        """Return the active endpoints from a random position on, in order.
+    def _rotated(self) -> list[_State]:
+        """Return the active endpoints from a random position on.
 
-        A full shuffle costs several microseconds; a rotation by a random
-        stride through the list is as good for a comparison of three.
+        A full shuffle costs several microseconds.
         """
         active = self._active
         count = len(active)
@@ -184,16 +204,18 @@
         first = int(self._random.random() * count)
         return active[first:] + active[:first]
 
-    def _score(self, state: _State, now: float) -> float:
-        score = (state.limit.in_flight + 1) * (state.latency_s or 1e-3)
-        score /= state.endpoint.weight
-        if now < state.warm_at:
-            score /= self._warmth(state, now)
-        if state.endpoint.data_centre != self._data_centre:
-            score *= FAR_FACTOR
-        if now < state.hinted_until:
-            score *= HINT_FACTOR
-        return score * (1 + state.failures)
+    def _adjustment(self, state: _State, now: float) -> float:
+        """Return the factor for an endpoint that is cold or reported unhealthy."""
+        factor = HINT_FACTOR if now < state.hinted_until else 1.0
+        return factor / self._warmth(state, now)
+
+    def _set_cost(self, state: _State) -> None:
+        """Update the part of the score that changes with evidence only."""
+        endpoint = state.endpoint
+        cost = (state.latency_s or UNKNOWN_LATENCY_S) / endpoint.weight
+        if endpoint.data_centre != self._data_centre:
+            cost *= FAR_FACTOR
+        state.cost = cost * (1 + state.failures)
 
     def _warmth(self, state: _State, now: float) -> float:
         if now >= state.warm_at:
@@ -218,8 +240,10 @@
         length_s = min(EJECT_LIMIT_S, EJECT_S * 2 ** (state.ejections - 1))
         state.ejected_until = now + length_s * (0.75 + 0.5 * self._random.random())
         state.warm_at = state.ejected_until + SLOW_START_S
+        state.adjusted_until = max(state.warm_at, state.hinted_until)
         state.failures = 0
         state.samples = 0
+        self._set_cost(state)
 
     def _is_outlier(self, state: _State) -> bool:
         if state.failures >= EJECT_FAILURES:
