--- a/bench/measures/crest.py
+++ b/bench/measures/crest.py
@@ -59,6 +59,9 @@
                 job.ended > job.deadline for job in deferred
             )
             values["defer_limit_s"] = DEFER_LIMIT_S
+            held = [share for share in outcome.given_up_at if share > 0.8]
+            values["given_up"] = len(outcome.given_up_at)
+            values["given_up_after_0.8_of_deadline"] = len(held)
         lines.append(print_variant(f"{name}-{scenario.name}", **values))
     return lines
 
--- a/bench/product.py
+++ b/bench/product.py
@@ -26,7 +26,8 @@
 class _Lane:
     """Queue of one service, or of one server of a keyed service."""
 
-    def __init__(self, queue: RequestQueue) -> None:
+    def __init__(self, service: str, queue: RequestQueue) -> None:
+        self.service = service
         self.queue = queue
         self.limit: ConcurrencyLimit | None = None
         self.pool: EndpointPool | None = None
@@ -76,14 +77,14 @@
         policy = self._policies[service.name]
         arguments = (SLOTS, HOSTS, self.run.scenario.connections)
         if not service.keyed:
-            lane = _Lane(RequestQueue(1))
+            lane = _Lane(service.name, RequestQueue(1))
             lane.pool = EndpointPool(
                 policy.endpoints, self.data_centre, self._random, *arguments
             )
             self._lanes[service.name] = lane
             return
         for endpoint in policy.endpoints:
-            lane = _Lane(RequestQueue(1))
+            lane = _Lane(service.name, RequestQueue(1))
             lane.limit = ConcurrencyLimit(*arguments)
             self._lanes[endpoint.server] = lane
 
@@ -118,7 +119,7 @@
     def _offer(self, job_id: int) -> None:
         job = self._jobs[job_id]
         lane = self._lanes[job.key_server or job.service]
-        self._resize(lane, job.service)
+        self._resize(lane)
         request = QueuedRequest(
             job_id,
             job.account,
@@ -135,7 +136,7 @@
             self._give_up(dropped.request_id, "shed")
         self._drain(lane)
 
-    def _resize(self, lane: _Lane, service: str) -> None:
+    def _resize(self, lane: _Lane) -> None:
         now = self.clock.now
         if lane.pool is not None:
             slots = lane.pool.capacity(now)
@@ -143,7 +144,7 @@
         else:
             slots = int(lane.limit.value)
             pressure = lane.limit.trend.ratio(now)
-        long_after_s = self._estimator.long_after_s(service)
+        long_after_s = self._estimator.long_after_s(lane.service)
         lane.queue.adjust(slots, long_after_s, pressure)
 
     def _drain(self, lane: _Lane) -> None:
@@ -152,10 +153,15 @@
             self._start(lane, request.request_id)
         for request in lane.queue.expire(now):
             self._give_up(request.request_id, "expired")
-        due = lane.queue.next_expiry()
+        due = lane.queue.next_wakeup(now)
         if due is not None and not now < lane.timer <= due + TIMER_S:
             lane.timer = due + TIMER_S
-            self.clock.call_at(lane.timer, self._drain, lane)
+            self.clock.call_at(lane.timer, self._wake, lane)
+
+    def _wake(self, lane: _Lane) -> None:
+        if lane.timer <= self.clock.now:
+            self._resize(lane)
+            self._drain(lane)
 
     def _give_up(self, job_id: int, reason: str) -> None:
         job = self._jobs[job_id]
@@ -216,7 +222,7 @@
             job.ended = now
             del self._jobs[job_id]
             self._tried.pop(job_id, None)
-        self._resize(lane, job.service)
+        self._resize(lane)
         self._drain(lane)
 
     def _retry(self, job: Job, server: Server) -> None:
--- a/src/jacinthpath/classes.py
+++ b/src/jacinthpath/classes.py
@@ -161,8 +161,10 @@
         if self.rate is None or entry.is_long:
             return False
         request = entry.request
-        ahead_s = self._work_until_s(entry.start_tag, request.weight)
-        wait_s = self._wait_margin * ahead_s / self.rate
+        work_s = self._work_until_s(entry.start_tag, request.weight)
+        # The request itself leaves the queue at that rate too: in a class that
+        # is hardly served even the request at the head waits.
+        wait_s = self._wait_margin * (work_s + request.expected_s) / self.rate
         return now + wait_s + request.expected_s > request.deadline
 
     def _work_until_s(self, tag: float, weight: float) -> float:
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -39,6 +39,8 @@
 # class: it may wait, but must end by its stated time.
 PROMOTE_AT = 0.5
 
+# Longest time between two looks at waiting work.
+RECHECK_S = 0.02
 # Timer entries of requests that no longer wait, before they are cleared.
 _COMPACT_AT = 256
 
@@ -68,8 +70,8 @@
 
     Call :meth:`offer` for each request, :meth:`finished` when an admitted or
     dispatched request has ended, :meth:`next` until it returns ``None`` after
-    each of these and after :meth:`adjust`, and :meth:`expire` on a timer at
-    :meth:`next_expiry`.
+    each of these and after :meth:`adjust`, and :meth:`expire` as well at the time
+    that :meth:`next_wakeup` returns.
 
     :param slots: requests that may run at a time.
     :param long_after_s: length from which a request counts as long.
@@ -164,15 +166,18 @@
         given_up, self._given_up = self._given_up, []
         return given_up
 
-    def next_expiry(self) -> float | None:
-        """Return when :meth:`expire` is next due, if anything waits."""
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when to call :meth:`adjust`, :meth:`next` and :meth:`expire` again.
+
+        Time alone can let waiting work start: pressure fades, long work loses its
+        patience, a straggler is recognised. ``None`` when nothing waits.
+        """
+        if not self.waiting:
+            return None
         expiries = self._expiries
-        while expiries:
-            due, request_id, priority = expiries[0]
-            if request_id in self._classes[priority].waiting:
-                return due
+        while not self._waits(expiries[0]):
             heapq.heappop(expiries)
-        return None
+        return min(expiries[0][0], now + RECHECK_S)
 
     def estimate_wait_s(self, request: QueuedRequest) -> float:
         """Return the estimated time that a request would wait for a slot.
