--- a/bench/measures/churn.py
+++ b/bench/measures/churn.py
@@ -8,7 +8,8 @@
 The product figure is the worse of two variants, without traffic and with equal
 traffic on all keys, whose sampling noise could cause needless moves. With Zipf
 traffic, load has to move as well: a server that inherits a hot key must give up
-slices. That variant is printed, with the moves by cause, and not in the figure.
+slices. That variant is printed, with the moves by cause, and not in the figure;
+docs/decisions/placement.md gives its figures.
 """
 
 from __future__ import annotations
--- a/src/jacinthpath/placement.py
+++ b/src/jacinthpath/placement.py
@@ -68,7 +68,8 @@
     """One batch of changes to a table.
 
     :param moves: handoffs.
-    :param splits: keys to place alone, on the owner of their slice; no handoff.
+    :param splits: keys to place alone, on the owner of their slice; they are
+        applied before the moves and need no handoff.
     :param merges: hot keys to drop from the table, because the owner of their
         slice owns them; no handoff.
     :param urgent: the moves replace an owner that is lost or leaving and need
