Test merges, heavy keys and heavy slices against mutations

Three deliberate faults in a scratch copy passed all tests: no separation of heavy keys, a merge of a key that is still on another server, and a limit that refuses every move without an exact fit. Each now fails the test that is meant for it.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -174,12 +174,23 @@
     assert max(after.values()) <= 1.1 * sum(slice_loads) / count
 
 
-def test_two_keys_above_a_fair_share_are_separated():
-    """Guards against two heavy keys that stay together for want of a place to fit."""
-    loads = Loads([10.0] * 100, {1: 2471.0, 2: 2323.0})
-    table = make_table(initial_owners(100, fleet(5)), {1: "s0", 2: "s0"})
-    table, _ = settle(table, fleet(5), loads)
-    assert table.hot_keys[1] != table.hot_keys[2]
+def test_heavy_keys_on_one_server_are_separated():
+    """Guards against heavy keys that stay together for want of a place to fit."""
+    keys = {1: 1470.0, 2: 1080.0, 3: 910.0, 4: 2105.0, 5: 2673.0}
+    table = make_table(initial_owners(12, fleet(4)), dict.fromkeys(keys, "s0"))
+    limits = Limits(noise_margin=0.0, prior_requests=0.01)
+    loads = Loads([10.0] * 12, keys)
+    table, _ = settle(table, fleet(4), loads, limits)
+    assert max(server_loads(table, loads).values()) <= 1.05 * keys[5]
+
+
+def test_heavy_slices_on_one_server_are_separated():
+    """Guards against a limit that refuses every move that is no exact fit."""
+    loads = Loads([91.0, 95.0, 21.0, 21.0], {})
+    table = make_table(["s0", "s0", "s1", "s1"])
+    limits = Limits(noise_margin=0.0, prior_requests=0.01)
+    table, _ = settle(table, fleet(2), loads, limits)
+    assert table.owners[0] != table.owners[1]
 
 
 def test_levels_within_the_tolerance_move_nothing():
@@ -267,6 +278,12 @@
 
 def test_returning_key_moves_to_the_owner_of_its_slice_first():
     """Guards against a merge that changes the owner without a handoff."""
-    table = make_table(["s0", "s1"], {1: "s1"})
-    plan = plan_moves(table, fleet(2), returning_keys=[1])
-    assert plan.moves == (Move(Unit("key", 1), "s1", "s0"),)
+    placement = Placement(2, selector=HotKeySelector(dwell_s=0.0))
+    placement.add_report(LoadReport("r", 1.0, [500, 500], ()), 0.0)
+    table = make_table(["s0", "s1"], dict.fromkeys(range(9), "s1"))
+    plan = placement.plan(0.0, table, fleet(2))
+    returned = tuple(range(DEFAULT_LIMITS.batch))
+    assert plan.moves == tuple(Move(Unit("key", k), "s1", "s0") for k in returned)
+    assert plan.merges == ()
+    table = apply_plan(table, plan)
+    assert placement.plan(0.1, table, fleet(2)).merges == returned
