--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,7 @@
 
 import aiohttp
 
-from jacinthpath.errors import VersionConflict
+from jacinthpath.changes import ChangeClient
 from jacinthpath.store import HttpKeyValueStore
 
 START_TIMEOUT_S = 20.0
@@ -97,6 +97,8 @@
     :param services: services with their stand-in servers.
     :param hosts: number of hosts, each with one control and one entry process.
     :param data_centres: hosts are spread over this many data centres.
+    :param control_module: module that runs control processes; the naive
+        baselines have their own.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         host_list_lag_s: float = 0.0,
         control_settings: str = "",
         log_level: str = "info",
+        control_module: str = "jacinthpath",
     ) -> None:
         self.directory = Path(directory)
         self.services = tuple(services)
@@ -116,6 +119,7 @@
         self.host_list_lag_s = host_list_lag_s
         self.control_settings = control_settings
         self.log_level = log_level
+        self.control_module = control_module
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store: HttpKeyValueStore | None = None
@@ -182,24 +186,11 @@
         return "\n".join(lines) + "\n"
 
     async def apply(self, content: str) -> int:
-        """Write a configuration document; return its version."""
-        key = "configuration/current"
-        current = await self.store.get(key)
-        version = json.loads(current.data)["version"] + 1 if current else 1
-        value = {
-            "version": version,
-            "change_id": secrets.token_hex(8),
-            "author": "fleet",
-            "content": content,
-        }
-        data = json.dumps(value).encode()
-        try:
-            await self.store.compare_and_swap(
-                key, current.version if current else 0, data
-            )
-        except VersionConflict:
-            return await self.apply(content)
-        return version
+        """Apply a configuration document; return its version."""
+        changes = ChangeClient(self.store)
+        parent = (await changes.read()).entry.version
+        result = await changes.apply(content, "fleet", parent)
+        return result.entry.version
 
     async def start_control(self, index: int) -> Process:
         """Start the control process of a host and list the host."""
@@ -215,7 +206,7 @@
             f'host_list_url = "http://{hosts}/"\n{self._security_table()}'
         )
         process = await self.spawn(
-            name, "jacinthpath", "control", "--settings", str(path)
+            name, self.control_module, "control", "--settings", str(path)
         )
         await self.list_hosts()
         return process
--- a/bench/measures/crest.py
+++ b/bench/measures/crest.py
@@ -13,7 +13,7 @@
 
 from typing import Any
 
-from bench.drivers import NaiveRouter, ProductRouter, Router, Run, simulate
+from bench.drivers import NaiveRouter, Router, Run, simulate
 from bench.model import (
     CHIMBORAZO,
     SWINGS,
@@ -24,6 +24,7 @@
     crest_utilisation,
     generate_jobs,
 )
+from bench.product import ProductRouter
 
 from . import MEASURES, Result, print_variant
 
@@ -58,6 +59,9 @@
                 job.ended > job.deadline for job in deferred
             )
             values["defer_limit_s"] = DEFER_LIMIT_S
+            held = [share for share in outcome.given_up_at if share > 0.8]
+            values["given_up"] = len(outcome.given_up_at)
+            values["given_up_after_0.8_of_deadline"] = len(held)
         lines.append(print_variant(f"{name}-{scenario.name}", **values))
     return lines
 
--- a/src/jacinthpath/placement.py
+++ b/src/jacinthpath/placement.py
@@ -25,7 +25,14 @@
 from functools import lru_cache
 from typing import NamedTuple
 
-from ._balancing import Board, Limits, ServerState, Unit, choose_transfers
+from ._balancing import (
+    LEAST_OF_MEAN_SLICE,
+    Board,
+    Limits,
+    ServerState,
+    Unit,
+    choose_transfers,
+)
 from .hashing import slice_of
 from .hotkeys import HotKeySelector, LoadReport, LoadWindow
 from .slices import NO_OWNER, SliceTable
@@ -61,7 +68,8 @@
     """One batch of changes to a table.
 
     :param moves: handoffs.
-    :param splits: keys to place alone, on the owner of their slice; no handoff.
+    :param splits: keys to place alone, on the owner of their slice; they are
+        applied before the moves and need no handoff.
     :param merges: hot keys to drop from the table, because the owner of their
         slice owns them; no handoff.
     :param urgent: the moves replace an owner that is lost or leaving and need
@@ -194,6 +202,7 @@
         board.place(unit, load, targets.get(unit, owner), unit in targets)
     board.measured = sum(loads.slices) + sum(loads.keys.values())
     board.set_shares()
+    board.least_load = LEAST_OF_MEAN_SLICE * (prior + sum(loads.slices) / slice_count)
     return board
 
 
