Wake lanes by the queue's own time; make the takeover measurable

Cause of the 3.8 s after the loss of the coordinator's host: all hosts of the bench were younger than vouch_min_uptime_s (60 s), so none could answer the successor for its data centre, which is what the setting is for. Ruled out: expiry of the store lease and the order of candidates. The bench now sets 2.5 s, which covers a vouch of 2 s and the stand-in's host list without lag, and lets hosts reach that age.

--- a/bench/measures/unavailability.py
+++ b/bench/measures/unavailability.py
@@ -20,7 +20,11 @@
 PAUSE_S = 0.03
 ROUNDS = 3
 LOSSES = ("server", "coordinator", "both")
-SETTLE_S = 1.0
+
+# The stand-in's host list shows changes at once, so the up-time from which a host
+# may answer a successor has to cover a vouch of 2 s only.
+CONTROL_SETTINGS = "vouch_min_uptime_s = 2.5"
+SETTLE_S = 3.0
 WINDOWS_S = {"product": 4.0, "naive": 28.0}
 MODULES = {"product": "jacinthpath", "naive": "bench.naive_control"}
 SERVICE = ServiceSpec(
@@ -62,7 +66,11 @@
 ) -> float:
     with tempfile.TemporaryDirectory() as directory:
         async with Fleet(
-            Path(directory), [SERVICE], hosts=HOSTS, control_module=module
+            Path(directory),
+            [SERVICE],
+            hosts=HOSTS,
+            control_settings=CONTROL_SETTINGS,
+            control_module=module,
         ) as fleet:
             await fleet.wait_until_ready()
             coordinator = await _coordinator_of(fleet)
--- a/src/jacinthpath/lanes.py
+++ b/src/jacinthpath/lanes.py
@@ -13,13 +13,8 @@
 from .retries import retry_after_s
 from .scheduling import QUEUED, REFUSED, QueuedRequest, RequestQueue
 
-EXPIRY_STEP_S = 0.005
-"""Shortest time between two checks for requests that cannot end in time."""
-
-RECHECK_S = 0.05
-"""Time between two checks for work that was held back while endpoints were slow.
-The evidence of slowness fades by itself, and without requests in flight nothing
-else would start the waiting work."""
+WAKEUP_STEP_S = 0.005
+"""Shortest time between two looks at the waiting requests."""
 
 
 class Lane:
@@ -105,10 +100,10 @@
             return
         loop = asyncio.get_running_loop()
         now = loop.time()
-        at_s = now + RECHECK_S
-        due = self.queue.next_expiry()
-        if due is not None:
-            at_s = min(at_s, max(due, now) + EXPIRY_STEP_S)
+        due = self.queue.next_wakeup(now)
+        if due is None:
+            return
+        at_s = max(due, now) + WAKEUP_STEP_S
         if self._timer is not None:
             if now < self._timer.when() <= at_s:
                 return
