--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -31,8 +31,9 @@
 from .peers import Handler, PeerConnection, PeerPool
 from .service_coordinator import Peers, ServiceCoordinator
 from .slices import SliceTable, decode_table, encode_table
-from .store import HttpKeyValueStore, StoreCallResult
-from .store_leases import CoordinationStore, RelayedStore
+from .store import HttpKeyValueStore
+from .store_leases import CoordinationStore
+from .store_relay import StoreRelay
 from .vouches import (
     VOUCH_MIN_UPTIME_S,
     VOUCH_S,
@@ -82,7 +83,7 @@
         self.control_address = ""
         self._own = pool.own
         self._store = store
-        self._relayed = RelayedStore(self._call_through_peer)
+        self._relay = StoreRelay(store, pool, self._addresses_elsewhere)
         self._topics = topics
         self._endpoints = endpoints
         self._host_list = host_list
@@ -114,7 +115,7 @@
         return {
             "vouch": self._on_vouch,
             "inquire": self._on_vouch,
-            "relayStore": self._on_relay_store,
+            **self._relay.handlers(),
             "lease": self._on_lease,
             "publish": self._on_publish,
             "fetch": self._on_fetch,
@@ -191,7 +192,7 @@
                 data_centres,
                 self._start_time,
                 self._min_uptime_s,
-                CoordinationStore(service, self._store, self._relayed),
+                CoordinationStore(service, self._store, self._relay.store),
                 self._endpoints,
                 Peers(self._listed, self._ask, self._send_draft, self._publish),
                 self.control_address,
@@ -202,6 +203,12 @@
     def _listed(self) -> Mapping[str, str]:
         return {host.host: host.data_centre for host in self._hosts.values()}
 
+    def _addresses_elsewhere(self) -> list[str]:
+        """Return the control processes of other data centres."""
+        own = self._own.data_centre
+        hosts = self._hosts.values()
+        return [h.control_address for h in hosts if h.data_centre != own]
+
     def _keep(self, table: SliceTable) -> bool:
         known = self._drafts.get(table.service)
         if known and (known.epoch, known.version) > (table.epoch, table.version):
@@ -342,32 +349,3 @@
                 leased.tableVersion = lease.table_version
                 leased.stampMs, leased.termMs = lease.stamp_ms, lease.term_ms
         return reply
-
-    async def _on_relay_store(self, connection: PeerConnection, frame: Any) -> Any:
-        content = frame.body.relayStore
-        result = await self._store.call_directly(
-            content.method, content.path, bytes(content.body)
-        )
-        reply = new_frame()
-        answer = reply.body.init("storeAnswer")
-        answer.status, answer.body, answer.sent = result
-        return reply
-
-    async def _call_through_peer(
-        self, method: str, path: str, body: bytes
-    ) -> StoreCallResult:
-        """Make a store call through one host of another data centre."""
-        own = self._own.data_centre
-        hosts = [h for h in self._hosts.values() if h.data_centre != own]
-        if not hosts:
-            return StoreCallResult(0, b"", False)
-        frame = new_frame()
-        content = frame.body.init("relayStore")
-        content.method, content.path, content.body = method, path, body
-        try:
-            address = random.choice(hosts).control_address
-            answer = await self._pool.request(address, frame, PEER_TIMEOUT_S)
-        except (PeerUnavailable, FrameError):
-            return StoreCallResult(0, b"", True)
-        reply = answer.body.storeAnswer
-        return StoreCallResult(reply.status, bytes(reply.body), reply.sent)
