Refuse unreadable tables without ending the topic service

A table topic that cannot be decoded raised in the listener of the topic service, which would have ended its task. It is now logged and skipped, like other topics.

Before: FrameError in the publishing task. After: an error line, and the last good table stays.

--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -163,8 +163,10 @@
 
     def _on_topic(self, topic: Topic) -> None:
         if topic.name.startswith(TABLE_PREFIX):
-            table = decode_table(topic.content)
-            self._keep(table)
+            try:
+                self._keep(decode_table(topic.content))
+            except FrameError as error:
+                _log.error("table_refused", topic=topic.name, error=str(error))
         if topic.name != CONFIGURATION_TOPIC:
             return
         try:
