Repeat to a frozen endpoint through every entry process

Cause: without records the test passed when the one repeat met the frozen server. Change: six repeats through three entry processes. Ruled out: a service with one server, where a second run cannot show.

--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -220,10 +220,12 @@
     try:
         _, outcome, _ = await first
         assert outcome == "unknown"
-        _, outcome, _ = await order(
-            shared_fleet, "frozen-endpoint", 1, "/deposit?ms=100"
-        )
-        assert outcome == "unknown"
+        # Without records, some of the repeats would reach the other server.
+        for entry in (1, 2, 3, 1, 2, 3):
+            _, outcome, _ = await order(
+                shared_fleet, "frozen-endpoint", entry, "/deposit?ms=100"
+            )
+            assert outcome == "unknown"
     finally:
         server.signal(signal.SIGCONT)
     assert await runs(shared_fleet, "frozen-endpoint") == 1
