--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -83,6 +83,18 @@
     assert fractions[len(fractions) // 4] < 0.3 < 0.7 < fractions[-len(fractions) // 4]
 
 
+def test_batch_due_within_a_peak_is_spread():
+    """Guards against a spike at the due time of work that a peak held back."""
+    demand = [100] * 100 + [1000] * 600
+    arrivals = [0] * 150 + [6000] + [0] * 549
+    released, _, _ = run_planner(arrivals, demand, 300)
+    by_second = [0] * 1000
+    for when in released.values():
+        by_second[int(when)] += 1
+    # 6000 requests over 270 s are 22/s, and a bucket counts up to 15 s early.
+    assert max(by_second) <= 25
+
+
 def test_cancelled_request_is_not_released():
     """Guards against attempts for callers that have gone away."""
     planner = DeferralPlanner(random.Random(1))
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -75,6 +75,16 @@
     assert elsewhere or retry.delay_s >= asked
 
 
+@RELIABLE
+@given(st.booleans(), st.integers(1, 4), st.integers(0, 1000))
+def test_request_that_may_have_run_is_not_run_again(keyed, count, seed):
+    """Guards against an order that is booked twice."""
+    policy = make_policy(keyed, False, count)
+    arguments = (("s0",), 1e6, 0.0, full_budget(), random.Random(seed))
+    assert decide_retry(policy, "unknown", *arguments) is None
+    assert decide_retry(policy, "not-run", *arguments) is not None
+
+
 @RELIABLE
 @given(st.floats(0.0, 1.0), st.lists(st.booleans(), max_size=400))
 def test_retries_stay_within_the_budget(ratio, steps):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -175,6 +175,39 @@
     raise AssertionError("never dispatched")
 
 
+def test_long_work_is_not_starved_by_short_work_of_its_class():
+    """Guards against a stock sweep that never runs in a busy service."""
+    queue = busy_queue(long_after_s=1.0)
+    queue.offer(make_request(1, expected=2.0), 0.0)
+    running = 0
+    for number in range(2, 1000):
+        now = number * 0.01
+        queue.offer(make_request(number), now)
+        queue.finished(running)
+        running = queue.next(now).request_id
+        if running == 1:
+            assert 2.0 < now < 4.5
+            return
+    raise AssertionError("never dispatched")
+
+
+def test_queued_work_is_given_up_when_its_class_is_no_longer_served():
+    """Guards against waiting work that is held until its deadline in a surge."""
+    queue = busy_queue(long_after_s=50.0)
+    for number in range(1, 21):
+        request = make_request(number, expected=0.02, deadline=4.0)
+        assert queue.offer(request, 0.0).decision == "queued"
+    given_up = {}
+    for step in range(1, 390):
+        for request in queue.expire(step * 0.01):
+            given_up[request.request_id] = step * 0.01
+    assert len(given_up) == 20
+    # The floor share still lets a class dispatch 0.05 s of work per second, so
+    # the four requests at the head stay while that can reach them.
+    assert sorted(given_up.values())[15] <= 0.51
+    assert max(given_up.values()) <= 3.2
+
+
 def test_full_queue_sheds_deferrable_work_first():
     """Guards against an overload that refuses first-class work."""
     queue = busy_queue(waiting_limit=2)
