--- a/bench/measures/smoothness.py
+++ b/bench/measures/smoothness.py
@@ -14,6 +14,7 @@
 
 __all__ = ["run"]
 
+from itertools import count
 from random import Random
 from typing import Any, NamedTuple
 
@@ -75,6 +76,7 @@
         late=late,
         retries=retries,
         attempts=sum(attempts),
+        requests=_total(demand),
         ideal_minute=ideal,
         highest_multiple=peak,
         crest_utilisation=peak * CALM_UTILISATION,
@@ -147,6 +149,7 @@
     # Hosts tick at different moments of the second.
     phase = random.random()
     due: dict[int, float] = {}
+    numbers = count()
     late = retries = 0
     for second in range(len(attempts) - 2):
         now = second + phase
@@ -155,7 +158,7 @@
             immediate = demand.immediate[second][host]
             deferred = demand.deferrable[second][host]
         for _ in range(deferred):
-            request_id = len(due)
+            request_id = next(numbers)
             due[request_id] = now + DEFER_LIMIT_S
             planner.defer(request_id, DEFER_LIMIT_S, now)
         for _ in range(immediate):
@@ -169,8 +172,8 @@
         attempts[second] += immediate
         for release in planner.release_times(now):
             attempts[int(release.release_at)] += 1
-            late += release.release_at + 1.0 > due.pop(release.request_id, 0.0)
-    return late + len(planner), retries
+            late += release.release_at + 1.0 > due.pop(release.request_id)
+    return late + len(due), retries
 
 
 def _run_naive(demand: Demand, random: Random) -> tuple[list[int], int]:
@@ -218,6 +221,10 @@
     return level
 
 
+def _total(demand: Demand) -> int:
+    return sum(map(sum, demand.immediate)) + sum(map(sum, demand.deferrable))
+
+
 def _by_minute(counts: list[list[int]]) -> list[int]:
     seconds = [sum(hosts) for hosts in counts]
     return [
