--- /dev/null
+++ b/tests/test_embedding.py
@@ -0,0 +1,51 @@
+"""Runs the examples of docs/embedding.md."""
+
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+PAGE = Path(__file__).parents[1] / "docs" / "embedding.md"
+EXAMPLE = re.compile(
+    r"^##+ ([^\n]+)\n(?:(?!^##).)*?^```python\n(.*?)^```$", re.M | re.S
+)
+EXAMPLES = EXAMPLE.findall(PAGE.read_text())
+PARTS = {
+    "Grants with fencing",
+    "Slice placement",
+    "Hot keys",
+    "Membership",
+    "Dissemination",
+    "Configuration",
+    "At-most-once records",
+    "Admission and scheduling",
+    "Adaptive limit",
+    "Endpoint selection",
+    "Retries",
+    "Deferral",
+}
+
+
+def test_each_part_has_an_example_that_is_run():
+    """Guards against a code block that the expression above does not find."""
+    assert {title for title, _ in EXAMPLES} == PARTS
+    assert len(EXAMPLES) == PAGE.read_text().count("```python")
+    assert all("assert " in code for _, code in EXAMPLES)
+
+
+@pytest.mark.parametrize("code", [pytest.param(c, id=t) for t, c in EXAMPLES])
+def test_example(code):
+    """Guards against examples that no longer match the library."""
+    exec(compile(code, str(PAGE), "exec"), {"__name__": "example"})
+
+
+def test_the_examples_load_no_daemon_library():
+    """Guards against a decision part that imports what only daemons use."""
+    check = "print([m for m in ('aiohttp', 'mode', 'structlog') if m in sys.modules])"
+    code = "\n".join(["import sys", *(code for _, code in EXAMPLES), check])
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert result.stdout.strip() == "[]"
