--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -28,6 +28,7 @@
     from .intake import Intake
     from .record_client import HolderClient
     from .routing import RoutingState
+    from .sending_leases import SendingLeases
     from .subscription import Subscription
 
     own = _identity(settings, "entry")
@@ -41,7 +42,8 @@
     keys = KeyRing(settings.security.cluster_key_files)
     subscription = Subscription(own, settings.control_addresses, keys, routing, metrics)
     endpoints = EndpointClient()
-    dispatcher = Dispatcher(routing, own.data_centre, metrics)
+    leases = SendingLeases(subscription.pool, routing)
+    dispatcher = Dispatcher(routing, own.data_centre, leases, metrics)
     records = HolderClient(
         subscription.pool,
         lambda: subscription.connected_address or settings.control_addresses[0],
@@ -60,6 +62,7 @@
         routing,
         subscription,
         endpoints,
+        leases,
         dispatcher,
         records,
         forwarder,
--- a/src/jacinthpath/dispatch.py
+++ b/src/jacinthpath/dispatch.py
@@ -19,6 +19,7 @@
 from .routing import RoutingState
 from .scheduling import LengthEstimator, QueuedRequest, RequestQueue
 from .selection import EndpointPool
+from .sending_leases import SendingLeases
 from .slices import SliceTable
 
 OWNER_RECHECK_S = 0.02
@@ -116,16 +117,19 @@
 
     :param routing: configuration and tables in force.
     :param data_centre: where this process runs.
+    :param leases: whether requests may be sent by a table.
     """
 
     def __init__(
         self,
         routing: RoutingState,
         data_centre: str,
+        leases: SendingLeases,
         metrics: Metrics,
         randomness: random.Random | None = None,
     ) -> None:
         self._routing = routing
+        self._leases = leases
         self._data_centre = data_centre
         self._metrics = metrics
         self._random = randomness or random.Random()
@@ -235,9 +239,9 @@
             lane = self._keyed_server(exchange, target.server).lane
             await lane.acquire(request)
             table = self._routing.tables[exchange.service]
-            if _owner(table, exchange) == target:
+            if _owner(table, exchange) == target and self._leases.allows(table):
                 return target._replace(request_id=request.request_id)
-            # The key moved while the request waited for a slot.
+            # The key moved, or the sending lease ended, while it waited.
             lane.release(request.request_id)
 
     async def _acquire_any(
@@ -264,9 +268,12 @@
         while True:
             table = self._routing.tables.get(exchange.service)
             target = None if table is None else _owner(table, exchange)
-            if target is not None:
+            if target is None:
+                await self._routing.wait_for_change()
+            elif not self._leases.allows(table):
+                await self._leases.wait_for_renewal()
+            else:
                 return target
-            await self._routing.wait_for_change()
 
     def _keyed_server(self, exchange: Exchange, server: str) -> _KeyedServer:
         known = self._keyed.get((exchange.service, server))
--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -19,6 +19,7 @@
 from .peers import split_address
 from .record_client import HolderClient
 from .routing import RoutingState
+from .sending_leases import SendingLeases
 from .settings import EntrySettings
 from .subscription import Subscription
 from .tracing import Tracer
@@ -42,6 +43,7 @@
         routing: RoutingState,
         subscription: Subscription,
         endpoints: EndpointClient,
+        leases: SendingLeases,
         dispatcher: Dispatcher,
         records: HolderClient,
         forwarder: Forwarder,
@@ -55,6 +57,7 @@
         self._routing = routing
         self._subscription = subscription
         self._endpoints = endpoints
+        self._leases = leases
         self._dispatcher = dispatcher
         self._records = records
         self._forwarder = forwarder
@@ -71,6 +74,7 @@
         await self._endpoints.start()
         self._dispatcher.start()
         await self.add_runtime_dependency(self._subscription)
+        await self.add_runtime_dependency(self._leases)
         await self._admin.start()
         await self._listen()
         _log.info(
