--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -19,6 +19,12 @@
 # Demand above this many times the typical demand is a peak.
 PEAK_FACTOR = 1.5
 
+# Most peaks last less than this. While one is younger, less than the constant
+# rate is released, in the hope that the work can still be done after it.
+PEAK_PATIENCE_S = 120.0
+# Largest part of the time left to the work due next that is spent on patience.
+PATIENCE_SHARE = 0.25
+
 # Pending work is counted by release time in buckets of this width, which
 # bounds the work of each second by the longest allowed time.
 _BUCKET_S = 15
@@ -64,6 +70,9 @@
         self._slow = 0.0
         self._arrivals: deque[int] = deque([0] * MINUTE_S, maxlen=_ARRIVAL_SECONDS)
         self._ticks = 0
+        self._peak_ticks = 0
+        self._demand: deque[int] = deque([0] * MINUTE_S, maxlen=MINUTE_S)
+        self._demand_total = 0
         self._busiest_by_phase = [0] * MINUTE_S
         self.busiest_minute = 0
 
@@ -109,15 +118,27 @@
         self._fast += fast * (demand - self._fast)
         self._slow += slow * (demand - self._slow)
         self._arrivals.append(arrived)
+        self._demand_total += demand - self._demand[0]
+        self._demand.append(demand)
+        is_peak = self._fast >= PEAK_FACTOR * self._slow
+        self._peak_ticks = self._peak_ticks + 1 if is_peak else 0
 
     def _count(self, now: float) -> int:
         """Return how many requests to release in the next second."""
         if not self._pending:
             return 0
-        room = FILL_SHARE * self.busiest_minute / MINUTE_S - self._fast
-        if self._fast < PEAK_FACTOR * self._slow:
+        # The window holds a surge that has just ended in the same minute.
+        level = FILL_SHARE * self.busiest_minute
+        room = min(level / MINUTE_S - self._fast, level - self._window_total)
+        recent = max(self._fast, self._demand_total / MINUTE_S)
+        if recent < PEAK_FACTOR * self._slow:
             room = max(room, sorted(self._arrivals)[len(self._arrivals) // 2])
-        rate = max(self._forced_rate(now), room, 0.0)
+        share = 1.0
+        if self._peak_ticks:
+            left_s = max(1.0, self._pending[0][0] - now)
+            patience_s = min(PEAK_PATIENCE_S, PATIENCE_SHARE * left_s)
+            share = min(1.0, self._peak_ticks / patience_s) ** 2
+        rate = max(share * self._forced_rate(now), room, 0.0)
         return int(rate + self._random.random())
 
     def _forced_rate(self, now: float) -> float:
