Measure the control cost without the measure's own traffic

The status answers that the measure itself reads list all members, so they grew with the fleet and counted among the bytes sent. A longer warm-up (100 s) gave the same bytes, which ruled out handshakes; counting frames in one process showed digests and handshakes only.

The processes of the measure now answer with the number of members. Sizes are 16, 32 and 64, nearer to the target, started four at a time. The modelled processes carry incarnations and a host list of real size.

--- a/bench/gossip_fleet.py
+++ b/bench/gossip_fleet.py
@@ -14,6 +14,9 @@
 
 from .fleet import Fleet, Process
 
+# A process needs a second of a core to start, and a start may take 20 s.
+PARALLEL_STARTS = 4
+
 DOCUMENT = """\
 [templates.standard.services.preview]
 keyed = true
@@ -34,6 +37,7 @@
     def __init__(self, directory: Any, hosts: int, naive: bool = False) -> None:
         super().__init__(directory, (), hosts=hosts)
         self.naive = naive
+        self._starts = asyncio.Semaphore(PARALLEL_STARTS)
         self.changes: ChangeClient | None = None
         self.client: PeerControlClient | None = None
 
@@ -62,9 +66,10 @@
         arguments += ["--store", f"http://{store}", "--hosts", f"http://{hosts}/"]
         arguments += ["--key", str(self.directory / "cluster.key")]
         arguments += ["--naive"] if self.naive else []
-        process = await self.spawn(
-            f"control-{index}", "bench.gossip_process", *arguments
-        )
+        async with self._starts:
+            process = await self.spawn(
+                f"control-{index}", "bench.gossip_process", *arguments
+            )
         await self.list_hosts()
         return process
 
@@ -86,7 +91,7 @@
                 continue
         return found
 
-    async def wait_members(self, timeout_s: float = 30.0) -> None:
+    async def wait_members(self, timeout_s: float = 60.0) -> None:
         """Return when all processes know each other and the configuration."""
         async with asyncio.timeout(timeout_s):
             while True:
@@ -94,7 +99,7 @@
                 known = [
                     status["configuration_version"] or status["reached_s"]
                     for status in statuses.values()
-                    if self.naive or len(status["members"]) == self.host_count - 1
+                    if self.naive or status["members"] == self.host_count - 1
                 ]
                 if len(known) == self.host_count and all(known):
                     return
--- a/bench/gossip_model.py
+++ b/bench/gossip_model.py
@@ -33,6 +33,9 @@
 from jacinthpath.peers import HEADER_BYTES
 
 TICK_S = 0.25
+
+# Incarnations and versions of the host list are times, which take 6 bytes.
+START_MS = 1_800_000_000_000
 WATCH_WAIT_S = 1.0
 STORE_DELAY_S = 0.002
 CALL_INTERVAL_S = 1.0
@@ -83,11 +86,12 @@
     def start(self, index: int) -> None:
         """Start the process of a host, without any state."""
         host, data_centre, _, _ = self.hosts[index]
-        incarnation = int(self.now_s * 1000) + 1
+        incarnation = START_MS + int(self.now_s * 1000)
         node = GossipNode(
             host, data_centre, incarnation, random.Random(self.random.random())
         )
         node.apply_host_list(self.hosts, self.now_s)
+        node.topics.offer(Topic("hosts", START_MS, b"hosts"))
         modelled = ModelNode(node, int(data_centre[3:]) % REGIONS)
         self.nodes[host] = modelled
         self._after(self.random.random(), lambda: self._tick(modelled))
--- a/bench/gossip_process.py
+++ b/bench/gossip_process.py
@@ -91,8 +91,11 @@
     async def on_status(self, _connection: Any, _frame: Any) -> Any:
         """Answer with the times and counts that the measures need."""
         answer = new_frame()
+        status = self.topics.status()
+        # The list would count among the bytes sent, in proportion to the fleet.
+        status["members"] = len(status["members"])
         usage = {
-            **self.topics.status(),
+            **status,
             "host": self.topics.node.host,
             "reached_s": self.reached_s,
             "bytes_sent": self.metrics.value("peer_sent_bytes_total"),
--- a/bench/measures/control_cost.py
+++ b/bench/measures/control_cost.py
@@ -5,7 +5,9 @@
 __all__ = ["run"]
 
 import asyncio
+import math
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
@@ -13,10 +15,11 @@
 from ..gossip_model import GossipModel
 from . import MEASURES, Result, print_variant
 
-SIZES = (4, 8, 12, 16)
+SIZES = (16, 32, 64)
 TARGET = 500
-WARM_UP_S = 3.0
-WINDOW_S = 10.0
+# Handshakes with the first exchange partners are no running cost.
+WARM_UP_S = 40.0
+WINDOW_S = 15.0
 MODEL_DATA_CENTRES = 6
 
 # A watch that ends without news, as the stand-in answers it: about 230 bytes of
@@ -27,16 +30,16 @@
 @MEASURES.register("control-cost")
 def run(seed: int) -> Result:
     """Fit bytes, CPU and memory of a process to the number of processes."""
-    rows = []
-    for size in SIZES:
-        with tempfile.TemporaryDirectory() as directory:
-            rows.append(asyncio.run(_measure(Path(directory), size)))
+    with tempfile.TemporaryDirectory() as directory:
+        rows = asyncio.run(_measure_all(Path(directory)))
     variants = [print_variant(f"processes-{row['hosts']}", **row) for row in rows]
     fitted = {
         name: _extrapolate([(row["hosts"], row[name]) for row in rows])
         for name in ("bytes_per_s", "cpu_percent", "rss_mb", "store_calls_per_s")
     }
     variants.append(print_variant(f"fitted-{TARGET}", **fitted))
+    growth = {name: _extrapolate_log(rows, name) for name in fitted}
+    variants.append(print_variant(f"fitted-log-{TARGET}", **growth))
     variants.append(_model(seed))
     naive = _naive_bytes_per_s()
     variants.append(
@@ -46,6 +49,12 @@
     return Result(product, naive, "bytes/node/s", tuple(variants))
 
 
+async def _measure_all(directory: Path) -> list[dict[str, Any]]:
+    """Measure all sizes at once; together they use half a core."""
+    runs = [_measure(directory / str(size), size) for size in SIZES]
+    return list(await asyncio.gather(*runs))
+
+
 async def _measure(directory: Path, size: int) -> dict[str, Any]:
     async with GossipFleet(directory, size) as fleet:
         await fleet.wait_members()
@@ -79,13 +88,23 @@
     }
 
 
-def _extrapolate(points: list[tuple[float, float]]) -> float:
+def _extrapolate(points: list[tuple[float, float]], target: float = TARGET) -> float:
     """Return the least-squares line through the points at the target size."""
     mean_x = sum(x for x, _ in points) / len(points)
     mean_y = sum(y for _, y in points) / len(points)
     spread = sum((x - mean_x) ** 2 for x, _ in points)
     slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
-    return mean_y + slope * (TARGET - mean_x)
+    return mean_y + slope * (target - mean_x)
+
+
+def _extrapolate_log(rows: list[dict[str, Any]], name: str) -> float:
+    """Return the fit against the logarithm of the number of hosts.
+
+    Exchanges become more frequent with the age of the confirmations, which
+    grows with the logarithm, and are at most three a second.
+    """
+    points = [(math.log(row["hosts"]), row[name]) for row in rows]
+    return _extrapolate(points, math.log(TARGET))
 
 
 def _model(seed: int) -> dict[str, Any]:
@@ -95,11 +114,14 @@
     model.run_until(5.0)
     before = sum(node.bytes_sent for node in model.nodes.values())
     calls = model.store_calls
+    started_s = time.process_time()
     model.run_until(15.0)
+    cpu_s = time.process_time() - started_s
     sent = sum(node.bytes_sent for node in model.nodes.values()) - before
     return print_variant(
         f"model-{TARGET}",
         bytes_per_s=sent / TARGET / 10.0,
+        decision_cpu_percent=100 * cpu_s / TARGET / 10.0,
         store_calls_per_s=(model.store_calls - calls) / 10.0,
     )
 
