Record durations, requests in flight and spans of failed requests

The duration histogram had no caller and the spans of refused requests were never ended, so the dashboard's panel stayed empty and failed traces had no entry span.

--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -80,51 +80,46 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request."""
-        self.in_flight += 1
+        self._change_in_flight(1)
         reply = _Reply(request)
-        exchange = None
         try:
             if self.in_flight > self._limit:
-                raise NotRun(
-                    "This host has too many requests in flight.",
-                    "Repeat the request later.",
-                    retry_after_s=0.5 + self._random.random(),
-                    kind="overloaded",
-                )
+                raise self._overloaded()
             exchange = await self._intake.read(request)
-            span = self._tracer.start("entry", exchange.trace)
-            if span is not None:
-                exchange.trace = span.context
-            attempt = await self._answer(exchange, reply)
-            self._tracer.end(span, service=exchange.service, status=str(attempt.status))
-            self._count(exchange, "answered")
-            return reply.finish(attempt)
         except RequestError as error:
-            return self._refuse(exchange, reply, error)
-        except (_CallerLeft, ConnectionError, asyncio.CancelledError):
-            self._count(exchange, "caller-left")
-            raise
-        except Exception:
-            # A fault of the router itself; what reached an endpoint is not known.
-            _log.exception("request_failed", service=exchange and exchange.service)
-            return self._refuse(
-                exchange,
-                reply,
-                OutcomeUnknown(
-                    "The router failed.",
-                    "Ask for the outcome with the same idempotency key.",
-                    status=500,
-                    kind="router-fault",
-                ),
-            )
+            return self._refuse(None, reply, error)
+        else:
+            return await self._respond(exchange, reply)
         finally:
-            self.in_flight -= 1
+            self._change_in_flight(-1)
 
     async def drain(self) -> None:
         """Return when every run that outlived its caller has ended."""
         if self._runs:
             await asyncio.wait(self._runs)
 
+    async def _respond(self, exchange: Exchange, reply: _Reply) -> web.StreamResponse:
+        span = self._tracer.start("entry", exchange.trace)
+        if span is not None:
+            exchange.trace = span.context
+        outcome = "answered"
+        try:
+            return reply.finish(await self._answer(exchange, reply))
+        except RequestError as error:
+            outcome = error.outcome
+            return self._refuse(exchange, reply, error)
+        except (_CallerLeft, ConnectionError, asyncio.CancelledError):
+            outcome = "caller-left"
+            raise
+        except Exception:
+            # A fault of the router itself; what reached an endpoint is not known.
+            outcome = OutcomeUnknown.outcome
+            _log.exception("request_failed", service=exchange.service)
+            return self._refuse(exchange, reply, _router_fault())
+        finally:
+            self._tracer.end(span, service=exchange.service, outcome=outcome)
+            self._count(exchange, outcome)
+
     async def _answer(self, exchange: Exchange, reply: _Reply) -> Attempt:
         if exchange.policy.idempotent:
             return await self._within_deadline(exchange, reply)
@@ -182,9 +177,7 @@
         tried: tuple[str, ...] = ()
         excluded: tuple[str, ...] = ()
         while True:
-            span = self._tracer.start("owner", exchange.trace)
-            target = await self._dispatcher.acquire(exchange, excluded)
-            self._tracer.end(span, server=target.server)
+            target = await self._find_target(exchange, excluded)
             attempt = await self._attempt(exchange, target, reply, progress)
             if attempt.outcome is AttemptOutcome.ANSWERED:
                 return attempt
@@ -206,6 +199,18 @@
             excluded = retry.exclude
             await asyncio.sleep(retry.delay_s)
 
+    async def _find_target(
+        self, exchange: Exchange, excluded: tuple[str, ...]
+    ) -> Target:
+        span = self._tracer.start("owner", exchange.trace)
+        server = ""
+        try:
+            target = await self._dispatcher.acquire(exchange, excluded)
+            server = target.server
+        finally:
+            self._tracer.end(span, server=server)
+        return target
+
     def _budget_of(self, exchange: Exchange) -> RetryBudget:
         budget = self._budgets.get(exchange.account)
         if budget is None:
@@ -275,7 +280,8 @@
     def _refuse(
         self, exchange: Exchange | None, reply: _Reply, error: RequestError
     ) -> web.StreamResponse:
-        self._count(exchange, error.outcome)
+        if exchange is None:
+            self._metrics.count("requests_total", service="", outcome=error.outcome)
         _log.info(
             "request_refused",
             service=exchange.service if exchange else "",
@@ -286,11 +292,23 @@
         )
         return reply.fail(error)
 
-    def _count(self, exchange: Exchange | None, outcome: str) -> None:
-        if exchange is None:
-            self._metrics.count("requests_total", service="", outcome=outcome)
-            return
-        self._metrics.count("requests_total", service=exchange.service, outcome=outcome)
+    def _count(self, exchange: Exchange, outcome: str) -> None:
+        service = exchange.service
+        self._metrics.count("requests_total", service=service, outcome=outcome)
+        duration_s = asyncio.get_running_loop().time() - exchange.arrived_s
+        self._metrics.observe("request_duration_seconds", duration_s, service=service)
+
+    def _change_in_flight(self, step: int) -> None:
+        self.in_flight += step
+        self._metrics.gauge("requests_in_flight", self.in_flight)
+
+    def _overloaded(self) -> NotRun:
+        return NotRun(
+            "This host has too many requests in flight.",
+            "Repeat the request later.",
+            retry_after_s=0.5 + self._random.random(),
+            kind="overloaded",
+        )
 
 
 class _CallerLeft(Exception):
@@ -362,6 +380,15 @@
         )
 
 
+def _router_fault() -> OutcomeUnknown:
+    return OutcomeUnknown(
+        "The router failed.",
+        "Ask for the outcome with the same idempotency key.",
+        status=500,
+        kind="router-fault",
+    )
+
+
 def _final_error(exchange: Exchange, attempt: Attempt) -> RequestError:
     if attempt.outcome is AttemptOutcome.NOT_RUN:
         return NotRun(
