--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -12,7 +12,7 @@
 MINUTE_S = 60
 # Part of the busiest minute so far up to which deferrable work is added. The
 # rest is headroom for a surge that begins within the same minute.
-FILL_SHARE = 0.9
+FILL_SHARE = 0.7
 # Part of its allowed time by which deferrable work is released at the latest,
 # so that waiting for a slot and one retry still end it in time.
 RELEASE_BY = 0.9
