--- /dev/null
+++ b/tests/test_leaving_endpoint.py
@@ -0,0 +1,36 @@
+"""A leaving endpoint, with real processes."""
+
+import asyncio
+
+from bench.fleet import Fleet, ServiceSpec
+
+LIMIT_S = 2.0
+
+
+async def test_leaving_endpoint_gets_no_new_work_within_seconds(tmp_path):
+    """Guards against an entry host that goes on sending to a drained server."""
+    services = [ServiceSpec("publish", servers=3)]
+    async with Fleet(tmp_path, services, hosts=2) as fleet:
+        await fleet.wait_until_ready()
+        stopping = asyncio.Event()
+        statuses = []
+
+        async def call(entry):
+            while not stopping.is_set():
+                status, _, _ = await fleet.request("publish", "/p?ms=5", entry=entry)
+                statuses.append(status)
+
+        callers = [asyncio.create_task(call(n % 2)) for n in range(4)]
+        document = fleet.configuration().replace(
+            'server = "publish-0"', 'server = "publish-0"\nstate = "draining"'
+        )
+        await fleet.apply(document)
+        await asyncio.sleep(LIMIT_S)
+        runs = (await fleet.server_stats("publish-0"))["counts"]["runs"]
+        before = len(statuses)
+        while len(statuses) < before + 100:
+            await asyncio.sleep(0.01)
+        stopping.set()
+        await asyncio.gather(*callers)
+        assert (await fleet.server_stats("publish-0"))["counts"]["runs"] == runs
+        assert statuses[before:].count(200) == len(statuses) - before
