Plan placement by the load that routers report

The coordinators planned by slice count alone, because nothing sent or read load reports: a server with all the requests kept them.

Entry processes now count keyed requests for each service and send a report to the service's coordinator about once a second. The coordinator adds it to its placement, which plans with live loads from the first report on. A report for a service that the process does not coordinate is ignored, one with another slice count or too many keys refused. Urgent plans, which can be made while handoffs are in flight, neither split nor merge keys.

--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -26,6 +26,7 @@
     from .entry import EntryService
     from .forwarding import Forwarder
     from .intake import Intake
+    from .load_reports import LoadReporter
     from .record_client import HolderClient
     from .routing import RoutingState
     from .subscription import Subscription
@@ -42,6 +43,9 @@
     subscription = Subscription(own, settings.control_addresses, keys, routing, metrics)
     endpoints = EndpointClient()
     dispatcher = Dispatcher(routing, own.data_centre, metrics)
+    # Every host runs one control and one entry process.
+    reporter = LoadReporter(subscription.pool, routing, len(settings.control_addresses))
+    dispatcher.observe_load = reporter.observe
     records = HolderClient(
         subscription.pool,
         lambda: subscription.connected_address or settings.control_addresses[0],
@@ -59,6 +63,7 @@
         settings,
         routing,
         subscription,
+        reporter,
         endpoints,
         dispatcher,
         records,
--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -27,6 +27,7 @@
 from .gossip_service import CONFIGURATION_TOPIC, GossipService
 from .hashing import rendezvous_rank
 from .hosts import HostList, ListedHost
+from .load_reports import read_report
 from .logs import get_logger
 from .peers import Handler, PeerConnection, PeerPool
 from .service_coordinator import Peers, ServiceCoordinator
@@ -117,6 +118,7 @@
             "inquire": self._on_vouch,
             **self._relay.handlers(),
             "lease": self._on_lease,
+            "report": self._on_report,
             "publish": self._on_publish,
             "fetch": self._on_fetch,
         }
@@ -351,3 +353,10 @@
                 leased.tableVersion = lease.table_version
                 leased.stampMs, leased.termMs = lease.stamp_ms, lease.term_ms
         return reply
+
+    async def _on_report(self, connection: PeerConnection, frame: Any) -> None:
+        runner = self._running.get(frame.body.report.service)
+        slice_count = 0 if runner is None else runner.slice_count
+        # Routers that have not learnt of a takeover still report to this process.
+        if slice_count:
+            runner.add_report(read_report(frame.body.report, slice_count))
--- a/src/jacinthpath/dispatch.py
+++ b/src/jacinthpath/dispatch.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
 from .configuration import Endpoint, ServicePolicy
@@ -116,8 +116,13 @@
 
     :param routing: configuration and tables in force.
     :param data_centre: where this process runs.
+
+    ``observe_load(service, key_hash, slice_count)``, if set, is called for each
+    attempt at a keyed request.
     """
 
+    observe_load: Callable[[str, int, int], None] | None = None
+
     def __init__(
         self,
         routing: RoutingState,
@@ -182,6 +187,10 @@
             exchange.policy.account_weight,
         )
         if exchange.policy.keyed:
+            table = self._routing.tables.get(exchange.service)
+            if self.observe_load is not None and table is not None:
+                slice_count = len(table.owners)
+                self.observe_load(exchange.service, exchange.key_hash, slice_count)
             return await self._acquire_owner(exchange, request)
         return await self._acquire_any(exchange, request, excluded)
 
--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -14,6 +14,7 @@
 from .dispatch import Dispatcher
 from .endpoints import EndpointClient
 from .forwarding import Forwarder
+from .load_reports import LoadReporter
 from .logs import get_logger
 from .metrics import Metrics
 from .peers import split_address
@@ -41,6 +42,7 @@
         settings: EntrySettings,
         routing: RoutingState,
         subscription: Subscription,
+        reporter: LoadReporter,
         endpoints: EndpointClient,
         dispatcher: Dispatcher,
         records: HolderClient,
@@ -54,6 +56,7 @@
         self.draining = False
         self._routing = routing
         self._subscription = subscription
+        self._reporter = reporter
         self._endpoints = endpoints
         self._dispatcher = dispatcher
         self._records = records
@@ -71,6 +74,7 @@
         await self._endpoints.start()
         self._dispatcher.start()
         await self.add_runtime_dependency(self._subscription)
+        await self.add_runtime_dependency(self._reporter)
         await self._admin.start()
         await self._listen()
         _log.info(
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -227,8 +227,9 @@
   service @0 :Text;
   router @1 :Text;
   windowMs @2 :UInt32;
-  sliceLoads @3 :List(SliceLoad);
+  sliceLoads @3 :List(SliceLoad);   # Not read; sliceCounts replaces it.
   hotKeys @4 :List(KeyLoad);
+  sliceCounts @5 :List(UInt32);     # Requests of every slice, in order.
 }
 
 struct HotKey {
--- a/src/jacinthpath/service_coordinator.py
+++ b/src/jacinthpath/service_coordinator.py
@@ -22,6 +22,7 @@
     EpochSeen,
     Event,
     GrantAnswered,
+    LoadsChanged,
     PublishTable,
     ReleaseRequested,
     ReleaseRole,
@@ -35,10 +36,11 @@
 from .endpoints import EndpointClient
 from .errors import FrameError, PeerUnavailable, StoreError
 from .grants import decode_answer, encode_grant
+from .hotkeys import LoadReport
 from .leases import LeaseCall
 from .logs import get_logger
 from .peers import PeerIdentity
-from .placement import Plan, ServerState, plan_moves
+from .placement import Placement, Plan, ServerState, plan_moves
 from .slices import SliceTable
 from .store_leases import CoordinationStore
 from .vouches import VouchAnswer, VouchRequest, round_of
@@ -105,6 +107,7 @@
             fencing=policy.fencing,
             longest_deadline_s=policy.deadline_ms / 1000,
         )
+        self._placement = Placement(policy.slice_count)
         self._store = store
         self._endpoints = endpoints
         self._peers = peers
@@ -124,6 +127,19 @@
         servers = {endpoint.server: endpoint for endpoint in policy.endpoints}
         self.handle(ServersChanged(servers))
 
+    @property
+    def slice_count(self) -> int:
+        """Slices of the table in force, 0 while this process does not coordinate."""
+        table = self._coordinator.table
+        if table is None or self.tracker.authority(_now()) is None:
+            return 0
+        return len(table.owners)
+
+    def add_report(self, report: LoadReport) -> None:
+        """Take a router's load into account in the next plans."""
+        self._placement.add_report(report, _now())
+        self.handle(LoadsChanged(self._placement))
+
     def table_seen(self, table: SliceTable) -> None:
         """Take a table that reached this process."""
         self._own_table = table
@@ -313,9 +329,28 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def _plan(table: SliceTable, servers: Mapping[str, Endpoint], loads: Any) -> Plan:
+def _plan(
+    table: SliceTable, servers: Mapping[str, Endpoint], loads: Placement | None
+) -> Plan:
+    """Return the next plan.
+
+    :param loads: placement with the reported loads; ``None`` before any report.
+    """
     states = {
         name: ServerState(weight=server.weight, leaving=server.state != "active")
         for name, server in servers.items()
     }
-    return plan_moves(table, states, loads)
+    if loads is None:
+        return plan_moves(table, states)
+    plan = loads.plan(_now(), table, states)
+    if not plan.urgent:
+        return plan
+    # An urgent plan is made also while handoffs are in flight, when no key is
+    # split or merged. For router fencing each such change would start the wait
+    # for old requests anew and leave slices longer without an owner.
+    moves = [
+        move
+        for move in plan.moves
+        if move.unit.kind != "key" or move.unit.index not in plan.splits
+    ]
+    return plan._replace(moves=tuple(moves), splits={}, merges=())
