--- a/src/jacinthpath/composition.py
+++ b/src/jacinthpath/composition.py
@@ -26,6 +26,7 @@
     from .entry import EntryService
     from .forwarding import Forwarder
     from .intake import Intake
+    from .load_reports import LoadReporter
     from .record_client import HolderClient
     from .routing import RoutingState
     from .sending_leases import SendingLeases
@@ -44,6 +45,9 @@
     endpoints = EndpointClient()
     leases = SendingLeases(subscription.pool, routing)
     dispatcher = Dispatcher(routing, own.data_centre, leases, metrics)
+    # Every host runs one control and one entry process.
+    reporter = LoadReporter(subscription.pool, routing, len(settings.control_addresses))
+    dispatcher.observe_load = reporter.observe
     records = HolderClient(
         subscription.pool,
         lambda: subscription.connected_address or settings.control_addresses[0],
@@ -61,6 +65,7 @@
         settings,
         routing,
         subscription,
+        reporter,
         endpoints,
         leases,
         dispatcher,
--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -14,6 +14,7 @@
 from .dispatch import Dispatcher
 from .endpoints import EndpointClient
 from .forwarding import Forwarder
+from .load_reports import LoadReporter
 from .logs import get_logger
 from .metrics import Metrics
 from .peers import split_address
@@ -42,6 +43,7 @@
         settings: EntrySettings,
         routing: RoutingState,
         subscription: Subscription,
+        reporter: LoadReporter,
         endpoints: EndpointClient,
         leases: SendingLeases,
         dispatcher: Dispatcher,
@@ -56,6 +58,7 @@
         self.draining = False
         self._routing = routing
         self._subscription = subscription
+        self._reporter = reporter
         self._endpoints = endpoints
         self._leases = leases
         self._dispatcher = dispatcher
@@ -75,6 +78,7 @@
         self._dispatcher.start()
         await self.add_runtime_dependency(self._subscription)
         await self.add_runtime_dependency(self._leases)
+        await self.add_runtime_dependency(self._reporter)
         await self._admin.start()
         await self._listen()
         _log.info(
