Start deferrable work promptly off the peak; refuse nothing for a full limit

The attempt then goes to some active endpoint.

Idle peer connections close after 15 s, a leaving control process says so in its digests, and non-idempotent deferrable work is claimed after its wait.

--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -85,6 +85,7 @@
     async def drain(self) -> int:
         """Hand over what this process holds."""
         self.draining = True
+        self._topics.node.leaving = True
         await self._coordinators.release_roles()
         return 0
 
--- a/src/jacinthpath/deferral.py
+++ b/src/jacinthpath/deferral.py
@@ -19,6 +19,10 @@
 # Demand above this many times the typical demand is a peak.
 PEAK_FACTOR = 1.5
 
+# Releases in each second off a peak. So few make no peak, and without them a lone
+# request in an idle system waited 19 s of an allowed 90 s.
+IDLE_RATE = 1.0
+
 # Most peaks last less than this. While one is younger, less than the constant
 # rate is released, in the hope that the work can still be done after it.
 PEAK_PATIENCE_S = 120.0
@@ -131,8 +135,9 @@
         level = FILL_SHARE * self.busiest_minute
         room = min(level / MINUTE_S - self._fast, level - self._window_total)
         recent = max(self._fast, self._demand_total / MINUTE_S)
-        if recent < PEAK_FACTOR * self._slow:
-            room = max(room, sorted(self._arrivals)[len(self._arrivals) // 2])
+        if recent < max(IDLE_RATE, PEAK_FACTOR * self._slow):
+            median = sorted(self._arrivals)[len(self._arrivals) // 2]
+            room = max(room, median, IDLE_RATE)
         share = 1.0
         if self._peak_ticks:
             left_s = max(1.0, self._pending[0][0] - now)
--- a/src/jacinthpath/dispatch.py
+++ b/src/jacinthpath/dispatch.py
@@ -259,9 +259,11 @@
         service = self._unkeyed_service(exchange)
         await service.lane.acquire(request)
         now = asyncio.get_running_loop().time()
-        endpoint = service.pool.choose(now, excluded)
-        if endpoint is None:
-            endpoint = service.pool.choose(now)
+        endpoint = (
+            service.pool.choose(now, excluded)
+            or service.pool.choose(now)
+            or self._any_active(exchange.policy)
+        )
         if endpoint is None:
             service.lane.release(request.request_id)
             raise NotRun(
@@ -273,6 +275,15 @@
         service.pool.started(endpoint, now)
         return Target(endpoint.server, endpoint.address, request_id=request.request_id)
 
+    def _any_active(self, policy: ServicePolicy) -> Endpoint | None:
+        """Return some active endpoint when all are at their limit.
+
+        The queue admits short work beside stragglers, so the attempts can exceed
+        the sum of the limits by a few; refusing them would be worse.
+        """
+        active = [e for e in policy.endpoints if e.state == "active"]
+        return self._random.choice(active) if active else None
+
     async def _await_owner(self, exchange: Exchange) -> Target:
         while True:
             table = self._routing.tables.get(exchange.service)
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -22,6 +22,7 @@
 from .intake import Intake
 from .logs import get_logger
 from .metrics import Metrics
+from .record_standing import MAX_CLAIM_S
 from .retries import Retry, RetryBudget, decide_retry
 from .tracing import Tracer
 
@@ -121,6 +122,8 @@
             self._count(exchange, outcome)
 
     async def _answer(self, exchange: Exchange, reply: _Reply) -> Attempt:
+        if exchange.policy.priority == "deferrable" and exchange.policy.defer_limit_s:
+            await self._defer(exchange)
         if exchange.policy.idempotent:
             return await self._within_deadline(exchange, reply)
         # The run goes on when the caller leaves, so that its outcome is recorded
@@ -130,6 +133,17 @@
         run.add_done_callback(self._runs.discard)
         return await asyncio.shield(run)
 
+    async def _defer(self, exchange: Exchange) -> None:
+        try:
+            async with asyncio.timeout_at(exchange.deadline_s):
+                await self._dispatcher.defer(exchange)
+        except TimeoutError:
+            raise self._too_late() from None
+        if not exchange.policy.idempotent:
+            # A claim is held for a short time only, so it begins after the wait.
+            longest_s = asyncio.get_running_loop().time() + MAX_CLAIM_S
+            exchange.deadline_s = min(exchange.deadline_s, longest_s)
+
     async def _run_once(self, exchange: Exchange, reply: _Reply) -> Attempt:
         if self._records is None or not exchange.idempotency_key:
             return await self._within_deadline(exchange, reply)
@@ -159,19 +173,11 @@
                     status=504,
                     kind="deadline-exceeded",
                 ) from None
-            raise NotRun(
-                "The deadline passed before the request could be sent.",
-                "Repeat the request later.",
-                retry_after_s=0.5 + self._random.random(),
-                status=504,
-                kind="deadline-exceeded",
-            ) from None
+            raise self._too_late() from None
 
     async def _attempt_until_answered(
         self, exchange: Exchange, reply: _Reply, progress: _Progress
     ) -> Attempt:
-        if exchange.policy.priority == "deferrable" and exchange.policy.defer_limit_s:
-            await self._dispatcher.defer(exchange)
         budget = self._budget_of(exchange)
         budget.deposit()
         tried: tuple[str, ...] = ()
@@ -302,6 +308,15 @@
         self.in_flight += step
         self._metrics.gauge("requests_in_flight", self.in_flight)
 
+    def _too_late(self) -> NotRun:
+        return NotRun(
+            "The deadline passed before the request could be sent.",
+            "Repeat the request later.",
+            retry_after_s=0.5 + self._random.random(),
+            status=504,
+            kind="deadline-exceeded",
+        )
+
     def _overloaded(self) -> NotRun:
         return NotRun(
             "This host has too many requests in flight.",
--- a/src/jacinthpath/peers.py
+++ b/src/jacinthpath/peers.py
@@ -30,7 +30,12 @@
 HEADER_BYTES = 4 + MAC_BYTES
 MAX_CONNECTIONS = 2_048
 MAX_HANDLERS_PER_CONNECTION = 256
-IDLE_TIMEOUT_S = 60.0
+
+# Gossip contacts random peers, so without a limit each process of a large fleet
+# would end up with a connection to every other one.
+IDLE_TIMEOUT_S = 15.0
+IDLE_CHECK_S = 5.0
+
 REQUEST_TIMEOUT_S = 1.0
 
 _log = get_logger()
@@ -73,6 +78,7 @@
     ) -> None:
         self.remote = PeerIdentity("", "", "", "")
         self.bytes_sent = 0
+        self.used_at_s = asyncio.get_running_loop().time()
         self._reader = reader
         self._writer = writer
         self._handlers = handlers
@@ -208,6 +214,7 @@
     def _write(self, encoded: bytes) -> None:
         mac = self._mac(self._accepting, self._frames_sent, encoded)
         self._frames_sent += 1
+        self.used_at_s = asyncio.get_running_loop().time()
         message = b"".join((len(encoded).to_bytes(4, "big"), mac, encoded))
         self.bytes_sent += len(message)
         self._metrics.count("peer_sent_bytes_total", len(message))
@@ -264,6 +271,7 @@
             self._shut()
 
     def _dispatch(self, frame: Any) -> None:
+        self.used_at_s = asyncio.get_running_loop().time()
         own_parity = 0 if self._accepting else 1
         if frame.id and frame.id % 2 == own_parity:
             future = self._pending.get(frame.id)
@@ -417,6 +425,7 @@
         self._random = randomness or random.Random()
         self._connections: dict[str, PeerConnection] = {}
         self._opening: dict[str, asyncio.Task[PeerConnection]] = {}
+        self._idle_checked_s = 0.0
 
     async def request(
         self, address: str, frame: Any, timeout_s: float = REQUEST_TIMEOUT_S
@@ -440,6 +449,7 @@
 
         :raises PeerUnavailable: it cannot be opened.
         """
+        await self._close_idle()
         connection = self._connections.get(address)
         if connection is not None and not connection.closed:
             return connection
@@ -459,6 +469,19 @@
         await asyncio.gather(*(c.close() for c in self._connections.values()))
         self._connections.clear()
 
+    async def _close_idle(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._idle_checked_s < IDLE_CHECK_S:
+            return
+        self._idle_checked_s = now_s
+        idle = [
+            address
+            for address, connection in self._connections.items()
+            if connection.closed or now_s - connection.used_at_s > IDLE_TIMEOUT_S
+        ]
+        for address in idle:
+            await self._connections.pop(address).close()
+
     async def _open(self, address: str) -> PeerConnection:
         host, port = split_address(address)
         writer = None
