--- a/bench/gossip_model.py
+++ b/bench/gossip_model.py
@@ -30,7 +30,7 @@
     fetch_frame,
     publish_frame,
 )
-from jacinthpath.peers import HEADER_BYTES
+from jacinthpath.peer_connections import HEADER_BYTES
 
 TICK_S = 0.25
 
--- a/src/jacinthpath/peers.py
+++ b/src/jacinthpath/peers.py
@@ -1,336 +1,43 @@
-"""Authenticated connections between the processes of one system.
-
-Each frame is preceded by its length (4 bytes, big-endian) and a 16-byte
-message authentication code over direction, frame number and content. A frame
-that is refused is counted and logged; it ends its connection, never the
-process.
-"""
+"""Connections between the processes of one system: accepting and opening them."""
 
 from __future__ import annotations
 
-__all__ = ["Handler", "PeerConnection", "PeerIdentity", "PeerPool", "PeerServer"]
+__all__ = [
+    "Handler",
+    "PeerConnection",
+    "PeerIdentity",
+    "PeerPool",
+    "PeerServer",
+    "split_address",
+]
 
 import asyncio
-import hashlib
-import hmac
 import random
-import secrets
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, NamedTuple
+from collections.abc import Mapping
+from typing import Any
 
-from .codec import MAX_FRAME_BYTES, decode_frame, encode_frame, new_frame
 from .errors import AuthenticationError, FrameError, PeerUnavailable
-from .keyring import ClusterKey, KeyRing
+from .keyring import KeyRing
 from .logs import get_logger
 from .metrics import Metrics
+from .peer_connections import (
+    REQUEST_TIMEOUT_S,
+    Handler,
+    PeerConnection,
+    PeerIdentity,
+)
 
-RELEASE = 1
 HANDSHAKE_TIMEOUT_S = 2.0
-MAC_BYTES = 16
-HEADER_BYTES = 4 + MAC_BYTES
 MAX_CONNECTIONS = 2_048
-MAX_HANDLERS_PER_CONNECTION = 256
 
 # Gossip contacts random peers, so without a limit each process of a large fleet
 # would end up with a connection to every other one.
 IDLE_TIMEOUT_S = 15.0
 IDLE_CHECK_S = 5.0
 
-REQUEST_TIMEOUT_S = 1.0
-
 _log = get_logger()
 
 
-class PeerIdentity(NamedTuple):
-    """Who a process is.
-
-    :param process_id: random at each start, so a restarted process is never
-        taken for its earlier life.
-    :param role: ``control``, ``entry`` or ``operator``.
-    """
-
-    host: str
-    data_centre: str
-    role: str
-    process_id: str
-
-
-Handler = Callable[["PeerConnection", Any], Awaitable[Any]]
-"""Takes the connection and the frame; returns the body to answer with as a frame
-builder, or ``None`` for a one-way message."""
-
-
-class PeerConnection:
-    """One authenticated connection; both ends may send requests.
-
-    The connecting end numbers its requests with odd identities and the
-    accepting end with even ones, so an answer is told from a request.
-    """
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        handlers: Mapping[str, Handler],
-        metrics: Metrics,
-        *,
-        accepting: bool,
-    ) -> None:
-        self.remote = PeerIdentity("", "", "", "")
-        self.bytes_sent = 0
-        self.used_at_s = asyncio.get_running_loop().time()
-        self._reader = reader
-        self._writer = writer
-        self._handlers = handlers
-        self._metrics = metrics
-        self._accepting = accepting
-        self._next_id = 2 if accepting else 1
-        self._pending: dict[int, asyncio.Future[Any]] = {}
-        self._session_key = b""
-        self._frames_sent = 0
-        self._frames_received = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._receiver: asyncio.Task[None] | None = None
-        self._on_close: list[Callable[[PeerConnection], None]] = []
-
-    @property
-    def closed(self) -> bool:
-        """Whether the connection has ended."""
-        return self._writer.is_closing()
-
-    def start(self) -> None:
-        """Begin to receive frames."""
-        self._receiver = asyncio.create_task(self._receive())
-
-    async def close(self) -> None:
-        """End the connection and fail the requests that wait on it."""
-        self._shut()
-        if self._receiver is not None and self._receiver is not asyncio.current_task():
-            self._receiver.cancel()
-            await asyncio.gather(self._receiver, return_exceptions=True)
-
-    def on_close(self, callback: Callable[[PeerConnection], None]) -> None:
-        """Call ``callback`` once when the connection ends."""
-        self._on_close.append(callback)
-
-    def send(self, frame: Any) -> None:
-        """Send a one-way frame."""
-        if self.closed:
-            raise PeerUnavailable("The connection has ended.", "Connect again.")
-        self._write(encode_frame(frame))
-
-    async def request(self, frame: Any, timeout_s: float = REQUEST_TIMEOUT_S) -> Any:
-        """Send a request and return the frame that answers it.
-
-        :raises PeerUnavailable: no answer came; the peer may have handled it.
-        :raises FrameError: the peer refused the request.
-        """
-        request_id = self._next_id
-        self._next_id += 2
-        frame.id = request_id
-        future = asyncio.get_running_loop().create_future()
-        self._pending[request_id] = future
-        try:
-            self.send(frame)
-            async with asyncio.timeout(timeout_s):
-                answer = await future
-        except TimeoutError:
-            raise PeerUnavailable(
-                f"{self.remote.host} did not answer in {timeout_s} s.",
-                "Check the host and the network.",
-            ) from None
-        finally:
-            self._pending.pop(request_id, None)
-        if answer.body.which() == "error":
-            raise FrameError(answer.body.error.message, answer.body.error.kind)
-        return answer
-
-    async def connect_handshake(self, own: PeerIdentity, keys: KeyRing) -> None:
-        """Authenticate as the connecting end."""
-        key = keys.active()
-        nonce = secrets.token_bytes(16)
-        frame = new_frame()
-        hello = frame.body.init("hello")
-        hello.release = RELEASE
-        hello.host, hello.dataCentre = own.host, own.data_centre
-        hello.role, hello.processId = own.role, own.process_id
-        hello.keyId, hello.nonce = key.key_id, nonce
-        encoded_hello = encode_frame(frame)
-        self._write(encoded_hello)
-        answer = await self._read_frame()
-        if answer.body.which() != "challenge":
-            raise AuthenticationError(
-                "The peer refused the cluster key.", "Compare the key files."
-            )
-        challenge = answer.body.challenge
-        _check(key, challenge.proof, "server", encoded_hello, challenge.nonce)
-        self.remote = PeerIdentity(
-            challenge.host, challenge.dataCentre, "control", challenge.processId
-        )
-        proof = new_frame()
-        proof.body.init("proof").proof = key.sign(
-            "client", encoded_hello, challenge.nonce
-        )
-        self._write(encode_frame(proof))
-        self._session_key = key.sign("session", encoded_hello, challenge.nonce)
-
-    async def accept_handshake(self, own: PeerIdentity, keys: KeyRing) -> None:
-        """Authenticate as the accepting end."""
-        encoded_hello = await self._read_bytes()
-        frame = decode_frame(encoded_hello)
-        if frame.body.which() != "hello":
-            raise AuthenticationError(
-                "The peer did not identify itself.", "Check what connects here."
-            )
-        hello = frame.body.hello
-        key = keys.find(hello.keyId)
-        if key is None:
-            refusal = new_frame()
-            refusal.body.init("error").kind = "unknown-key"
-            self._write(encode_frame(refusal))
-            raise AuthenticationError(
-                "The peer holds none of the accepted cluster keys.",
-                "Compare security.cluster_key_files on both hosts.",
-            )
-        nonce = secrets.token_bytes(16)
-        answer = new_frame()
-        challenge = answer.body.init("challenge")
-        challenge.nonce = nonce
-        challenge.proof = key.sign("server", encoded_hello, nonce)
-        challenge.host, challenge.dataCentre = own.host, own.data_centre
-        challenge.processId, challenge.release = own.process_id, RELEASE
-        self._write(encode_frame(answer))
-        proof = await self._read_frame()
-        if proof.body.which() != "proof":
-            raise AuthenticationError(
-                "The peer sent no proof.", "Check what connects here."
-            )
-        _check(key, proof.body.proof.proof, "client", encoded_hello, nonce)
-        self.remote = PeerIdentity(
-            hello.host, hello.dataCentre, hello.role, hello.processId
-        )
-        self._session_key = key.sign("session", encoded_hello, nonce)
-
-    def _write(self, encoded: bytes) -> None:
-        mac = self._mac(self._accepting, self._frames_sent, encoded)
-        self._frames_sent += 1
-        self.used_at_s = asyncio.get_running_loop().time()
-        message = b"".join((len(encoded).to_bytes(4, "big"), mac, encoded))
-        self.bytes_sent += len(message)
-        self._metrics.count("peer_sent_bytes_total", len(message))
-        self._writer.write(message)
-
-    async def _read_bytes(self) -> bytes:
-        header = await self._reader.readexactly(HEADER_BYTES)
-        length = int.from_bytes(header[:4], "big")
-        if length > MAX_FRAME_BYTES:
-            raise FrameError(
-                f"A frame of {length} bytes was announced.", "Check the peer's release."
-            )
-        encoded = await self._reader.readexactly(length)
-        mac = self._mac(not self._accepting, self._frames_received, encoded)
-        self._frames_received += 1
-        if not hmac.compare_digest(mac, header[4:]):
-            raise AuthenticationError(
-                "A frame was altered on its way.", "Check the network."
-            )
-        return encoded
-
-    async def _read_frame(self) -> Any:
-        return decode_frame(await self._read_bytes())
-
-    def _mac(self, accepting: bool, number: int, encoded: bytes) -> bytes:
-        if not self._session_key:
-            return bytes(MAC_BYTES)
-        digest = hashlib.blake2b(
-            key=self._session_key,
-            digest_size=MAC_BYTES,
-            salt=number.to_bytes(8, "big") + bytes([accepting]),
-        )
-        digest.update(encoded)
-        return digest.digest()
-
-    async def _receive(self) -> None:
-        try:
-            while True:
-                encoded = await self._read_bytes()
-                try:
-                    frame = decode_frame(encoded)
-                except FrameError as error:
-                    # The code was right, so a newer release sent this frame.
-                    self._refuse("unsupported", error)
-                    continue
-                self._dispatch(frame)
-                if len(self._tasks) >= MAX_HANDLERS_PER_CONNECTION:
-                    await asyncio.wait(self._tasks, return_when=asyncio.FIRST_COMPLETED)
-        except (asyncio.IncompleteReadError, ConnectionError, OSError):
-            pass
-        except (FrameError, AuthenticationError) as error:
-            self._refuse("invalid", error)
-        finally:
-            self._shut()
-
-    def _dispatch(self, frame: Any) -> None:
-        self.used_at_s = asyncio.get_running_loop().time()
-        own_parity = 0 if self._accepting else 1
-        if frame.id and frame.id % 2 == own_parity:
-            future = self._pending.get(frame.id)
-            if future is not None and not future.done():
-                future.set_result(frame)
-            return
-        task = asyncio.create_task(self._handle(frame))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _handle(self, frame: Any) -> None:
-        kind = frame.body.which()
-        handler = self._handlers.get(kind)
-        try:
-            if handler is None:
-                raise FrameError(f"Frames of kind {kind} are not handled here.")
-            answer = await handler(self, frame)
-        except (FrameError, UnicodeDecodeError, ValueError) as error:
-            self._refuse(kind, error)
-            answer = new_frame()
-            content = answer.body.init("error")
-            content.kind, content.message = "unsupported", str(error)
-        except PeerUnavailable:
-            return
-        except Exception:
-            self._metrics.count("peer_handler_errors_total", kind=kind)
-            _log.exception("peer_handler_failed", kind=kind, peer=self.remote.host)
-            answer = new_frame()
-            answer.body.init("error").message = "The handler failed; see its log."
-        if not frame.id or self.closed:
-            return
-        if answer is None:
-            answer = new_frame()
-            answer.body.done = None
-        answer.id = frame.id
-        self._write(encode_frame(answer))
-
-    def _refuse(self, reason: str, error: Exception) -> None:
-        self._metrics.count("peer_frames_refused_total", reason=reason)
-        _log.warning(
-            "peer_frame_refused",
-            reason=reason,
-            peer=self.remote.host or "unknown",
-            error=str(error),
-        )
-
-    def _shut(self) -> None:
-        self._writer.close()
-        for future in self._pending.values():
-            if not future.done():
-                future.set_exception(
-                    PeerUnavailable("The connection ended.", "Connect again.")
-                )
-        self._pending.clear()
-        callbacks, self._on_close = self._on_close, []
-        for callback in callbacks:
-            callback(self)
-
-
 class PeerServer:
     """Accepts connections of other processes.
 
@@ -511,11 +218,3 @@
     """Return IP and port of an ``IP:port`` address."""
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
-
-
-def _check(key: ClusterKey, proof: bytes, purpose: str, *parts: bytes) -> None:
-    if not hmac.compare_digest(key.sign(purpose, *parts), proof):
-        raise AuthenticationError(
-            "The peer does not hold the cluster key.",
-            "Compare security.cluster_key_files on both hosts.",
-        )
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -117,6 +117,30 @@
     await pool.close()
 
 
+async def test_truncated_frame_is_counted_and_the_server_goes_on(server, key_file):
+    """Guards against a peer that dies within a frame."""
+    pool = pool_with(key_file)
+    connection = await pool.connect(server.address)
+    connection._writer.write(b"\0\0\0\x40" + bytes(30))
+    await connection._writer.drain()
+    await connection.close()
+    assert await pool.request(server.address, status_frame())
+    refused = server.metrics.value("peer_frames_refused_total", reason="invalid")
+    assert refused == 1
+    await pool.close()
+
+
+async def test_idle_connection_is_closed(server, key_file, monkeypatch):
+    """Guards a large fleet against a connection from each process to every other."""
+    monkeypatch.setattr("jacinthpath.peers.IDLE_TIMEOUT_S", 0.0)
+    monkeypatch.setattr("jacinthpath.peers.IDLE_CHECK_S", 0.0)
+    pool = pool_with(key_file)
+    first = await pool.connect(server.address)
+    second = await pool.connect(server.address)
+    assert first.closed and not second.closed
+    await pool.close()
+
+
 async def test_silent_peer_times_out(key_file):
     async def accept(reader, writer):
         await reader.read()
