--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -40,7 +40,8 @@
 @click.argument("name")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path))
-def main(name: str, seed: int, json_file: Path | None) -> None:
+@click.option("--plot", "plot_file", type=click.Path(dir_okay=False, path_type=Path))
+def main(name: str, seed: int, json_file: Path | None, plot_file: Path | None) -> None:
     """Run the measure NAME and print its figures."""
     _use_checkout()
     from jacinthpath.errors import JacinthpathError
@@ -63,15 +64,19 @@
         "unit": result.unit,
     }
     click.echo(format_line(closing))
+    document = {
+        "machine": machine,
+        "seed": seed,
+        "duration_s": round(time.monotonic() - started_s, 3),
+        "variants": result.variants,
+        **closing,
+    }
     if json_file is not None:
-        document = {
-            "machine": machine,
-            "seed": seed,
-            "duration_s": round(time.monotonic() - started_s, 3),
-            "variants": result.variants,
-            **closing,
-        }
         json_file.write_text(json.dumps(document, indent=2) + "\n")
+    if plot_file is not None:
+        from .plots import plot_result
+
+        plot_result(document, plot_file)
 
 
 if __name__ == "__main__":
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -193,3 +193,16 @@
     entries = json.loads(session.run("history --json"))
     value = asyncio.run(session.connections.store.get(CONFIGURATION_KEY))
     assert entries[0]["change_id"] == json.loads(value.data)["change_id"]
+
+
+def test_shell_completion_names_the_commands():
+    """Guards the completion that docs/configuration.md describes."""
+    environment = {
+        "_JACINTHPATH_COMPLETE": "bash_complete",
+        "COMP_WORDS": "jacinthpath configuration ",
+        "COMP_CWORD": "2",
+    }
+    result = CliRunner().invoke(
+        main, [], env=environment, prog_name="jacinthpath", standalone_mode=False
+    )
+    assert "plain,apply" in result.output
