--- a/bench/naive_control.py
+++ b/bench/naive_control.py
@@ -20,7 +20,8 @@
 from jacinthpath.daemon import run_daemon
 from jacinthpath.dissemination import Topic
 from jacinthpath.errors import StoreError
-from jacinthpath.grants import Grant, TermTracker, decode_answer, encode_grant
+from jacinthpath.grant_messages import decode_answer, encode_grant
+from jacinthpath.grants import Grant, TermTracker
 from jacinthpath.settings import load_control_settings
 from jacinthpath.slices import SliceTable, encode_table
 
--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -83,7 +83,7 @@
         )
 
     async def drain(self) -> int:
-        """Hand over what this process holds."""
+        """Release the coordinator roles of this process."""
         self.draining = True
         self._topics.node.leaving = True
         await self._coordinators.release_roles()
--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -124,7 +124,7 @@
         }
 
     async def release_roles(self) -> None:
-        """Hand over every role; returns when the messages are sent."""
+        """Release every role; returns when the messages are sent."""
         self._leaving = True
         for runner in self._running.values():
             runner.release()
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -5,24 +5,20 @@
 __all__ = ["Forwarder", "RecordClient"]
 
 import asyncio
-import contextlib
-import json
 import random
 from typing import Protocol
 
-import aiohttp
 from aiohttp import web
-from multidict import CIMultiDict
 
 from .dispatch import INTERRUPTED, UNREACHABLE, Dispatcher, Target
 from .endpoints import EndpointClient
 from .errors import NotRun, OutcomeUnknown, RequestError
 from .exchange import Attempt, AttemptOutcome, Exchange
-from .headers import ERROR, OUTCOME
 from .intake import Intake
 from .logs import get_logger
 from .metrics import Metrics
 from .record_standing import MAX_CLAIM_S
+from .replies import CallerLeft, Reply
 from .retries import Retry, RetryBudget, decide_retry
 from .tracing import Tracer
 
@@ -82,7 +78,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one HTTP request."""
         self._change_in_flight(1)
-        reply = _Reply(request)
+        reply = Reply(request)
         try:
             if self.in_flight > self._limit:
                 raise self._overloaded()
@@ -99,7 +95,7 @@
         if self._runs:
             await asyncio.wait(self._runs)
 
-    async def _respond(self, exchange: Exchange, reply: _Reply) -> web.StreamResponse:
+    async def _respond(self, exchange: Exchange, reply: Reply) -> web.StreamResponse:
         span = self._tracer.start("entry", exchange.trace)
         if span is not None:
             exchange.trace = span.context
@@ -109,7 +105,7 @@
         except RequestError as error:
             outcome = error.outcome
             return self._refuse(exchange, reply, error)
-        except (_CallerLeft, ConnectionError, asyncio.CancelledError):
+        except (CallerLeft, ConnectionError, asyncio.CancelledError):
             outcome = "caller-left"
             raise
         except Exception:
@@ -121,7 +117,7 @@
             self._tracer.end(span, service=exchange.service, outcome=outcome)
             self._count(exchange, outcome)
 
-    async def _answer(self, exchange: Exchange, reply: _Reply) -> Attempt:
+    async def _answer(self, exchange: Exchange, reply: Reply) -> Attempt:
         if exchange.policy.priority == "deferrable" and exchange.policy.defer_limit_s:
             await self._defer(exchange)
         if exchange.policy.idempotent:
@@ -144,7 +140,7 @@
             longest_s = asyncio.get_running_loop().time() + MAX_CLAIM_S
             exchange.deadline_s = min(exchange.deadline_s, longest_s)
 
-    async def _run_once(self, exchange: Exchange, reply: _Reply) -> Attempt:
+    async def _run_once(self, exchange: Exchange, reply: Reply) -> Attempt:
         if self._records is None or not exchange.idempotency_key:
             return await self._within_deadline(exchange, reply)
         earlier = await self._records.claim(exchange)
@@ -160,7 +156,7 @@
             await self._records.settle(exchange, attempt)
         return attempt
 
-    async def _within_deadline(self, exchange: Exchange, reply: _Reply) -> Attempt:
+    async def _within_deadline(self, exchange: Exchange, reply: Reply) -> Attempt:
         progress = _Progress()
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -176,7 +172,7 @@
             raise self._too_late() from None
 
     async def _attempt_until_answered(
-        self, exchange: Exchange, reply: _Reply, progress: _Progress
+        self, exchange: Exchange, reply: Reply, progress: _Progress
     ) -> Attempt:
         budget = self._budget_of(exchange)
         budget.deposit()
@@ -246,7 +242,7 @@
         self,
         exchange: Exchange,
         target: Target,
-        reply: _Reply,
+        reply: Reply,
         progress: _Progress,
     ) -> Attempt:
         span = self._tracer.start("attempt", exchange.trace)
@@ -284,7 +280,7 @@
         return attempt
 
     def _refuse(
-        self, exchange: Exchange | None, reply: _Reply, error: RequestError
+        self, exchange: Exchange | None, reply: Reply, error: RequestError
     ) -> web.StreamResponse:
         if exchange is None:
             self._metrics.count("requests_total", service="", outcome=error.outcome)
@@ -326,10 +322,6 @@
         )
 
 
-class _CallerLeft(Exception):
-    """The caller closed its connection before it had the whole answer."""
-
-
 class _Progress:
     """Whether an attempt may have reached an endpoint."""
 
@@ -339,62 +331,6 @@
         self.reached_endpoint = False
 
 
-class _Reply:
-    """The answer to one caller, whole or visibly broken."""
-
-    def __init__(self, request: web.BaseRequest) -> None:
-        self._request = request
-        self._response: web.StreamResponse | None = None
-
-    @property
-    def started(self) -> bool:
-        """Whether status and headers are already out."""
-        return self._response is not None
-
-    async def stream(
-        self, upstream: aiohttp.ClientResponse, headers: CIMultiDict[str]
-    ) -> None:
-        """Pass a long answer on piece by piece, as fast as the caller reads."""
-        self._response = web.StreamResponse(status=upstream.status, headers=headers)
-        try:
-            await self._response.prepare(self._request)
-        except ConnectionError as error:
-            raise _CallerLeft from error
-        async for chunk in upstream.content.iter_any():
-            try:
-                await self._response.write(chunk)
-            except ConnectionError as error:
-                # Told apart from a failure of the endpoint, whose evidence it is not.
-                raise _CallerLeft from error
-        with contextlib.suppress(ConnectionError):
-            await self._response.write_eof()
-
-    def finish(self, attempt: Attempt) -> web.StreamResponse:
-        """Return the response of an answered attempt."""
-        if self._response is not None:
-            return self._response
-        return web.Response(
-            status=attempt.status, headers=attempt.headers, body=attempt.body
-        )
-
-    def fail(self, error: RequestError) -> web.StreamResponse:
-        """Return the typed error, or abort a transfer that has begun."""
-        if self._response is not None:
-            if self._request.transport is not None:
-                self._request.transport.abort()
-            return self._response
-        headers = {OUTCOME: error.outcome, ERROR: error.kind}
-        if error.retry_after_s is not None:
-            headers["Retry-After"] = str(max(1, round(error.retry_after_s)))
-        body = {"error": error.kind, "message": error.message, "remedy": error.remedy}
-        return web.Response(
-            status=error.status,
-            headers=headers,
-            body=json.dumps(body).encode(),
-            content_type="application/json",
-        )
-
-
 def _router_fault() -> OutcomeUnknown:
     return OutcomeUnknown(
         "The router failed.",
--- a/src/jacinthpath/lanes.py
+++ b/src/jacinthpath/lanes.py
@@ -14,7 +14,7 @@
 from .scheduling import QUEUED, REFUSED, QueuedRequest, RequestQueue
 
 WAKEUP_STEP_S = 0.005
-"""Shortest time between two looks at the waiting requests."""
+"""Shortest time between two checks of the waiting requests."""
 
 
 class Lane:
--- a/src/jacinthpath/scheduling.py
+++ b/src/jacinthpath/scheduling.py
@@ -39,7 +39,7 @@
 # class: it may wait, but must end by its stated time.
 PROMOTE_AT = 0.5
 
-# Longest time between two looks at waiting work.
+# Longest time between two checks of waiting work.
 RECHECK_S = 0.02
 # Timer entries of requests that no longer wait, before they are cleared.
 _COMPACT_AT = 256
--- a/src/jacinthpath/service_coordinator.py
+++ b/src/jacinthpath/service_coordinator.py
@@ -35,7 +35,7 @@
 )
 from .endpoints import EndpointClient
 from .errors import FrameError, PeerUnavailable, StoreError
-from .grants import decode_answer, encode_grant
+from .grant_messages import decode_answer, encode_grant
 from .hotkeys import LoadReport
 from .leases import LeaseCall
 from .logs import get_logger
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -20,7 +20,8 @@
 from aiohttp import web
 
 from jacinthpath.errors import FrameError
-from jacinthpath.grants import GrantHolder, decode_grant, encode_answer
+from jacinthpath.grant_messages import decode_grant, encode_answer
+from jacinthpath.grants import GrantHolder
 from jacinthpath.hashing import key_hash
 from jacinthpath.headers import DEADLINE_MS, IDEMPOTENCY_KEY, KEY, NOT_RUN
 
--- a/tests/ownership_world.py
+++ b/tests/ownership_world.py
@@ -30,13 +30,13 @@
     Tick,
     WriteTable,
 )
-from jacinthpath.grants import (
-    GrantHolder,
+from jacinthpath.grant_messages import (
     decode_answer,
     decode_grant,
     encode_answer,
     encode_grant,
 )
+from jacinthpath.grants import GrantHolder
 from jacinthpath.leases import LEASE_TTL_S, LeaseCall, LeaseResult, LeaseView
 from jacinthpath.slices import NO_OWNER
 from jacinthpath.vouches import VouchLedger, round_of
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -4,15 +4,13 @@
 from hypothesis import given, settings, strategies as st
 
 from jacinthpath.errors import FrameError
-from jacinthpath.grants import (
-    Grant,
-    GrantHolder,
-    TermTracker,
+from jacinthpath.grant_messages import (
     decode_answer,
     decode_grant,
     encode_answer,
     encode_grant,
 )
+from jacinthpath.grants import Grant, GrantHolder, TermTracker
 
 KEY = 1 << 63  # Falls into slice 2 of 4.
 
--- a/tests/test_hostile_input.py
+++ b/tests/test_hostile_input.py
@@ -8,7 +8,7 @@
 from jacinthpath.change_values import DamagedValue, decode_value
 from jacinthpath.configuration import parse_configuration
 from jacinthpath.errors import ConfigurationError, FrameError
-from jacinthpath.grants import decode_answer, decode_grant
+from jacinthpath.grant_messages import decode_answer, decode_grant
 from jacinthpath.metrics import Metrics
 from jacinthpath.record_roster import decode_roster
 from jacinthpath.routing import RoutingState
