Ignore confirmations that may have waited through a freeze

An entry process that was frozen could read an old report from its socket buffer on waking and stay ready for another staleness limit.

--- a/src/jacinthpath/subscription.py
+++ b/src/jacinthpath/subscription.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import random
+import time
 from typing import Any
 
 from mode import Service
 
 from .codec import new_frame
+from .confirmations import NOTE_S, Confirmations
 from .errors import FrameError, PeerUnavailable
 from .keyring import KeyRing
 from .logs import get_logger
@@ -47,8 +49,7 @@
             {"publish": self._on_publish, "digest": self._on_digest},
             metrics,
         )
-        self._confirmed_at_s = float("-inf")
-        self._store_down_at_s = float("-inf")
+        self._confirmations = Confirmations()
         self.connected_address = ""
 
     async def on_stop(self) -> None:
@@ -56,17 +57,14 @@
         await self.pool.close()
 
     def may_be_stale(self, limit_s: float) -> bool:
-        """Return whether a newer configuration may have been accepted unseen.
+        """Return whether a newer configuration may have been accepted unseen."""
+        return self._confirmations.may_be_stale(limit_s, _clock_s())
 
-        In an outage of the store that a majority of data centres confirms nobody
-        can change the configuration, so it stays current.
-
-        :param limit_s: time for which a confirmation counts.
-        """
-        now_s = asyncio.get_running_loop().time()
-        if self._store_down_at_s > now_s - limit_s:
-            return False
-        return now_s - self._confirmed_at_s > limit_s
+    @Service.task
+    async def _note_time(self) -> None:
+        while not self.should_stop:
+            self._confirmations.note_time(_clock_s())
+            await asyncio.sleep(NOTE_S)
 
     @Service.task
     async def _keep_connected(self) -> None:
@@ -122,12 +120,14 @@
 
     async def _on_digest(self, connection: PeerConnection, frame: Any) -> None:
         digest = frame.body.digest
-        now_s = asyncio.get_running_loop().time()
-        confirmed_at_s = now_s - digest.confirmedAgeMs / 1000
-        self._confirmed_at_s = max(self._confirmed_at_s, confirmed_at_s)
-        if digest.storeDown:
-            self._store_down_at_s = now_s
+        age_s = digest.confirmedAgeMs / 1000
+        self._confirmations.take(age_s, digest.storeDown, _clock_s())
 
     def _apply(self, frame: Any) -> None:
         for topic in frame.body.publish.topics:
             self._routing.apply_topic(topic.name, topic.version, bytes(topic.content))
+
+
+def _clock_s() -> float:
+    """Return a clock that goes on while the process is frozen."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
