Cut the coordinator alone from the store in a process test; bound relays

A TCP link with a switch stands between each control process and the store. A relayed call could name any path, which is appended to the store's URL, so a peer could have chosen the host; only control processes may relay, and only calls of the service. An unused relay inside the store adapter is removed.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -97,6 +97,8 @@
     :param services: services with their stand-in servers.
     :param hosts: number of hosts, each with one control and one entry process.
     :param data_centres: hosts are spread over this many data centres.
+    :param store_links: each control process reaches the store through a link of
+        its own, ``link-N``, that SIGUSR1 cuts and SIGUSR2 restores.
     :param control_module: module that runs control processes; the naive
         baselines have their own.
     """
@@ -111,6 +113,7 @@
         control_settings: str = "",
         log_level: str = "info",
         control_module: str = "jacinthpath",
+        store_links: bool = False,
     ) -> None:
         self.directory = Path(directory)
         self.services = tuple(services)
@@ -120,6 +123,7 @@
         self.control_settings = control_settings
         self.log_level = log_level
         self.control_module = control_module
+        self.store_links = store_links
         self.processes: dict[str, Process] = {}
         self.session: aiohttp.ClientSession | None = None
         self.store: HttpKeyValueStore | None = None
@@ -196,7 +200,7 @@
         """Start the control process of a host and list the host."""
         name = f"control-{index}"
         path = self.directory / f"{name}.toml"
-        store = self.processes["kv"].addresses["address"]
+        store = await self._store_address(index)
         hosts = self.processes["hostlist"].addresses["address"]
         path.write_text(
             f"{self.control_settings}\n{self._process_table(index)}"
@@ -211,6 +215,13 @@
         await self.list_hosts()
         return process
 
+    async def _store_address(self, index: int) -> str:
+        store = self.processes["kv"].addresses["address"]
+        if not self.store_links:
+            return store
+        link = await self.spawn(f"link-{index}", "standins.link", "--target", store)
+        return link.addresses["address"]
+
     async def start_entry(self, index: int, settings: str = "") -> Process:
         """Start the entry process of a host.
 
--- a/src/jacinthpath/store.py
+++ b/src/jacinthpath/store.py
@@ -9,10 +9,8 @@
 
 __all__ = ["HttpKeyValueStore", "KeyValueStore", "StoredValue", "StoreCallResult"]
 
-import asyncio
 import base64
 import json
-from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import quote
 
@@ -79,29 +77,21 @@
         """End a lease and delete its keys."""
 
 
-SendCall = Callable[[str, str, bytes], Awaitable[StoreCallResult]]
-
-
 class HttpKeyValueStore:
     """Adapter to a key-value service over HTTP and JSON.
 
     :param url: address of the service.
     :param call_timeout_s: longest wait for an answer.
-    :param relay: called with method, path and body when the service cannot be
-        reached from here; may reach it through another process.
     """
 
     def __init__(
         self,
         url: str,
         call_timeout_s: float = 0.4,
-        relay: SendCall | None = None,
     ) -> None:
         self.url = url.rstrip("/")
         self.call_timeout_s = call_timeout_s
         self.calls = 0
-        self.relay = relay
-        self.last_answer_s = float("-inf")
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -164,7 +154,7 @@
     async def call_directly(
         self, method: str, path: str, body: bytes, extra_wait_s: float = 0.0
     ) -> StoreCallResult:
-        """Make one call without relays; also serves calls for peers."""
+        """Make one call and return its raw result; also serves calls for peers."""
         if self._session is None:
             return StoreCallResult(0, b"", False)
         timeout = aiohttp.ClientTimeout(
@@ -180,8 +170,6 @@
             return StoreCallResult(0, b"", False)
         except (TimeoutError, aiohttp.ClientError):
             return StoreCallResult(0, b"", True)
-        if response.status < 500:
-            self.last_answer_s = asyncio.get_running_loop().time()
         return StoreCallResult(response.status, content, True)
 
     async def _call(
@@ -193,10 +181,6 @@
     ) -> StoreCallResult:
         encoded = json.dumps(body).encode() if body is not None else b""
         result = await self.call_directly(method, path, encoded, extra_wait_s)
-        if result.status == 0 and self.relay is not None:
-            # A write that may have reached the store is not sent again.
-            if method == "GET" or not result.sent:
-                result = await self.relay(method, path, encoded)
         if 0 < result.status < 500:
             return result
         if result.sent and method != "GET" and result.status != 503:
--- a/src/jacinthpath/store_relay.py
+++ b/src/jacinthpath/store_relay.py
@@ -16,6 +16,10 @@
 
 RELAY_TIMEOUT_S = 0.25
 
+# A path is appended to the store's URL, so a peer must not choose it freely.
+METHODS = frozenset({"GET", "PUT", "POST", "DELETE"})
+PATHS = ("/kv/", "/leases")
+
 
 class StoreRelay:
     """Both ends of a store call through a peer.
@@ -41,6 +45,12 @@
 
     async def _on_relay_store(self, connection: PeerConnection, frame: Any) -> Any:
         content = frame.body.relayStore
+        allowed = content.method in METHODS and content.path.startswith(PATHS)
+        if connection.remote.role != "control" or not allowed:
+            raise FrameError(
+                f"A store call to {content.path[:40]!r} is not relayed.",
+                "Only control processes relay calls of the key-value service.",
+            )
         result = await self._own_store.call_directly(
             content.method, content.path, bytes(content.body)
         )
--- a/tests/test_coordinator_service.py
+++ b/tests/test_coordinator_service.py
@@ -26,6 +26,7 @@
         services,
         hosts=4,
         control_settings=f"vouch_min_uptime_s = {MIN_UPTIME_S}",
+        store_links=True,
     ) as fleet:
         await fleet.wait_until_ready()
         # Hosts that are younger than this answer no inquiry.
@@ -150,3 +151,17 @@
     await wait_until_served(fleet, names(0, 1, 2), 5.0)
     stored = await fleet.store.get("generation/preview")
     assert json.loads(stored.data)["generation"] >= 1
+
+
+async def test_coordinator_that_alone_is_cut_from_the_store_keeps_its_role(fleet):
+    """Guards against a takeover, and a gap, where peers still reach the store."""
+    process = await coordinator(fleet)
+    link = fleet.processes[process.name.replace("control", "link")]
+    before = (await fleet.server_stats("preview-0"))["epoch"]
+    link.signal(signal.SIGUSR1)
+    gap = await longest_gap(fleet, 3.0)
+    assert await coordinator(fleet) is process
+    assert (await fleet.server_stats("preview-0"))["epoch"] == before
+    assert gap < 0.3
+    link.signal(signal.SIGUSR2)
+    assert await longest_gap(fleet, 1.0) < 0.3
--- /dev/null
+++ b/tests/test_store_relay.py
@@ -0,0 +1,53 @@
+import pytest
+
+from jacinthpath.codec import new_frame
+from jacinthpath.errors import FrameError
+from jacinthpath.peers import PeerIdentity
+from jacinthpath.store import StoreCallResult
+from jacinthpath.store_relay import StoreRelay
+
+
+class RecordingStore:
+    def __init__(self):
+        self.calls = []
+
+    async def call_directly(self, method, path, body):
+        self.calls.append((method, path, body))
+        return StoreCallResult(200, b"{}", True)
+
+
+class Connection:
+    def __init__(self, role):
+        self.remote = PeerIdentity("host-1", "dc-1", role, "p")
+
+
+async def relay(method, path, role="control"):
+    store = RecordingStore()
+    frame = new_frame()
+    content = frame.body.init("relayStore")
+    content.method, content.path = method, path
+    handler = StoreRelay(store, None, list).handlers()["relayStore"]
+    answer = await handler(Connection(role), frame)
+    assert answer.body.storeAnswer.status == 200
+    return store.calls
+
+
+async def test_call_of_the_service_is_relayed():
+    assert await relay("GET", "/kv/table%2Fstock") == [
+        ("GET", "/kv/table%2Fstock", b"")
+    ]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "role"),
+    [
+        ("GET", "@127.0.0.1:9/kv/", "control"),
+        ("GET", "/-/faults", "control"),
+        ("TRACE", "/kv/a", "control"),
+        ("GET", "/kv/a", "entry"),
+    ],
+)
+async def test_other_calls_are_refused(method, path, role):
+    """Guards the store's network against a peer that chooses what is called."""
+    with pytest.raises(FrameError):
+        await relay(method, path, role)
