--- a/src/jacinthpath/operator_cli.py
+++ b/src/jacinthpath/operator_cli.py
@@ -360,13 +360,23 @@
 
 
 def _status_table(statuses: Sequence[HostStatus]) -> str:
-    rows = [
-        (s.host or s.address, s.data_centre, s.version, s.freshness, s.unready_reason)
-        if not s.error
-        else (s.address, "", "", "", s.error)
-        for s in statuses
-    ]
-    return _table(("host", "data_centre", "version", "freshness", "note"), rows)
+    header = ("host", "data_centre", "version", "freshness", "age_s", "coordinates")
+    return _table((*header, "note"), [_status_row(status) for status in statuses])
+
+
+def _status_row(status: HostStatus) -> tuple[Any, ...]:
+    if status.error:
+        return (status.address, "", "", "", "", "", status.error)
+    age_s = "" if status.confirmed_age_s is None else f"{status.confirmed_age_s:.1f}"
+    return (
+        status.host or status.address,
+        status.data_centre,
+        status.version,
+        status.freshness,
+        age_s,
+        ",".join(status.coordinates),
+        status.unready_reason,
+    )
 
 
 def _endpoint_text(endpoint: dict[str, Any]) -> str:
--- a/src/jacinthpath/queries.py
+++ b/src/jacinthpath/queries.py
@@ -52,6 +52,8 @@
     """What one control process says.
 
     :param version: configuration in force, 0 for none.
+    :param confirmed_age_s: age of the newest proof that it is current.
+    :param coordinates: services that the process coordinates.
     :param error: why there is no answer, or an empty string.
     """
 
@@ -60,6 +62,8 @@
     data_centre: str = ""
     version: int = 0
     freshness: str = ""
+    confirmed_age_s: float | None = None
+    coordinates: tuple[str, ...] = ()
     unready_reason: str = ""
     error: str = ""
 
@@ -247,6 +251,8 @@
             answer.get("data_centre", ""),
             answer.get("configuration_version", 0),
             answer.get("freshness", ""),
+            answer.get("confirmed_age_s"),
+            tuple(answer.get("coordinates", ())),
             answer.get("unready_reason", ""),
         )
         return status, answer
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -37,7 +37,8 @@
     A request says what it needs in its query: ``ms`` (time in a slot),
     ``size`` (bytes of the answer), ``end`` (``half`` breaks the answer off
     half way, ``undelimited`` leaves its end unmarked, ``silent`` breaks off
-    before any answer).
+    before any answer). ``POST /-/state`` sets ``draining`` and ``shedding``; both
+    refuse new work, and work that runs is finished.
 
     :param keyed: whether the server serves only keys it was granted.
     :param checks: whether it checks grants; otherwise it serves every key.
@@ -60,7 +61,7 @@
         self.holder = GrantHolder(service, secrets.token_hex(8))
         self.slots = asyncio.Semaphore(slots)
         self.cold_until_s = time.monotonic() + cold_ms / 1000
-        self.state = {"shedding": False, "reported_load": 0.0}
+        self.state = {"draining": False, "shedding": False}
         self.waiting = 0
         self.runs: list[dict[str, Any]] = []
         self.counts = {"runs": 0, "refused": 0, "not_owner": 0, "cancelled": 0}
@@ -75,6 +76,8 @@
             return await self._take_grant(request)
         if request.path.startswith("/-/"):
             return await self._administer(request)
+        if self.state["draining"]:
+            return self._refuse("draining")
         if self.state["shedding"] or self.waiting >= BACKLOG:
             return self._refuse("shedding")
         key = request.headers.get(KEY, "")
--- a/tests/test_leaving_endpoint.py
+++ b/tests/test_leaving_endpoint.py
@@ -34,3 +34,19 @@
         await asyncio.gather(*callers)
         assert (await fleet.server_stats("publish-0"))["counts"]["runs"] == runs
         assert statuses[before:].count(200) == len(statuses) - before
+
+
+async def test_endpoint_that_drains_unannounced_costs_no_caller_its_answer(tmp_path):
+    """Guards callers against the refusals of a server that drains on its own."""
+    services = [ServiceSpec("publish", servers=3, fields=("idempotent = false",))]
+    async with Fleet(tmp_path, services, hosts=1) as fleet:
+        await fleet.wait_until_ready()
+        # First attempts earn the budget for the retries that the refusals cause.
+        for _ in range(60):
+            await fleet.request("publish", "/p")
+        address = fleet.processes["publish-0"].addresses["address"]
+        url = f"http://{address}/-/state"
+        async with fleet.session.post(url, json={"draining": True}) as response:
+            assert response.status == 200
+        statuses = [(await fleet.request("publish", "/p"))[0] for _ in range(30)]
+        assert statuses == [200] * 30
--- a/tests/test_operator_cli.py
+++ b/tests/test_operator_cli.py
@@ -64,6 +64,8 @@
             "data_centre": f"dc-{address[7]}",
             "configuration_version": self.versions[address],
             "freshness": "fresh",
+            "confirmed_age_s": 0.41,
+            "coordinates": ["preview"] if address == "10.1.0.1:7000" else [],
             "members": members,
         }
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -139,7 +139,7 @@
 
 
 async def test_body_that_ends_early_reaches_no_endpoint(fleet):
-    before = await total_runs(fleet, "publish")
+    before = await total(fleet, "publish", "runs")
     address = fleet.entries[0].addresses["callers_address"]
     host, _, port = address.rpartition(":")
     _, writer = await asyncio.open_connection(host, int(port))
@@ -152,9 +152,30 @@
     await writer.wait_closed()
     status, _, _ = await fleet.request("publish", "/after")
     assert status == 200
-    assert await total_runs(fleet, "publish") == before + 1
+    assert await total(fleet, "publish", "runs") == before + 1
 
 
-async def total_runs(fleet, service):
+async def test_caller_that_leaves_is_counted_and_its_attempt_cancelled(fleet):
+    """Guards against work that goes on for nobody, and against leaked requests."""
+    entry = fleet.entries[0]
+    before = await total(fleet, "preview", "cancelled")
+    runs = await total(fleet, "preview", "runs")
+    asking = asyncio.create_task(
+        fleet.request("preview", "/slow?ms=3000", key="left-alone", entry=entry)
+    )
+    async with asyncio.timeout(10):
+        while await total(fleet, "preview", "runs") == runs and not asking.done():
+            await asyncio.sleep(0.01)
+        asking.cancel()
+        while await total(fleet, "preview", "cancelled") == before:
+            await asyncio.sleep(0.01)
+    url = f"http://{entry.addresses['admin_address']}/metrics"
+    async with fleet.session.get(url) as response:
+        page = await response.text()
+    assert 'requests_total{outcome="caller-left",service="preview"} 1' in page
+    assert "requests_in_flight 0" in page
+
+
+async def total(fleet, service, count):
     stats = [await fleet.server_stats(f"{service}-{index}") for index in range(3)]
-    return sum(entry["counts"]["runs"] for entry in stats)
+    return sum(entry["counts"][count] for entry in stats)
