Bound the drain of control processes; write the daemons' options once

shutdown_limit_s of a control process was read and used nowhere, so a release of roles that hangs had no bound; it now ends at the limit, is logged and gives exit status 1. The two daemon commands and the two settings loaders repeated each other line by line.

--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -6,11 +6,17 @@
 
 import sys
 from collections.abc import Callable
+from typing import TYPE_CHECKING, TypeVar
 
 import click
 
 from .errors import JacinthpathError
 
+if TYPE_CHECKING:
+    from .daemon import Drainable
+
+Settings = TypeVar("Settings")
+
 
 class _Command(click.Group):
     """Shows typed errors with their remedy and ends with their exit status.
@@ -46,46 +52,52 @@
     """Route requests to servers that own keys exclusively."""
 
 
-def _settings_option(function: Callable[..., None]) -> Callable[..., None]:
-    return click.option(
+def _daemon_options(function: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that every daemon has."""
+    check = click.option("--check", is_flag=True, help="Check the settings and exit.")
+    settings = click.option(
         "--settings",
         "path",
         required=True,
         type=click.Path(),
         help="TOML file with the settings of the process.",
-    )(function)
+    )
+    return settings(check(function))
+
+
+def _run(
+    path: str,
+    check: bool,
+    load: Callable[[str], Settings],
+    build: Callable[[Settings], Drainable],
+) -> None:
+    from .daemon import run_daemon
+
+    settings = load(path)
+    if check:
+        click.echo(f"{path} is valid.")
+        return
+    sys.exit(run_daemon(build(settings)))
 
 
 @main.command()
-@_settings_option
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@_daemon_options
 def entry(path: str, check: bool) -> None:
     """Run an entry process."""
     from .composition import build_entry
-    from .daemon import run_daemon
     from .settings import load_entry_settings
 
-    settings = load_entry_settings(path)
-    if check:
-        click.echo(f"{path} is valid.")
-        return
-    sys.exit(run_daemon(build_entry(settings)))
+    _run(path, check, load_entry_settings, build_entry)
 
 
 @main.command()
-@_settings_option
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
+@_daemon_options
 def control(path: str, check: bool) -> None:
     """Run a control process."""
     from .composition import build_control
-    from .daemon import run_daemon
     from .settings import load_control_settings
 
-    settings = load_control_settings(path)
-    if check:
-        click.echo(f"{path} is valid.")
-        return
-    sys.exit(run_daemon(build_control(settings)))
+    _run(path, check, load_control_settings, build_control)
 
 
 @main.command()
--- a/src/jacinthpath/control.py
+++ b/src/jacinthpath/control.py
@@ -4,6 +4,7 @@
 
 __all__ = ["ControlService"]
 
+import asyncio
 import json
 from typing import Any
 
@@ -86,7 +87,12 @@
         """Release the coordinator roles of this process."""
         self.draining = True
         self._topics.node.leaving = True
-        await self._coordinators.release_roles()
+        try:
+            async with asyncio.timeout(self.settings.shutdown_limit_s):
+                await self._coordinators.release_roles()
+        except TimeoutError:
+            _log.warning("roles_not_released")
+            return 1
         return 0
 
     async def on_stop(self) -> None:
--- a/src/jacinthpath/settings.py
+++ b/src/jacinthpath/settings.py
@@ -161,12 +161,7 @@
     """
     settings = _load(path, EntrySettings)
     if not settings.listen.callers_address:
-        raise SettingsError(
-            str(path),
-            "listen.callers_address",
-            "missing",
-            'Add the address for callers, such as callers_address = "127.0.0.1:8080".',
-        )
+        raise _address_missing(path, "callers", "callers_address", "127.0.0.1:8080")
     return settings
 
 
@@ -177,12 +172,7 @@
     """
     settings = _load(path, ControlSettings)
     if not settings.listen.peer_address:
-        raise SettingsError(
-            str(path),
-            "listen.peer_address",
-            "missing",
-            'Add the address for peers, such as peer_address = "127.0.0.1:7000".',
-        )
+        raise _address_missing(path, "peers", "peer_address", "127.0.0.1:7000")
     return settings
 
 
@@ -223,6 +213,13 @@
     return texts
 
 
+def _address_missing(
+    path: str | Path, users: str, name: str, example: str
+) -> SettingsError:
+    remedy = f'Add the address for {users}, such as {name} = "{example}".'
+    return SettingsError(str(path), f"listen.{name}", "missing", remedy)
+
+
 def _load(path: str | Path, kind: type[T]) -> T:
     try:
         text = Path(path).read_text()
