--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -100,6 +100,24 @@
     _run(path, check, load_control_settings, build_control)
 
 
+@main.command()
+@click.option(
+    "--settings",
+    "path",
+    envvar="JACINTHPATH_SETTINGS",
+    required=True,
+    type=click.Path(),
+    help="Settings file that the platform writes.",
+)
+@click.option("--check", is_flag=True, help="Check the settings and exit.")
+def gateway(path: str, check: bool) -> None:
+    """Run a gateway process on the platform."""
+    from .gateway_composition import build_gateway
+    from .platform import load_settings
+
+    _run(path, check, load_settings, lambda _settings: build_gateway(path))
+
+
 @main.command()
 @click.argument("page", type=click.Choice(["metrics", "settings"]))
 def reference(page: str) -> None:
--- a/src/jacinthpath/daemon.py
+++ b/src/jacinthpath/daemon.py
@@ -41,6 +41,9 @@
     signals: asyncio.Queue[int] = asyncio.Queue()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, signals.put_nowait, number)
+    reload = getattr(service, "reload", None)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await service.start()
     await signals.get()
     draining = asyncio.create_task(service.drain())
--- /dev/null
+++ b/src/jacinthpath/gateway/assigner.py
@@ -0,0 +1,412 @@
+"""The leader's work: grants, moves, and the written assignment."""
+
+from __future__ import annotations
+
+__all__ = ["Assigner"]
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from mode import Service
+
+from ..errors import StoreError, StoreOutcomeUnknown
+from .assignment import encode_assignment
+from .balance import Member, first_ranges, plan_moves
+from .beliefs import ASSIGNMENT_KEY, LEADER_KEY, Beliefs
+from .clock import boot_time_s
+from .events import EventLog
+from .leadership import Leadership
+from .loads import LoadBoard
+from .model import Backend, Timing
+from .orders import GrantOrder, OrderResult, OrderSender, ReleaseOrder
+from .ownership import (
+    RENEWAL_S,
+    Authority,
+    Holding,
+    Ownership,
+    adopted,
+    former_bound_s,
+)
+from .store import Condition, ConflictingWrite, Store, Write
+
+TICK_S = 0.1
+PLAN_S = 1.0
+"""Time between plans by load."""
+
+GRANT_TIMEOUT_S = 0.4
+RELEASE_TIMEOUT_S = 2.5
+"""A release is answered when the running work has ended."""
+
+FAILURES_TO_MOVE = 2
+"""Grants in a row without an answer after which a server's keys are moved."""
+
+FOUND_DELAY_S = 0.5
+"""Servers have to be known for this long before a service gets its first owners."""
+
+
+class Assigner(Service):
+    """Grants the keys of all keyed services while this host leads."""
+
+    def __init__(
+        self,
+        store: Store,
+        beliefs: Beliefs,
+        leadership: Leadership,
+        orders: OrderSender,
+        loads: LoadBoard,
+        timing: Timing,
+        events: EventLog,
+        metrics: Any,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._beliefs = beliefs
+        self._leadership = leadership
+        self._orders = orders
+        self._loads = loads
+        self._timing = timing
+        self._events = events
+        self._metrics = metrics
+        self._ownership: Ownership | None = None
+        self._reign: Authority | None = None
+        self._revision = 0
+        self._unwritten = False
+        self._planned_s = 0.0
+        self._servers_since_s: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def on_start(self) -> None:
+        """Begin to act whenever this host leads."""
+        self.add_future(self._run())
+
+    async def _run(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._tick()
+            except StoreError as error:
+                self._events.process("assignment_not_written", error=str(error))
+                await asyncio.sleep(TICK_S)
+            await asyncio.sleep(TICK_S)
+
+    async def _tick(self) -> None:
+        authority = self._leadership.authority
+        if authority is None:
+            self._ownership = self._reign = None
+            return
+        if authority is not self._reign:
+            await self._adopt(authority)
+        if self._ownership is None:
+            return
+        now_s = boot_time_s()
+        if authority.may_move(now_s):
+            await self._change_owners(now_s)
+        if authority.may_renew(boot_time_s()):
+            self._renew(authority, boot_time_s())
+
+    # Taking over.
+
+    async def _adopt(self, authority: Authority) -> None:
+        """Write the assignment with a higher fence; no key moves."""
+        item = await self._store.read(ASSIGNMENT_KEY)
+        if item is None:
+            self._ownership = Ownership(self._beliefs.assignment, 0.0)
+            self._revision = 0
+            self._unwritten = False
+            self._reign = authority
+            return
+        self._beliefs.apply_assignment(item.value, item.revision, "store")
+        if self._beliefs.assignment_revision != item.revision:
+            raise StoreError(
+                "The written assignment cannot be read.", "See document_refused."
+            )
+        assignment = adopted(self._beliefs.assignment)
+        bound_s = former_bound_s(
+            boot_time_s(), authority.ttl_s, self._timing.hold_max_s
+        )
+        ownership = Ownership(assignment, bound_s)
+        self._revision = item.revision
+        await self._write(ownership)
+        self._unwritten = False
+        self._ownership = ownership
+        self._reign = authority
+        self._events.belief(
+            "assignment_adopted", revision=self._revision, fence=ownership.fence
+        )
+
+    # Changing owners.
+
+    async def _change_owners(self, now_s: float) -> None:
+        """Write and carry out the changes that are due."""
+        backends = self._beliefs.directory.all()
+        ownership = self._ownership
+        changed = self._unwritten
+        changed |= self._found_services(now_s)
+        changed |= ownership.renew_lives(backends)
+        finished = ownership.finish_moves(now_s, backends)
+        changed |= bool(finished)
+        changed |= self._retarget(backends)
+        if now_s - self._planned_s >= PLAN_S or self._needs_evacuation(backends):
+            self._planned_s = now_s
+            changed |= self._begin_moves(now_s)
+        if changed:
+            self._unwritten = True
+            await self._write(ownership)
+            self._unwritten = False
+        for holding in finished:
+            self._events.belief(
+                "keys_moved",
+                first=holding.owned.first,
+                last=holding.owned.last,
+                server=holding.owned.server,
+                fence=holding.owned.fence,
+                handover=bool(holding.handover),
+            )
+        self._release_moving()
+
+    def _found_services(self, now_s: float) -> bool:
+        """Give the services that have no owners their first ones."""
+        routes = self._beliefs.routes
+        changed = False
+        for service in routes.table.services.values() if routes else ():
+            if not service.keyed or self._ownership.holdings.get(service.name):
+                continue
+            members = self._ready(service.name)
+            if not members:
+                continue
+            since_s = self._servers_since_s.setdefault(service.name, now_s)
+            if now_s - since_s < FOUND_DELAY_S:
+                continue
+            by_id = {backend.server: backend for backend in members}
+            equal = [Member(server, 1.0) for server in sorted(by_id)]
+            self._ownership.found(
+                service.name,
+                [
+                    (first, last, by_id[server])
+                    for first, last, server in first_ranges(equal)
+                ],
+            )
+            changed = True
+        return changed
+
+    def _ready(self, service: str) -> list[Backend]:
+        """Return the servers that may receive keys."""
+        return [
+            b for b in self._beliefs.directory.of_service(service) if not b.draining
+        ]
+
+    def _failing(self, service: str) -> set[str]:
+        """Return the servers that do not answer grants."""
+        return {
+            holding.owned.server
+            for holding in self._ownership.holdings.get(service, ())
+            if holding.failures >= FAILURES_TO_MOVE
+        }
+
+    def _retarget(self, backends: dict[str, Backend]) -> bool:
+        """Choose another target where one is gone, draining or not answering."""
+        changed = False
+        for service, holding in self._ownership.all_holdings():
+            target = holding.owned.target
+            if not target:
+                continue
+            backend = backends.get(target)
+            failing = self._failing(service)
+            if backend is not None and not backend.draining and target not in failing:
+                continue
+            others = [b for b in self._ready(service) if b.server not in failing]
+            if not others:
+                continue
+            fewest = min(others, key=lambda b: self._range_count(service, b.server))
+            if fewest.server != target:
+                holding.owned = holding.owned._replace(target=fewest.server)
+                changed = True
+        return changed
+
+    def _range_count(self, service: str, server: str) -> int:
+        holdings = self._ownership.holdings[service]
+        return sum(h.owned.server == server for h in holdings)
+
+    def _needs_evacuation(self, backends: dict[str, Backend]) -> bool:
+        for service, holding in self._ownership.all_holdings():
+            if holding.owned.target:
+                continue
+            backend = backends.get(holding.owned.server)
+            if backend is None or backend.draining:
+                return bool(self._ready(service))
+        return False
+
+    def _begin_moves(self, now_s: float) -> bool:
+        """Mark the ranges that should move; the write makes it known."""
+        changed = False
+        self._loads.decay(now_s)
+        for service in [*self._ownership.holdings]:
+            for move in self._planned(service):
+                if not self._ownership.begin_move(service, *move):
+                    continue
+                self._events.belief(
+                    "move_begun",
+                    service=service,
+                    first=move.first,
+                    last=move.last,
+                    target=move.target,
+                    reason="load or leaving",
+                )
+                changed = True
+        return changed
+
+    def _planned(self, service: str) -> list[Any]:
+        ready = self._ready(service)
+        if not ready:
+            return []
+        failing = self._failing(service)
+        speeds = self._loads.speeds(service)
+        members = [
+            Member(b.server, speeds.get(b.server, 1.0), b.server in failing)
+            for b in ready
+        ]
+        if all(member.leaving for member in members):
+            return []
+        ranges = [holding.owned for holding in self._ownership.holdings[service]]
+        return plan_moves(ranges, members, self._loads.key_loads(service))
+
+    async def _write(self, ownership: Ownership) -> None:
+        """Write the assignment; retry a write whose answer was lost.
+
+        :raises StoreError: it was not written; leadership is in doubt.
+        """
+        content = encode_assignment(ownership.written())
+        conditions = (
+            Condition(ASSIGNMENT_KEY, self._revision),
+            Condition(LEADER_KEY, self._leadership.record_revision),
+        )
+        try:
+            self._revision = await self._store.write(
+                conditions, (Write(ASSIGNMENT_KEY, content),)
+            )
+        except ConflictingWrite as conflict:
+            self._revision = self._settled(content, conflict)
+        except StoreOutcomeUnknown:
+            # The same write under the same conditions takes effect once at most.
+            try:
+                self._revision = await self._store.write(
+                    conditions, (Write(ASSIGNMENT_KEY, content),)
+                )
+            except ConflictingWrite as conflict:
+                self._revision = self._settled(content, conflict)
+        self._beliefs.apply_assignment(content, self._revision, "own")
+
+    def _settled(self, content: bytes, conflict: ConflictingWrite) -> int:
+        """Return the revision of a write that was done without an answer.
+
+        :raises StoreError: another leader has written.
+        """
+        for item in conflict.current:
+            if item.key == ASSIGNMENT_KEY and item.value == content:
+                return item.revision
+        self._ownership = self._reign = None
+        raise StoreError(
+            "Another write of the assignment came first.", "The assignment is read."
+        )
+
+    # Orders.
+
+    def _renew(self, authority: Authority, now_s: float) -> None:
+        """Send the grants that are due."""
+        hold_s = authority.hold_s(now_s, self._timing.hold_max_s)
+        for service, holding in self._ownership.all_holdings():
+            owned = holding.owned
+            if owned.target or holding.sending:
+                continue
+            due = now_s - holding.answered_s >= RENEWAL_S or not holding.granted
+            if due and owned.fence <= self._beliefs.assignment.fence:
+                holding.sending = True
+                self._start(self._grant(authority, service, holding, hold_s))
+
+    async def _grant(
+        self, authority: Authority, service: str, holding: Holding, hold_s: float
+    ) -> None:
+        owned = holding.owned
+        backend = self._beliefs.directory.find(owned.server)
+        address = backend.address if backend else owned.address
+        order = GrantOrder(
+            owned.first, owned.last, owned.fence, hold_s, holding.handover
+        )
+        try:
+            answer = await self._orders.grant(
+                owned.server, address, order, GRANT_TIMEOUT_S
+            )
+        finally:
+            holding.sending = False
+        now_s = boot_time_s()
+        self._metrics.count("orders_total", kind="grant", result=answer.result.value)
+        if answer.result is OrderResult.DONE:
+            if not holding.granted:
+                self._events.belief(
+                    "keys_granted",
+                    service=service,
+                    first=owned.first,
+                    last=owned.last,
+                    server=owned.server,
+                    fence=owned.fence,
+                    hold_s=hold_s,
+                )
+            holding.grant_answered(now_s, hold_s)
+            return
+        if answer.result is OrderResult.UNKNOWN:
+            holding.grant_uncertain(now_s, hold_s)
+        else:
+            holding.grant_not_run()
+        self._events.belief(
+            "grant_not_confirmed",
+            service=service,
+            first=owned.first,
+            last=owned.last,
+            server=owned.server,
+            fence=owned.fence,
+            result=answer.result.value,
+            detail=answer.detail,
+            failures=holding.failures,
+        )
+        await asyncio.sleep(0)
+
+    def _release_moving(self) -> None:
+        """Ask the holders of moving ranges to give them up."""
+        for service, holding in self._ownership.all_holdings():
+            if holding.owned.target and not holding.released and not holding.sending:
+                holding.sending = True
+                self._start(self._release(service, holding))
+
+    async def _release(self, service: str, holding: Holding) -> None:
+        owned = holding.owned
+        backend = self._beliefs.directory.find(owned.server)
+        address = backend.address if backend else owned.address
+        order = ReleaseOrder(owned.first, owned.last, self._ownership.fence)
+        try:
+            answer = await self._orders.release(
+                owned.server, address, order, RELEASE_TIMEOUT_S
+            )
+        finally:
+            holding.sending = False
+        self._metrics.count("orders_total", kind="release", result=answer.result.value)
+        done = answer.result is OrderResult.DONE
+        if done:
+            holding.release_answered(answer.handover)
+        self._events.belief(
+            "keys_released" if done else "release_not_confirmed",
+            service=service,
+            first=owned.first,
+            last=owned.last,
+            server=owned.server,
+            fence=order.fence,
+            result=answer.result.value,
+            detail=answer.detail,
+            held_for_s=round(holding.held_until_s - boot_time_s(), 2),
+        )
+        if not done:
+            await asyncio.sleep(TICK_S)
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/jacinthpath/gateway/assignment.py
@@ -0,0 +1,134 @@
+"""Which server owns which keys, as it lies in the store."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Assignment",
+    "OwnedRange",
+    "OwnerIndex",
+    "decode_assignment",
+    "encode_assignment",
+    "merge_adjacent",
+]
+
+import json
+from bisect import bisect_right
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from ..errors import JacinthpathError
+from .model import KEY_COUNT
+
+
+class OwnedRange(NamedTuple):
+    """A range of keys with its owner.
+
+    :param first: first key; ``last`` is the last one.
+    :param server: owner, or the holder that has to give the keys up.
+    :param address: where the owner takes orders, for a leader that does not see its
+        entry.
+    :param born_ms: start of the owner's life that the grant was made to.
+    :param fence: fence of the grant.
+    :param target: server that the keys are moving to, or an empty string.
+    """
+
+    first: int
+    last: int
+    server: str
+    address: str
+    born_ms: int
+    fence: int
+    target: str = ""
+
+
+class Assignment(NamedTuple):
+    """Owners of all keyed services.
+
+    :param fence: the highest fence given out so far.
+    """
+
+    fence: int
+    ranges: dict[str, tuple[OwnedRange, ...]]
+
+
+EMPTY_ASSIGNMENT = Assignment(0, {})
+
+
+class OwnerIndex:
+    """Finds the owner of a key of one service."""
+
+    def __init__(self, ranges: tuple[OwnedRange, ...]) -> None:
+        self.ranges = ranges
+        self._firsts = [owned.first for owned in ranges]
+
+    def find(self, key: int) -> OwnedRange | None:
+        """Return the range that holds a key, or ``None``."""
+        index = bisect_right(self._firsts, key) - 1
+        if index < 0:
+            return None
+        owned = self.ranges[index]
+        return owned if key <= owned.last else None
+
+
+def encode_assignment(assignment: Assignment) -> bytes:
+    """Return the stored form."""
+    document = {
+        "fence": assignment.fence,
+        "ranges": {
+            service: [list(owned) for owned in ranges]
+            for service, ranges in assignment.ranges.items()
+        },
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_assignment(content: bytes) -> Assignment:
+    """Read the stored form.
+
+    :raises JacinthpathError: it cannot be read, or its ranges overlap.
+    """
+    try:
+        document = json.loads(content)
+        ranges = {
+            service: tuple(OwnedRange(*row) for row in rows)
+            for service, rows in document["ranges"].items()
+        }
+        assignment = Assignment(int(document["fence"]), ranges)
+        for owned in ranges.values():
+            _check_order(owned)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise JacinthpathError(
+            f"The assignment cannot be read: {error!r}.",
+            "Remove the key jacinthpath/assignment once no server holds keys.",
+        ) from error
+    return assignment
+
+
+def merge_adjacent(ranges: Iterable[OwnedRange], fence: int) -> tuple[OwnedRange, ...]:
+    """Give all ranges one fence and join neighbours of the same owner."""
+    merged: list[OwnedRange] = []
+    for owned in ranges:
+        owned = owned._replace(fence=fence)
+        previous = merged[-1] if merged else None
+        if previous is not None and _joins(previous, owned):
+            merged[-1] = previous._replace(last=owned.last)
+        else:
+            merged.append(owned)
+    return tuple(merged)
+
+
+def _joins(left: OwnedRange, right: OwnedRange) -> bool:
+    return (
+        left.last + 1 == right.first
+        and left.server == right.server
+        and left.born_ms == right.born_ms
+        and left.target == right.target
+    )
+
+
+def _check_order(ranges: tuple[OwnedRange, ...]) -> None:
+    before = -1
+    for owned in ranges:
+        if not before < owned.first <= owned.last < KEY_COUNT:
+            raise ValueError(f"range {owned.first} to {owned.last} is out of order")
+        before = owned.last
--- /dev/null
+++ b/src/jacinthpath/gateway/balance.py
@@ -0,0 +1,256 @@
+"""Where the ranges of a keyed service are placed, by observed load.
+
+Busy keys lie close together and servers differ in speed, so ranges are cut where
+the load is: a server gets load in proportion to its speed, and moves start at the
+server that is busiest for its speed and end at the least busy one.
+"""
+
+from __future__ import annotations
+
+__all__ = ["KeyLoads", "Member", "Move", "first_ranges", "plan_moves"]
+
+from bisect import bisect_left, bisect_right
+from collections.abc import Mapping, Sequence
+from itertools import accumulate
+from typing import NamedTuple
+
+from .assignment import OwnedRange
+from .model import KEY_COUNT
+
+BASE_SHARE = 0.05
+"""Share of the load that is spread evenly over all keys, so that ranges that were
+idle in the window count for something."""
+
+MOVE_THRESHOLD = 0.25
+"""Servers whose use differs by less than this share of the mean are left alone."""
+
+MAX_MOVES = 6
+"""Moves begun at a time; each keeps its keys unserved while running work ends."""
+
+MAX_RANGES_PER_SERVER = 12
+"""Each range is a grant that is repeated."""
+
+IDLE_RATE = 2.0
+"""Below this many requests a second there is nothing worth moving."""
+
+
+class Member(NamedTuple):
+    """A server that may own keys.
+
+    :param speed: work that it does in the time in which an average one does 1.
+    :param leaving: whether all of its keys have to go.
+    """
+
+    server: str
+    speed: float
+    leaving: bool = False
+
+
+class Move(NamedTuple):
+    """Keys to move to a server."""
+
+    first: int
+    last: int
+    target: str
+
+
+class KeyLoads:
+    """Load by key with sums over ranges.
+
+    :param rates: requests a second of each key that was seen.
+    """
+
+    def __init__(self, rates: Mapping[int, float]) -> None:
+        self.keys = sorted(rates)
+        self._sums = [0.0, *accumulate(rates[key] for key in self.keys)]
+        self.total = self._sums[-1]
+        self._base = BASE_SHARE * self.total / KEY_COUNT
+
+    def of(self, first: int, last: int) -> float:
+        """Return the load of a range."""
+        low = bisect_left(self.keys, first)
+        high = bisect_right(self.keys, last)
+        return self._sums[high] - self._sums[low] + self._base * (last - first + 1)
+
+    def cut(self, first: int, last: int, wanted: float) -> int:
+        """Return the last key of the part from ``first`` with the wanted load.
+
+        The part is the longest one whose load does not exceed ``wanted``; it is
+        empty (``first - 1``) when the first key alone exceeds it.
+        """
+        low, high = first - 1, last
+        while low < high:
+            middle = (low + high + 1) // 2
+            if self.of(first, middle) <= wanted:
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+
+def first_ranges(members: Sequence[Member]) -> list[tuple[int, int, str]]:
+    """Return equal ranges in proportion to the members' speeds."""
+    total = sum(member.speed for member in members)
+    ranges = []
+    begin = 0
+    reached = 0.0
+    for index, member in enumerate(members):
+        reached += member.speed
+        last = index == len(members) - 1
+        end = KEY_COUNT if last else round(KEY_COUNT * reached / total)
+        if end > begin:
+            ranges.append((begin, end - 1, member.server))
+        begin = max(begin, end)
+    return ranges
+
+
+def plan_moves(
+    ranges: Sequence[OwnedRange], members: Sequence[Member], loads: KeyLoads
+) -> list[Move]:
+    """Return the moves to begin now.
+
+    :param ranges: present ranges; those that are moving count for their target.
+    """
+    board = _Board(ranges, members, loads)
+    moves = board.evacuate()
+    if loads.total < IDLE_RATE:
+        return moves
+    while len(moves) < MAX_MOVES:
+        move = board.next_transfer()
+        if move is None:
+            break
+        moves.append(move)
+    return moves
+
+
+class _Board:
+    """Loads of the members while moves are planned."""
+
+    def __init__(
+        self,
+        ranges: Sequence[OwnedRange],
+        members: Sequence[Member],
+        loads: KeyLoads,
+    ) -> None:
+        self._loads = loads
+        self._speeds = {m.server: m.speed for m in members if not m.leaving}
+        self._load = dict.fromkeys(self._speeds, 0.0)
+        self._pieces: dict[str, list[tuple[int, int]]] = {s: [] for s in self._speeds}
+        self._homeless: list[tuple[int, int]] = []
+        for owned in ranges:
+            self._place(owned)
+        total = sum(self._speeds.values())
+        self._mean = loads.total / total if total else 0.0
+        self._spent: set[str] = set()
+
+    def evacuate(self) -> list[Move]:
+        """Place all keys whose owner is leaving or gone."""
+        moves = []
+        for first, last in self._homeless:
+            if not self._speeds:
+                break
+            moves.extend(self._share_out(first, last))
+        return moves
+
+    def next_transfer(self) -> Move | None:
+        """Return the move from the busiest to the least busy server, if it pays."""
+        order = sorted((s for s in self._speeds if s not in self._spent), key=self._use)
+        if len(order) < 2:
+            return None
+        target, source = order[0], order[-1]
+        gap = self._use(source) - self._use(target)
+        if gap < MOVE_THRESHOLD * self._mean:
+            return None
+        wanted = min(
+            self._load[source] - self._mean * self._speeds[source],
+            self._mean * self._speeds[target] - self._load[target],
+        )
+        if wanted <= 0:
+            wanted = gap * min(self._speeds[source], self._speeds[target]) / 2
+        piece = self._best_piece(source, target, wanted)
+        if piece is None:
+            # What is left at the source is one key too busy to move.
+            self._spent.add(source)
+            return self.next_transfer()
+        first, last = piece
+        load = self._loads.of(first, last)
+        self._load[source] -= load
+        self._load[target] += load
+        return Move(first, last, target)
+
+    def _place(self, owned: OwnedRange) -> None:
+        server = owned.target or owned.server
+        if server not in self._speeds:
+            if not owned.target:
+                self._homeless.append((owned.first, owned.last))
+            return
+        self._load[server] += self._loads.of(owned.first, owned.last)
+        if not owned.target:
+            self._pieces[server].append((owned.first, owned.last))
+
+    def _use(self, server: str) -> float:
+        return self._load[server] / self._speeds[server]
+
+    def _share_out(self, first: int, last: int) -> list[Move]:
+        """Split a range over the least busy servers, few keys short of even."""
+        moves = []
+        fair = max(1, (last - first + 1) // max(1, len(self._speeds)))
+        while first <= last:
+            target = min(self._speeds, key=self._use)
+            room = self._mean * self._speeds[target] - self._load[target]
+            end = self._loads.cut(first, last, max(room, 0.0))
+            end = min(last, max(end, first + fair - 1))
+            moves.append(Move(first, end, target))
+            # A range without any load still counts, or all keys go to one server.
+            self._load[target] += self._loads.of(first, end) or 1e-6 * (end - first)
+            first = end + 1
+        return moves
+
+    def _best_piece(
+        self, source: str, target: str, wanted: float
+    ) -> tuple[int, int] | None:
+        """Return the part of the source's ranges closest to the wanted load."""
+        best: tuple[float, int, int] | None = None
+        crowded = len(self._pieces[source]) >= MAX_RANGES_PER_SERVER
+        neighbours = {first for first, _ in self._pieces[target]}
+        for first, last in self._pieces[source]:
+            piece = self._cut_piece(first, last, wanted, last + 1 in neighbours)
+            if piece is None or (crowded and piece != (first, last)):
+                continue
+            distance = abs(self._loads.of(*piece) - wanted)
+            if best is None or distance < best[0]:
+                best = (distance, *piece)
+        if best is None or self._loads.of(best[1], best[2]) < 0.1 * wanted:
+            return None
+        first, last = best[1], best[2]
+        self._take(source, first, last)
+        return first, last
+
+    def _cut_piece(
+        self, first: int, last: int, wanted: float, from_end: bool
+    ) -> tuple[int, int] | None:
+        if self._loads.of(first, last) <= wanted:
+            return first, last
+        if from_end:
+            spare = self._loads.of(first, last) - wanted
+            begin = self._loads.cut(first, last, spare) + 2
+            if begin <= last:
+                return begin, last
+        end = self._loads.cut(first, last, wanted)
+        if end >= first:
+            return first, end
+        # The first key alone is busier than what is wanted: skip it.
+        end = self._loads.cut(first + 1, last, wanted)
+        return (first + 1, end) if end > first else None
+
+    def _take(self, source: str, first: int, last: int) -> None:
+        pieces = []
+        for begin, end in self._pieces[source]:
+            if last < begin or end < first:
+                pieces.append((begin, end))
+                continue
+            if begin < first:
+                pieces.append((begin, first - 1))
+            if last < end:
+                pieces.append((last + 1, end))
+        self._pieces[source] = pieces
--- /dev/null
+++ b/src/jacinthpath/gateway/clock.py
@@ -0,0 +1,16 @@
+"""Clock for everything that bounds an authority."""
+
+from __future__ import annotations
+
+__all__ = ["boot_time_s"]
+
+import time
+
+
+def boot_time_s() -> float:
+    """Return seconds since boot, counting the time that the host was suspended.
+
+    The steady clock stops while a host is suspended; leases and holds of others
+    do not.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/jacinthpath/gateway/directory.py
@@ -0,0 +1,106 @@
+"""Servers as their entries in the store describe them."""
+
+from __future__ import annotations
+
+__all__ = ["ServerDirectory"]
+
+from typing import NamedTuple
+
+from .model import Backend
+
+RETURN_S = 2.5
+"""Entries that lapse in an outage of the store are back about two seconds after it
+(platform page); what is missing after this is gone."""
+
+MASS_SHARE = 0.6
+"""When this share of all entries vanishes within :data:`MASS_WINDOW_S`, the store is
+suspected rather than the servers."""
+
+MASS_WINDOW_S = 1.0
+
+
+class _Missing(NamedTuple):
+    backend: Backend
+    gone_at_s: float
+
+
+class ServerDirectory:
+    """Follows entries through outages of the store. Times are boot-clock seconds."""
+
+    def __init__(self) -> None:
+        self._present: dict[str, Backend] = {}
+        self._missing: dict[str, _Missing] = {}
+        self._removed_s: list[float] = []
+        self._doubt_until_s = float("-inf")
+        self.draining_since_s: dict[str, float] = {}
+        self.version = 0
+
+    def doubt(self, now_s: float) -> None:
+        """Record that the store has just answered again after failures."""
+        self._doubt_until_s = now_s + RETURN_S
+        self._missing = {
+            server: missing._replace(gone_at_s=self._doubt_until_s)
+            for server, missing in self._missing.items()
+        }
+
+    def put(self, backend: Backend, now_s: float) -> None:
+        """Record an entry; an older one than is known is ignored."""
+        known = self._present.get(backend.server)
+        if known is not None and known.revision > backend.revision:
+            return
+        self._missing.pop(backend.server, None)
+        if backend.draining:
+            self.draining_since_s.setdefault(backend.server, now_s)
+        else:
+            self.draining_since_s.pop(backend.server, None)
+        self._present[backend.server] = backend
+        if (
+            known is None
+            or known._replace(revision=backend.revision, warmup_s=backend.warmup_s)
+            != backend
+        ):
+            self.version += 1
+
+    def remove(self, server: str, revision: int, now_s: float) -> None:
+        """Record that an entry was removed."""
+        known = self._present.get(server)
+        if known is None or known.revision > revision:
+            return
+        self._removed_s = [
+            at_s for at_s in self._removed_s if now_s - at_s < MASS_WINDOW_S
+        ]
+        self._removed_s.append(now_s)
+        self._missing[server] = _Missing(known, self._doubt_until_s)
+        if len(self._removed_s) >= max(3, MASS_SHARE * len(self._present)):
+            self.doubt(now_s)
+        self.expire(now_s)
+
+    def replace_all(self, backends: list[Backend], revision: int, now_s: float) -> None:
+        """Take a complete list; what is not in it was removed."""
+        listed = {backend.server for backend in backends}
+        for backend in backends:
+            self.put(backend, now_s)
+        for server in [*self._present]:
+            if server not in listed and server not in self._missing:
+                self.remove(server, revision, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drop the entries that stayed missing."""
+        for server, missing in [*self._missing.items()]:
+            if now_s >= missing.gone_at_s:
+                del self._missing[server]
+                self._present.pop(server, None)
+                self.draining_since_s.pop(server, None)
+                self.version += 1
+
+    def find(self, server: str) -> Backend | None:
+        """Return a server that is present or only doubted."""
+        return self._present.get(server)
+
+    def of_service(self, service: str) -> list[Backend]:
+        """Return the servers of a service, also those that drain."""
+        return [b for b in self._present.values() if b.service == service]
+
+    def all(self) -> dict[str, Backend]:
+        """Return all servers by identity."""
+        return self._present
--- /dev/null
+++ b/src/jacinthpath/gateway/loads.py
@@ -0,0 +1,157 @@
+"""Loads by key and evidence about servers, as hosts report them to the leader."""
+
+from __future__ import annotations
+
+__all__ = ["HostReport", "KeyCounter", "LoadBoard", "ServerEvidence", "ServiceReport"]
+
+import math
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from .balance import KeyLoads
+
+LOAD_DECAY_S = 4.0
+"""Time constant of the loads: busy keys change within seconds on the platform."""
+
+LATENCY_GAIN = 0.2
+SPEED_LIMITS = (0.25, 4.0)
+"""Estimated speeds stay within these bounds of the mean of the service."""
+
+FORGOTTEN_RATE = 0.02
+"""Keys below this many requests a second are dropped from the board."""
+
+
+class ServerEvidence(NamedTuple):
+    """What one host saw of a server since its last report.
+
+    :param log_latency_sum: sum of the natural logarithms of latencies in seconds.
+    """
+
+    server: str
+    answered: int
+    log_latency_sum: float
+
+
+class ServiceReport(NamedTuple):
+    """Loads of one service since the last report.
+
+    :param keys: requests by key.
+    """
+
+    service: str
+    keys: dict[int, int]
+    servers: tuple[ServerEvidence, ...]
+
+
+class HostReport(NamedTuple):
+    """Report of one host; ``span_s`` is the time that it covers."""
+
+    host: str
+    span_s: float
+    services: tuple[ServiceReport, ...]
+
+
+class KeyCounter:
+    """Counts requests by key and latencies by server on one host."""
+
+    def __init__(self) -> None:
+        self._keys: dict[str, dict[int, int]] = defaultdict(dict)
+        self._latencies: dict[str, dict[str, list[float]]] = defaultdict(dict)
+
+    def requested(self, service: str, key: int) -> None:
+        """Record a request for a key."""
+        counts = self._keys[service]
+        counts[key] = counts.get(key, 0) + 1
+
+    def answered(self, service: str, server: str, latency_s: float) -> None:
+        """Record the latency of an answer."""
+        sums = self._latencies[service].setdefault(server, [0, 0.0])
+        sums[0] += 1
+        sums[1] += math.log(max(latency_s, 1e-4))
+
+    def take(self, host: str, span_s: float) -> HostReport:
+        """Return what was recorded and start anew."""
+        services = tuple(
+            ServiceReport(
+                service,
+                keys,
+                tuple(
+                    ServerEvidence(server, int(count), total)
+                    for server, (count, total) in self._latencies[service].items()
+                ),
+            )
+            for service, keys in self._keys.items()
+        )
+        self._keys = defaultdict(dict)
+        self._latencies = defaultdict(dict)
+        return HostReport(host, span_s, services)
+
+
+class _ServiceBoard:
+    def __init__(self) -> None:
+        self.rates: dict[int, float] = defaultdict(float)
+        self.latencies: dict[str, float] = {}
+
+
+class LoadBoard:
+    """Merges the reports of all hosts."""
+
+    def __init__(self) -> None:
+        self._services: dict[str, _ServiceBoard] = defaultdict(_ServiceBoard)
+        self._decayed_s = 0.0
+
+    def add(self, report: HostReport) -> None:
+        """Merge a report."""
+        for service in report.services:
+            board = self._services[service.service]
+            for key, count in service.keys.items():
+                board.rates[key] += count / LOAD_DECAY_S
+            for seen in service.servers:
+                self._learn(board, seen)
+
+    def decay(self, now_s: float) -> None:
+        """Let older requests count less."""
+        factor = math.exp(-(now_s - self._decayed_s) / LOAD_DECAY_S)
+        self._decayed_s = now_s
+        for board in self._services.values():
+            board.rates = defaultdict(
+                float,
+                {
+                    key: rate * factor
+                    for key, rate in board.rates.items()
+                    if rate * factor > FORGOTTEN_RATE
+                },
+            )
+
+    def key_loads(self, service: str) -> KeyLoads:
+        """Return the loads by key of a service."""
+        return KeyLoads(self._services[service].rates)
+
+    def speeds(self, service: str) -> Mapping[str, float]:
+        """Return the speed of each server that was seen, 1 for the mean."""
+        latencies = self._services[service].latencies
+        if not latencies:
+            return {}
+        mean = sum(latencies.values()) / len(latencies)
+        low, high = SPEED_LIMITS
+        return {
+            server: min(high, max(low, math.exp(mean - latency)))
+            for server, latency in latencies.items()
+        }
+
+    def forget(self, service: str, server: str) -> None:
+        """Drop the evidence about a server, such as that of an earlier life."""
+        self._services[service].latencies.pop(server, None)
+
+    @staticmethod
+    def _learn(board: _ServiceBoard, seen: ServerEvidence) -> None:
+        if not seen.answered:
+            return
+        latency = seen.log_latency_sum / seen.answered
+        known = board.latencies.get(seen.server)
+        if known is None:
+            board.latencies[seen.server] = latency
+            return
+        gain = 1 - (1 - LATENCY_GAIN) ** min(seen.answered, 10)
+        board.latencies[seen.server] = known + gain * (latency - known)
--- /dev/null
+++ b/src/jacinthpath/gateway/peering.py
@@ -0,0 +1,197 @@
+"""Messages between gateways: load reports, and documents for a host cut off."""
+
+from __future__ import annotations
+
+__all__ = ["Peering"]
+
+import asyncio
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+from mode import Service
+
+from ..codec import new_frame
+from ..errors import FrameError, JacinthpathError, PeerUnavailable
+from ..keyring import SharedKey
+from ..metrics import Metrics
+from ..peers import PeerIdentity, PeerPool, PeerServer
+from .beliefs import Beliefs
+from .events import EventLog
+from .loads import (
+    HostReport,
+    KeyCounter,
+    LoadBoard,
+    ServerEvidence,
+    ServiceReport,
+)
+from .model import KEY_COUNT
+
+REPORT_S = 0.5
+SEND_TIMEOUT_S = 0.4
+MAX_REPORTED_KEYS = 4_096
+MAX_ADDRESSES_TRIED = 3
+
+
+class Peering(Service):
+    """Serves and asks the other gateways.
+
+    :param address: address of this host for peers.
+    :param seeds: addresses to ask while no other is known.
+    """
+
+    def __init__(
+        self,
+        own: PeerIdentity,
+        address: str,
+        seeds: tuple[str, ...],
+        keys: SharedKey,
+        beliefs: Beliefs,
+        counter: KeyCounter,
+        board: LoadBoard,
+        metrics: Metrics,
+        events: EventLog,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self._own = own
+        self._address = address
+        self._seeds = seeds
+        self._beliefs = beliefs
+        self._counter = counter
+        self._board = board
+        self._events = events
+        self._random = random
+        handlers: Mapping[str, Any] = {
+            "hostReport": self._take_report,
+            "documentsWanted": self._give_documents,
+        }
+        self._server = PeerServer(own, address, keys, handlers, metrics)
+        self._pool = PeerPool(own, keys, {}, metrics, random)
+
+    async def on_start(self) -> None:
+        """Listen to peers and begin to report."""
+        await self._server.start()
+        self.add_future(self._report_regularly())
+
+    async def on_stop(self) -> None:
+        """Close all connections."""
+        await self._pool.close()
+        await self._server.close()
+
+    async def refresh(self) -> None:
+        """Ask peers in random order until one answers, and apply what it knows.
+
+        :raises PeerUnavailable: none answered.
+        """
+        addresses = {*self._beliefs.hosts.values(), *self._seeds} - {self._address}
+        chosen = self._random.sample(
+            sorted(addresses), min(MAX_ADDRESSES_TRIED, len(addresses))
+        )
+        last: JacinthpathError = PeerUnavailable("No peer is known.", "")
+        for address in chosen:
+            try:
+                await self._ask(address)
+                return
+            except JacinthpathError as error:
+                last = error
+        raise last
+
+    async def _ask(self, address: str) -> None:
+        known = self._beliefs.documents()
+        frame = new_frame()
+        wanted = frame.body.init("documentsWanted")
+        wanted.configurationRevision = known.configuration_revision
+        wanted.assignmentRevision = known.assignment_revision
+        answer = await self._pool.request(address, frame, SEND_TIMEOUT_S)
+        content = answer.body.documents
+        beliefs = self._beliefs
+        source = f"peer {address}"
+        if content.configuration:
+            beliefs.apply_configuration(
+                bytes(content.configuration), content.configurationRevision, source
+            )
+        if content.assignment:
+            beliefs.apply_assignment(
+                bytes(content.assignment), content.assignmentRevision, source
+            )
+
+    async def _give_documents(self, _connection: Any, frame: Any) -> Any:
+        """Answer with the documents that are newer than the asker's."""
+        wanted = frame.body.documentsWanted
+        known = self._beliefs.documents()
+        answer = new_frame()
+        content = answer.body.init("documents")
+        content.ageMs = min(2**32 - 1, int(max(0.0, self._beliefs.age_s()) * 1000))
+        if known.configuration_revision > wanted.configurationRevision:
+            content.configuration = known.configuration
+            content.configurationRevision = known.configuration_revision
+        if known.assignment_revision > wanted.assignmentRevision:
+            content.assignment = known.assignment
+            content.assignmentRevision = known.assignment_revision
+        return answer
+
+    async def _report_regularly(self) -> None:
+        loop = asyncio.get_running_loop()
+        last_s = loop.time()
+        while not self.should_stop:
+            await asyncio.sleep(REPORT_S * (0.8 + 0.4 * self._random.random()))
+            now_s = loop.time()
+            report = self._counter.take(self._own.host, now_s - last_s)
+            last_s = now_s
+            if report.services:
+                await self._send_report(report)
+
+    async def _send_report(self, report: HostReport) -> None:
+        leader = self._beliefs.leader
+        if leader is None:
+            return
+        if leader.address == self._address:
+            self._board.add(report)
+            return
+        frame = new_frame()
+        _write_report(frame.body.init("hostReport"), report)
+        try:
+            await self._pool.request(leader.address, frame, SEND_TIMEOUT_S)
+        except JacinthpathError as error:
+            # Loads are a hint; the next report carries newer ones.
+            self._events.process(
+                "report_not_taken", leader=leader.host, error=str(error)
+            )
+
+    async def _take_report(self, _connection: Any, frame: Any) -> None:
+        self._board.add(_read_report(frame.body.hostReport))
+
+
+def _write_report(content: Any, report: HostReport) -> None:
+    content.host = report.host
+    content.spanMs = int(report.span_s * 1000)
+    services = content.init("services", len(report.services))
+    for entry, service in zip(services, report.services, strict=True):
+        entry.service = service.service
+        busiest = sorted(service.keys.items(), key=lambda pair: -pair[1])
+        busiest = busiest[:MAX_REPORTED_KEYS]
+        keys = entry.init("keys", len(busiest))
+        for row, (key, requests) in zip(keys, busiest, strict=True):
+            row.key, row.requests = key, requests
+        servers = entry.init("servers", len(service.servers))
+        for row, seen in zip(servers, service.servers, strict=True):
+            row.server, row.answered, row.logLatencySum = seen
+
+
+def _read_report(content: Any) -> HostReport:
+    """Return the report in a frame.
+
+    :raises FrameError: it is out of bounds.
+    """
+    services = []
+    for entry in content.services:
+        if len(entry.keys) > MAX_REPORTED_KEYS:
+            raise FrameError("A load report lists too many keys.", "Check the sender.")
+        keys = {row.key: row.requests for row in entry.keys if row.key < KEY_COUNT}
+        servers = tuple(
+            ServerEvidence(row.server, row.answered, row.logLatencySum)
+            for row in entry.servers
+        )
+        services.append(ServiceReport(entry.service, keys, servers))
+    return HostReport(content.host, content.spanMs / 1000, tuple(services))
--- /dev/null
+++ b/src/jacinthpath/gateway/service.py
@@ -0,0 +1,234 @@
+"""The gateway daemon."""
+
+from __future__ import annotations
+
+__all__ = ["GatewayService"]
+
+import asyncio
+import os
+import secrets
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from mode import Service
+
+from ..admin import AdminServer
+from ..errors import JacinthpathError, StoreError
+from ..keyring import SharedKey
+from ..metrics import Metrics
+from .assigner import Assigner
+from .beliefs import HOSTS_PREFIX, Beliefs
+from .events import EventLog
+from .forwarder import Forwarder
+from .leadership import Leadership
+from .model import GatewaySettings
+from .peering import Peering
+from .store import Condition, ConflictingWrite, Store, Write
+from .watching import StoreWatcher
+
+PEER_KEY = "jacinthpath/peer-key"
+PEER_KEY_BYTES = 32
+JOIN_RETRY_S = 0.5
+
+LEAVE_S = 2.6
+"""Two questions a second apart take a host out of rotation (platform page)."""
+
+EXIT_MARGIN_S = 0.5
+"""Time before the end of the grace at which work that is left is given up."""
+
+DRAIN_POLL_S = 0.02
+
+
+class CallerListener(Protocol):
+    """Listens to callers."""
+
+    async def start(self) -> None:
+        """Listen."""
+
+    async def stop_listening(self) -> None:
+        """Accept no further connections."""
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class GatewayService(Service):
+    """One gateway process; its parts are wired by the composition root.
+
+    :param clients: parts with ``start`` and ``close``, started first.
+    :param reload: reads the settings again.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: Store,
+        keys: SharedKey,
+        beliefs: Beliefs,
+        watcher: StoreWatcher,
+        leadership: Leadership,
+        assigner: Assigner,
+        peering: Peering,
+        forwarder: Forwarder,
+        clients: tuple[Any, ...],
+        metrics: Metrics,
+        events: EventLog,
+        reload: Callable[[], GatewaySettings],
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.leaving = False
+        self.listener: CallerListener | None = None
+        self._store = store
+        self._keys = keys
+        self._beliefs = beliefs
+        self._watcher = watcher
+        self._leadership = leadership
+        self._assigner = assigner
+        self._peering = peering
+        self._forwarder = forwarder
+        self._clients = clients
+        self._metrics = metrics
+        self._events = events
+        self._reload = reload
+        self._was_ready = False
+        self._admin = AdminServer(
+            settings.metrics_address, metrics, self.unready_reason, self.status
+        )
+
+    async def on_start(self) -> None:
+        """Start the parts; listen to callers last."""
+        self._events.process("starting", pid=os.getpid(), role="gateway")
+        for client in self._clients:
+            await client.start()
+        await self._admin.start()
+        await self.add_runtime_dependency(self._peering)
+        await self.add_runtime_dependency(self._watcher)
+        await self.add_runtime_dependency(self._leadership)
+        await self.add_runtime_dependency(self._assigner)
+        self.add_future(self._join())
+        self.add_future(self._publish_gauges())
+        await self.listener.start()
+        self._events.process("listening", callers=self.settings.callers_address)
+
+    async def drain(self) -> int:
+        """Leave the rotation, give the leadership up and finish what is in flight.
+
+        :return: requests that were not finished in time.
+        """
+        loop = asyncio.get_running_loop()
+        self.leaving = True
+        end_s = loop.time() + self.settings.timing.grace_s - EXIT_MARGIN_S
+        self._events.process("draining", in_flight=self._forwarder.in_flight)
+        await self._leadership.resign()
+        await asyncio.sleep(LEAVE_S)
+        await self.listener.stop_listening()
+        self.listener.close_idle()
+        while self._forwarder.in_flight and loop.time() < end_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+            self.listener.close_idle()
+        return self._forwarder.in_flight
+
+    def reload(self) -> None:
+        """Read the settings again; a bad file leaves the last good ones in force."""
+        try:
+            settings = self._reload()
+        except JacinthpathError as error:
+            self._events.process("settings_refused", error=str(error))
+            return
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self._events.process("settings_read", changed=",".join(changed) or "nothing")
+
+    async def on_stop(self) -> None:
+        """Close the parts in reverse order."""
+        if self.listener is not None:
+            await self.listener.close()
+        await self._admin.close()
+        for client in reversed(self._clients):
+            await client.close()
+        self._events.process("stopped", requests_lost=self._forwarder.in_flight)
+        self._events.flush()
+
+    def unready_reason(self) -> str:
+        """Return why callers should go elsewhere, or an empty string."""
+        reason = self._unready_reason()
+        if not reason and not self._was_ready:
+            self._was_ready = True
+            self._events.process("ready")
+        return reason
+
+    def status(self) -> dict[str, Any]:
+        """Return what this process believes."""
+        routes = self._beliefs.routes
+        leader = self._beliefs.leader
+        return {
+            "host": self.settings.host,
+            "configuration": routes.table.version if routes else None,
+            "assignment": self._beliefs.assignment_revision,
+            "leader": leader.host if leader else None,
+            "belief_age_s": round(self._beliefs.age_s(), 2),
+            "in_flight": self._forwarder.in_flight,
+            "unready_reason": self._unready_reason(),
+        }
+
+    def _unready_reason(self) -> str:
+        if self.leaving:
+            return "leaving"
+        if self._beliefs.routes is None:
+            return "no-configuration"
+        if not self._beliefs.servers_known:
+            return "no-servers"
+        if self._was_ready:
+            return ""
+        owned = self._beliefs.owners
+        for service in self._beliefs.routes.table.services.values():
+            if service.keyed and service.name not in owned:
+                return "no-owners"
+        return ""
+
+    async def _join(self) -> None:
+        """Learn the key of the peers and leave the own address for them."""
+        joined = False
+        while not joined and not self.should_stop:
+            try:
+                await self._learn_key()
+                name = HOSTS_PREFIX + self.settings.host
+                address = self.settings.peer_address.encode()
+                await self._store.write((), (Write(name, address),))
+                joined = True
+            except StoreError as error:
+                self._events.process("not_joined", error=str(error))
+                await asyncio.sleep(JOIN_RETRY_S)
+        self._events.process("joined")
+
+    async def _learn_key(self) -> None:
+        item = await self._store.read(PEER_KEY)
+        if item is None:
+            try:
+                secret = secrets.token_bytes(PEER_KEY_BYTES)
+                await self._store.write(
+                    (Condition(PEER_KEY, 0),), (Write(PEER_KEY, secret),)
+                )
+            except ConflictingWrite:
+                pass
+            item = await self._store.read(PEER_KEY)
+        if item is not None:
+            self._keys.learn(item.value)
+
+    async def _publish_gauges(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(1.0)
+            self._metrics.gauge("belief_age_seconds", self._beliefs.age_s())
+            self._metrics.gauge("requests_in_flight", self._forwarder.in_flight)
+            self._metrics.gauge(
+                "leading", float(self._leadership.authority is not None)
+            )
+            for name, count in self._store.calls.items():
+                self._metrics.gauge("store_calls_total", count, call=name)
--- /dev/null
+++ b/src/jacinthpath/gateway/watching.py
@@ -0,0 +1,175 @@
+"""Follows the platform's store, and peers while the store does not answer."""
+
+from __future__ import annotations
+
+__all__ = ["StoreWatcher"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Protocol
+
+from mode import Service
+
+from ..errors import JacinthpathError, StoreError
+from .beliefs import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, Beliefs
+from .clock import boot_time_s
+from .events import EventLog
+from .store import Change, HistoryLost, Store
+
+CONFIGURATION_KEY = "op/config"
+OWN_PREFIX = "jacinthpath/"
+SERVERS_PREFIX = "servers/"
+
+WATCH_S = 12.0
+"""Longest wait of one watch; keep-alive probes find a dead path earlier."""
+
+SERVERS_PACE_S = 0.6
+"""Entries change with each heartbeat of each server, so changes are fetched at this
+pace; a draining server must be left within two seconds."""
+
+RETRY_S = 0.25
+EXPIRE_S = 0.25
+
+
+class PeerDocuments(Protocol):
+    """Asks peers for newer documents."""
+
+    async def refresh(self) -> None:
+        """Apply what one peer knows."""
+
+
+class StoreWatcher(Service):
+    """Keeps the beliefs of this host up to date."""
+
+    def __init__(
+        self,
+        store: Store,
+        beliefs: Beliefs,
+        peers: PeerDocuments,
+        events: EventLog,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._beliefs = beliefs
+        self._peers = peers
+        self._events = events
+        self._random = random
+        self._failing: dict[str, float] = {}
+
+    async def on_start(self) -> None:
+        """Start a task for each part of the store that is followed."""
+        self.add_future(self._follow("configuration", self._read_configuration))
+        self.add_future(self._follow("own", self._read_own))
+        self.add_future(self._follow("servers", self._read_servers))
+        self.add_future(self._expire())
+
+    async def _follow(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        """Run one part again and again; each run lists and then watches."""
+        while not self.should_stop:
+            try:
+                await run()
+            except HistoryLost as error:
+                self._events.process("store_history_lost", part=name, error=str(error))
+            except (StoreError, KeyError, TypeError, ValueError) as error:
+                await self._store_failed(name, error)
+
+    async def _read_configuration(self) -> None:
+        item = await self._store.read(CONFIGURATION_KEY)
+        self._answered("configuration")
+        revision = 0
+        if item is not None:
+            revision = item.revision
+            self._beliefs.apply_configuration(item.value, item.revision, "store")
+        else:
+            await asyncio.sleep(RETRY_S)
+        await self._watch("configuration", CONFIGURATION_KEY, revision, 0.0)
+
+    async def _read_own(self) -> None:
+        listed = await self._store.list(OWN_PREFIX)
+        self._answered("own")
+        keys = set()
+        for item in listed.items:
+            keys.add(item.key)
+            self._apply_own(Change(item.key, item.value, item.revision))
+        if LEADER_KEY not in keys:
+            self._beliefs.apply_leader(None, listed.revision)
+        await self._watch("own", OWN_PREFIX, listed.revision, 0.0)
+
+    async def _read_servers(self) -> None:
+        listed = await self._store.list(SERVERS_PREFIX)
+        self._answered("servers")
+        self._beliefs.replace_servers(listed.items, listed.revision)
+        await self._watch("servers", SERVERS_PREFIX, listed.revision, SERVERS_PACE_S)
+
+    async def _watch(
+        self, part: str, prefix: str, revision: int, pace_s: float
+    ) -> None:
+        apply = {
+            "configuration": self._apply_configuration,
+            "own": self._apply_own,
+            "servers": self._apply_server,
+        }[part]
+        while not self.should_stop:
+            try:
+                changes = await self._store.watch(prefix, revision, WATCH_S)
+            except HistoryLost:
+                raise
+            except StoreError as error:
+                await self._store_failed(part, error)
+                # The missed changes are asked for again; a list is dearer.
+                continue
+            self._answered(part)
+            revision = max(revision, changes.revision)
+            for change in changes.changes:
+                apply(change)
+            if pace_s:
+                await asyncio.sleep(pace_s * (0.9 + 0.2 * self._random.random()))
+
+    def _apply_configuration(self, change: Change) -> None:
+        if change.key == CONFIGURATION_KEY and change.value is not None:
+            self._beliefs.apply_configuration(change.value, change.revision, "store")
+
+    def _apply_own(self, change: Change) -> None:
+        if change.key == LEADER_KEY:
+            self._beliefs.apply_leader(change.value, change.revision)
+        elif change.key == ASSIGNMENT_KEY and change.value is not None:
+            self._beliefs.apply_assignment(change.value, change.revision, "store")
+        elif change.key.startswith(HOSTS_PREFIX):
+            name = change.key.removeprefix(HOSTS_PREFIX)
+            self._beliefs.apply_host(name, change.value)
+
+    def _apply_server(self, change: Change) -> None:
+        server = change.key.removeprefix(SERVERS_PREFIX)
+        if change.value is None:
+            self._beliefs.remove_server(server, change.revision)
+        else:
+            self._beliefs.apply_server(server, change.value, change.revision)
+
+    def _answered(self, part: str) -> None:
+        self._beliefs.confirm()
+        since_s = self._failing.pop(part, None)
+        if since_s is None:
+            return
+        now_s = boot_time_s()
+        self._beliefs.directory.doubt(now_s)
+        self._events.process(
+            "store_regained", part=part, lost_s=round(now_s - since_s, 2)
+        )
+
+    async def _store_failed(self, part: str, error: Exception) -> None:
+        if part not in self._failing:
+            self._failing[part] = boot_time_s()
+            self._events.process("store_lost", part=part, error=str(error))
+        try:
+            await self._peers.refresh()
+        except JacinthpathError as peer_error:
+            self._events.process("peer_unavailable", error=str(peer_error))
+        await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
+
+    async def _expire(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(EXPIRE_S)
+            self._beliefs.expire()
+            self._events.flush()
--- a/src/jacinthpath/keyring.py
+++ b/src/jacinthpath/keyring.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["ClusterKey", "KeyRing"]
+__all__ = ["ClusterKey", "KeyRing", "KeySource", "SharedKey"]
 
 import hashlib
 import hmac
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from .errors import AuthenticationError
 
@@ -30,6 +30,44 @@
         return digest.digest()
 
 
+class KeySource(Protocol):
+    """Where peer connections take their keys from."""
+
+    def active(self) -> ClusterKey:
+        """Return the key to connect with."""
+
+    def find(self, key_id: bytes) -> ClusterKey | None:
+        """Return the accepted key of an identity, if any."""
+
+
+class SharedKey:
+    """One key that is learned while the process runs, such as from the store."""
+
+    def __init__(self) -> None:
+        self._key: ClusterKey | None = None
+
+    def learn(self, secret: bytes) -> None:
+        """Use ``secret`` from now on."""
+        self._key = _cluster_key(secret)
+
+    def active(self) -> ClusterKey:
+        """Return the key to connect with.
+
+        :raises AuthenticationError: none has been learned yet.
+        """
+        if self._key is None:
+            raise AuthenticationError(
+                "The cluster key is not known yet.", "It is read from the store."
+            )
+        return self._key
+
+    def find(self, key_id: bytes) -> ClusterKey | None:
+        """Return the accepted key of an identity, if any."""
+        if self._key is not None and self._key.key_id == key_id:
+            return self._key
+        return None
+
+
 class KeyRing:
     """The cluster keys that a process accepts.
 
@@ -79,7 +117,12 @@
                     f"The cluster key in {path} has {len(secret)} bytes.",
                     f"Write {MIN_KEY_BYTES} to {MAX_KEY_BYTES} random bytes.",
                 )
-            key_id = hashlib.sha256(b"jacinthpath key id" + secret).digest()[:8]
-            keys[key_id] = ClusterKey(key_id, secret)
+            key = _cluster_key(secret)
+            keys[key.key_id] = key
         self._keys = keys
         self._modified_ns = tuple(modified_ns)
+
+
+def _cluster_key(secret: bytes) -> ClusterKey:
+    key_id = hashlib.sha256(b"jacinthpath key id" + secret).digest()[:8]
+    return ClusterKey(key_id, secret)
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -15,7 +15,10 @@
 from aioprometheus.formats import text
 
 DESCRIPTIONS = {
+    "attempt_duration_seconds": "Time from the sending of a request to the answer.",
     "attempts_failed_total": "Attempts without an answer, by outcome and reason.",
+    "attempts_total": "Requests sent to servers, by outcome.",
+    "belief_age_seconds": "Time since the store or a peer last answered.",
     "configuration_confirmed_age_seconds": "Age of the newest proof that the "
     "configuration is current.",
     "configuration_damaged_total": "Stored configurations that could not be read.",
@@ -25,6 +28,10 @@
     "deferred_requests": "Deferrable requests that wait for a time off the peak.",
     "gossip_actions_dropped_total": "Contacts that were dropped under load.",
     "gossip_failures_total": "Contacts with other control processes that failed.",
+    "leading": "1 while this host leads.",
+    "log_lines_left_out_total": "Log lines over the budget of their kind.",
+    "orders_total": "Grants and releases sent to servers, by result.",
+    "own_answers_total": "Requests that the gateway answered itself, by reason.",
     "peer_connections_refused_total": "Connections of peers that were refused.",
     "peer_frames_refused_total": "Frames of peers that were refused.",
     "peer_handler_errors_total": "Frames whose handler failed.",
@@ -33,6 +40,7 @@
     "requests_in_flight": "Requests of callers that have not ended.",
     "requests_not_admitted_total": "Requests that no slot could take in time.",
     "requests_total": "Requests of callers, by outcome.",
+    "store_calls_total": "Calls to the platform's store, by name.",
     "topic_version": "Version in force of the configuration and the slice tables.",
     "topics_refused_total": "Configurations and tables that could not be read.",
 }
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -33,6 +33,9 @@
     status @24 :Void;
     statusAnswer @25 :Text;   # JSON.
     subscribe @26 :Subscribe;
+    hostReport @27 :HostReport;
+    documentsWanted @28 :DocumentsWanted;
+    documents @29 :Documents;
   }
 }
 
@@ -248,3 +251,46 @@
   addresses @7 :List(Text); # One for each server.
   fencing @8 :Text;
 }
+
+struct KeyCount {
+  key @0 :UInt16;
+  requests @1 :UInt32;
+}
+
+struct ServerEvidence {
+  server @0 :Text;
+  answered @1 :UInt32;
+  logLatencySum @2 :Float32;  # Natural logarithms of latencies in seconds.
+}
+
+struct ServiceReport {
+  service @0 :Text;
+  keys @1 :List(KeyCount);
+  servers @2 :List(ServerEvidence);
+}
+
+struct HostReport {
+  host @0 :Text;
+  spanMs @1 :UInt32;
+  services @2 :List(ServiceReport);
+}
+
+struct DocumentsWanted {
+  configurationRevision @0 :UInt64;   # Newest that the sender has.
+  assignmentRevision @1 :UInt64;
+}
+
+struct ServerEntry {
+  server @0 :Text;
+  content @1 :Data;
+  revision @2 :UInt64;
+}
+
+struct Documents {
+  configuration @0 :Data;             # Empty when the sender has it.
+  configurationRevision @1 :UInt64;
+  assignment @2 :Data;
+  assignmentRevision @3 :UInt64;
+  servers @4 :List(ServerEntry);
+  ageMs @5 :UInt32;                   # Since the answering host heard of the store.
+}
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -19,7 +19,7 @@
 
 from .codec import MAX_FRAME_BYTES, decode_frame, encode_frame, new_frame
 from .errors import AuthenticationError, FrameError, PeerUnavailable
-from .keyring import ClusterKey, KeyRing
+from .keyring import ClusterKey, KeySource
 from .logs import get_logger
 from .metrics import Metrics
 
@@ -136,7 +136,7 @@
             raise FrameError(answer.body.error.message, answer.body.error.kind)
         return answer
 
-    async def connect_handshake(self, own: PeerIdentity, keys: KeyRing) -> None:
+    async def connect_handshake(self, own: PeerIdentity, keys: KeySource) -> None:
         """Authenticate as the connecting end."""
         key = keys.active()
         nonce = secrets.token_bytes(16)
@@ -165,7 +165,7 @@
         self._write(encode_frame(proof))
         self._session_key = key.sign("session", encoded_hello, challenge.nonce)
 
-    async def accept_handshake(self, own: PeerIdentity, keys: KeyRing) -> None:
+    async def accept_handshake(self, own: PeerIdentity, keys: KeySource) -> None:
         """Authenticate as the accepting end."""
         encoded_hello = await self._read_bytes()
         frame = decode_frame(encoded_hello)
--- a/src/jacinthpath/peers.py
+++ b/src/jacinthpath/peers.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from .errors import AuthenticationError, FrameError, PeerUnavailable
-from .keyring import KeyRing
+from .keyring import KeySource
 from .logs import get_logger
 from .metrics import Metrics
 from .peer_connections import (
@@ -50,7 +50,7 @@
         self,
         own: PeerIdentity,
         address: str,
-        keys: KeyRing,
+        keys: KeySource,
         handlers: Mapping[str, Handler],
         metrics: Metrics,
     ) -> None:
@@ -120,7 +120,7 @@
     def __init__(
         self,
         own: PeerIdentity,
-        keys: KeyRing,
+        keys: KeySource,
         handlers: Mapping[str, Handler],
         metrics: Metrics,
         randomness: random.Random | None = None,
--- /dev/null
+++ b/src/jacinthpath/platform/__init__.py
@@ -0,0 +1,20 @@
+"""Adapter to the platform: its names, formats and calls.
+
+Each message is decoded once into a type of :mod:`jacinthpath.gateway.model`. Nothing
+here decides, and nothing outside of this folder knows the platform's names.
+"""
+
+from __future__ import annotations
+
+from .documents import decode_backend, decode_route_table
+from .orders import OrderClient
+from .settings import load_settings
+from .store import PlatformStore
+
+__all__ = [
+    "OrderClient",
+    "PlatformStore",
+    "decode_backend",
+    "decode_route_table",
+    "load_settings",
+]
--- /dev/null
+++ b/src/jacinthpath/platform/callers.py
@@ -0,0 +1,189 @@
+"""Callers' requests over HTTP."""
+
+from __future__ import annotations
+
+__all__ = ["CallerServer"]
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from multidict import CIMultiDict
+
+from ..gateway.exchange import CallerRequest, Reply, own_reply
+from ..gateway.model import KEY_COUNT, CallerLimits
+from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, KEY
+from .servers import CONNECTION_FIELDS
+
+BACKLOG = 1024
+MAX_LINE_BYTES = 16_384
+READY_PATH = "/-/ready"
+
+HandleRequest = Callable[[CallerRequest], Awaitable[Reply]]
+
+
+class CallerServer:
+    """Listens to callers and to the platform's question whether it is ready.
+
+    :param limits: returns the limits in force.
+    :param leaving: returns whether answers should close their connections.
+    """
+
+    def __init__(
+        self,
+        callers_address: str,
+        ready_address: str,
+        handle: HandleRequest,
+        unready_reason: Callable[[], str],
+        limits: Callable[[], CallerLimits],
+        leaving: Callable[[], bool],
+    ) -> None:
+        self._callers_address = callers_address
+        self._ready_address = ready_address
+        self._handle = handle
+        self._unready_reason = unready_reason
+        self._limits = limits
+        self._leaving = leaving
+        self._callers: web.ServerRunner | None = None
+        self._callers_site: web.TCPSite | None = None
+        self._ready: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on both addresses."""
+        self._ready = web.ServerRunner(web.Server(self._answer_ready, access_log=None))
+        await self._ready.setup()
+        await _listen(self._ready, self._ready_address)
+        server = web.Server(
+            self._answer,
+            access_log=None,
+            handler_cancellation=True,
+            auto_decompress=False,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+            keepalive_timeout=self._limits().idle_s,
+        )
+        self._callers = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._callers.setup()
+        self._callers_site = await _listen(self._callers, self._callers_address)
+
+    async def stop_listening(self) -> None:
+        """Accept no further connections of callers."""
+        if self._callers_site is not None:
+            await self._callers_site.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for runner in (self._callers, self._ready):
+            if runner is not None:
+                await runner.cleanup()
+
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request."""
+        if self._callers is None or self._callers.server is None:
+            return
+        for connection in [*self._callers.server.connections]:
+            if connection._current_request is None and not connection._messages:
+                connection.force_close()
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.path != READY_PATH:
+            return web.Response(status=404)
+        reason = self._unready_reason()
+        return web.Response(status=503 if reason else 200, text=reason or "ready")
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        arrived_s = asyncio.get_running_loop().time()
+        read = await self._read(request, arrived_s)
+        reply = read if isinstance(read, Reply) else await self._handle(read)
+        response = web.Response(
+            status=reply.status, headers=reply.headers, body=reply.body
+        )
+        if isinstance(read, CallerRequest) and reply.reason:
+            response.headers[ATTEMPT_ID] = read.request_id
+        if self._leaving():
+            response.force_close()
+        return response
+
+    async def _read(
+        self, request: web.BaseRequest, arrived_s: float
+    ) -> CallerRequest | Reply:
+        """Return the request, or the reply to one that cannot be read."""
+        body = await _read_body(request, self._limits().body_bytes)
+        if body is None:
+            return own_reply(413, "body-too-large")
+        try:
+            budget_s = _budget_s(request)
+            key = _key(request)
+        except ValueError as error:
+            return own_reply(400, f"malformed-field: {error}")
+        return CallerRequest(
+            request_id=request.headers.get(ATTEMPT_ID, ""),
+            method=request.method,
+            host=request.headers.get("Host", ""),
+            target=request._message.path,
+            path=request._message.path.partition("?")[0],
+            key=key,
+            arrived_s=arrived_s,
+            budget_s=budget_s,
+            headers=_passed_fields(request),
+            body=body,
+        )
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return the body, or ``None`` when it exceeds the limit."""
+    if not request.body_exists:
+        return b""
+    if request.content_length is not None and request.content_length > limit:
+        return None
+    parts = []
+    size = 0
+    try:
+        async for part in request.content.iter_any():
+            size += len(part)
+            if size > limit:
+                return None
+            parts.append(part)
+    except HttpProcessingError:
+        return None
+    return b"".join(parts)
+
+
+def _budget_s(request: web.BaseRequest) -> float | None:
+    value = request.headers.get(DEADLINE_MS)
+    if value is None:
+        return None
+    if not value.isdigit():
+        raise ValueError(DEADLINE_MS)
+    return int(value) / 1000
+
+
+def _key(request: web.BaseRequest) -> int | None:
+    value = request.headers.get(KEY)
+    if value is None:
+        return None
+    if not value.isdigit() or int(value) >= KEY_COUNT:
+        raise ValueError(KEY)
+    return int(value)
+
+
+def _passed_fields(request: web.BaseRequest) -> CIMultiDict[str]:
+    named = {
+        name.strip().lower()
+        for value in request.headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+    dropped = {*CONNECTION_FIELDS, *named, "expect", EXPECTED_SERVER.lower()}
+    return CIMultiDict(
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in dropped
+    )
+
+
+async def _listen(runner: web.ServerRunner, address: str) -> web.TCPSite:
+    host, _, port = address.rpartition(":")
+    site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
+    await site.start()
+    return site
--- /dev/null
+++ b/src/jacinthpath/platform/orders.py
@@ -0,0 +1,96 @@
+"""Orders to servers: granting and releasing ranges of keys."""
+
+from __future__ import annotations
+
+__all__ = ["OrderClient"]
+
+import asyncio
+import json
+
+import aiohttp
+
+from ..gateway.orders import GrantOrder, OrderAnswer, OrderResult, ReleaseOrder
+from ..gateway.sockets import abrupt_socket
+from .headers import EXPECTED_SERVER, HANDOVER
+from .values import duration_text
+
+CONNECT_TIMEOUT_S = 0.4
+IDLE_CONNECTION_S = 8.0
+
+_RESULTS = {200: OrderResult.DONE, 409: OrderResult.FENCED, 421: OrderResult.NOT_RUN}
+
+
+class OrderClient:
+    """Sends grants and releases to servers.
+
+    Connections are reset when an order is given up, so its arrival is bounded by
+    the end of the call.
+    """
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP session."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=IDLE_CONNECTION_S,
+                socket_factory=abrupt_socket,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    async def grant(
+        self, server: str, address: str, order: GrantOrder, timeout_s: float
+    ) -> OrderAnswer:
+        """Grant a range of keys, or renew the grant."""
+        body = {
+            "from": order.first,
+            "to": order.last,
+            "fence": order.fence,
+            "hold_time": duration_text(order.hold_s),
+        }
+        if order.handover:
+            body["handover"] = order.handover
+        return await self._send(server, address, "/-/grant", body, timeout_s)
+
+    async def release(
+        self, server: str, address: str, order: ReleaseOrder, timeout_s: float
+    ) -> OrderAnswer:
+        """Take a range of keys back; answered when the work on them has ended."""
+        body = {"from": order.first, "to": order.last, "fence": order.fence}
+        return await self._send(server, address, "/-/release", body, timeout_s)
+
+    async def _send(
+        self, server: str, address: str, path: str, body: dict, timeout_s: float
+    ) -> OrderAnswer:
+        try:
+            async with (
+                asyncio.timeout(timeout_s),
+                self._session.post(
+                    f"http://{address}{path}",
+                    data=json.dumps(body).encode(),
+                    headers={
+                        "Content-Type": "application/json",
+                        EXPECTED_SERVER: server,
+                    },
+                ) as response,
+            ):
+                await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return OrderAnswer(OrderResult.NOT_RUN, "", repr(error))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return OrderAnswer(OrderResult.UNKNOWN, "", repr(error))
+        result = _RESULTS.get(response.status, OrderResult.UNKNOWN)
+        handover = response.headers.get(HANDOVER, "")
+        return OrderAnswer(result, handover, f"status {response.status}")
