--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -41,8 +41,9 @@
 FAILURES_TO_MOVE = 2
 """Grants in a row without an answer after which a server's keys are moved."""
 
-FOUND_DELAY_S = 0.5
-"""Servers have to be known for this long before a service gets its first owners."""
+FOUND_DELAY_S = 1.5
+"""The set of servers has to stand still for this long before a service gets its first
+owners, so that servers that start together are all among them."""
 
 
 class Assigner(Service):
@@ -73,7 +74,7 @@
         self._revision = 0
         self._unwritten = False
         self._planned_s = 0.0
-        self._servers_since_s: dict[str, float] = {}
+        self._servers_since: dict[str, tuple[frozenset, float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def on_start(self) -> None:
@@ -174,10 +175,9 @@
             members = self._ready(service.name)
             if not members:
                 continue
-            since_s = self._servers_since_s.setdefault(service.name, now_s)
-            if now_s - since_s < FOUND_DELAY_S:
-                continue
             by_id = {backend.server: backend for backend in members}
+            if not self._stands_still(service.name, frozenset(by_id), now_s):
+                continue
             equal = [Member(server, 1.0) for server in sorted(by_id)]
             self._ownership.found(
                 service.name,
@@ -189,6 +189,14 @@
             changed = True
         return changed
 
+    def _stands_still(self, service: str, servers: frozenset, now_s: float) -> bool:
+        """Return whether the servers have been the same for some time."""
+        known, since_s = self._servers_since.get(service, (None, now_s))
+        if known != servers:
+            since_s = now_s
+        self._servers_since[service] = (servers, since_s)
+        return now_s - since_s >= FOUND_DELAY_S
+
     def _ready(self, service: str) -> list[Backend]:
         """Return the servers that may receive keys."""
         return [
--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -61,6 +61,7 @@
         self.leader: LeaderRecord | None = None
         self.hosts: dict[str, str] = {}
         self.confirmed_s = float("-inf")
+        self.peer_confirmed_s = float("-inf")
         self.changed = asyncio.Event()
         self._events = events
         self._decode_routes = decode_routes
@@ -80,9 +81,13 @@
         )
 
     def age_s(self) -> float:
-        """Return the time since the store or a peer last answered."""
+        """Return the time since the store last answered this host."""
         return boot_time_s() - self.confirmed_s
 
+    def peer_age_s(self) -> float:
+        """Return the time since the store last answered a peer, as far as known."""
+        return boot_time_s() - self.peer_confirmed_s
+
     def apply_configuration(self, content: bytes, revision: int, source: str) -> None:
         """Put a configuration in force unless a newer one is."""
         if revision <= self._configuration_revision:
@@ -198,9 +203,25 @@
             self.hosts[name] = content.decode(errors="replace")
 
     def confirm(self) -> None:
-        """Record that the store or a peer answered."""
+        """Record that the store answered."""
         self.confirmed_s = boot_time_s()
 
+    def confirm_by_peer(self, age_s: float) -> None:
+        """Record that a peer heard of the store ``age_s`` ago."""
+        self.peer_confirmed_s = max(self.peer_confirmed_s, boot_time_s() - age_s)
+
+    def adopt_servers(self, backends: list[Backend]) -> None:
+        """Take the servers of a peer that reaches the store, while this host does not.
+
+        What is missing there was removed from the store while it was up.
+        """
+        for backend in backends:
+            self._log_server(self.directory.find(backend.server), backend)
+        newest = max((backend.revision for backend in backends), default=0)
+        self.directory.replace_all(backends, newest, boot_time_s())
+        self.servers_known = True
+        self._notify()
+
     def expire(self) -> None:
         """Drop servers that stayed missing after an outage."""
         version = self.directory.version
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+import xxhash
+
 from .model import Backend
 
 RETURN_S = 2.5
@@ -36,7 +38,13 @@
         self.version = 0
 
     def doubt(self, now_s: float) -> None:
-        """Record that the store has just answered again after failures."""
+        """Record that the store has just answered again after an outage.
+
+        Doubt that lasts is not extended: each part of the store that is followed
+        comes back on its own.
+        """
+        if now_s < self._doubt_until_s:
+            return
         self._doubt_until_s = now_s + RETURN_S
         self._missing = {
             server: missing._replace(gone_at_s=self._doubt_until_s)
@@ -84,6 +92,16 @@
             if server not in listed and server not in self._missing:
                 self.remove(server, revision, now_s)
 
+    def digest(self) -> int:
+        """Return a digest of the servers and what matters of their entries."""
+        content = repr(
+            sorted(
+                (b.server, b.address, b.born_ms, b.draining)
+                for b in self._present.values()
+            )
+        )
+        return xxhash.xxh64_intdigest(content.encode())
+
     def expire(self, now_s: float) -> None:
         """Drop the entries that stayed missing."""
         for server, missing in [*self._missing.items()]:
--- a/src/jacinthpath/gateway/events.py
+++ b/src/jacinthpath/gateway/events.py
@@ -90,6 +90,16 @@
             written = len(self._pending)
         del self._pending[:written]
 
+    def attach_library_logs(self) -> None:
+        """Let the package's other modules write their events here as well."""
+
+        def write(_logger: object, method: str, event: dict[str, Any]) -> str:
+            name = event.pop("event")
+            self._write(EventKind.PROCESS, name, {"level": method, **event})
+            raise structlog.DropEvent
+
+        structlog.configure(processors=[write], cache_logger_on_first_use=True)
+
     def _write(self, kind: EventKind, event: str, fields: dict[str, Any]) -> None:
         now_s = self._clock()
         self._summarise(now_s)
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -25,13 +25,17 @@
     ServerEvidence,
     ServiceReport,
 )
-from .model import KEY_COUNT
+from .model import KEY_COUNT, Backend
 
 REPORT_S = 0.5
 SEND_TIMEOUT_S = 0.4
 MAX_REPORTED_KEYS = 4_096
 MAX_ADDRESSES_TRIED = 3
 
+FRESH_S = 2.0
+"""A peer that heard of the store within this time reaches it; its list of servers is
+then newer than that of a host that does not."""
+
 
 class Peering(Service):
     """Serves and asks the other gateways.
@@ -103,10 +107,13 @@
         wanted = frame.body.init("documentsWanted")
         wanted.configurationRevision = known.configuration_revision
         wanted.assignmentRevision = known.assignment_revision
+        wanted.serversDigest = self._beliefs.directory.digest()
         answer = await self._pool.request(address, frame, SEND_TIMEOUT_S)
         content = answer.body.documents
         beliefs = self._beliefs
         source = f"peer {address}"
+        age_s = content.ageMs / 1000
+        beliefs.confirm_by_peer(age_s)
         if content.configuration:
             beliefs.apply_configuration(
                 bytes(content.configuration), content.configurationRevision, source
@@ -115,6 +122,8 @@
             beliefs.apply_assignment(
                 bytes(content.assignment), content.assignmentRevision, source
             )
+        if age_s < min(FRESH_S, beliefs.age_s()) and len(content.servers):
+            beliefs.adopt_servers([_read_server(entry) for entry in content.servers])
 
     async def _give_documents(self, _connection: Any, frame: Any) -> Any:
         """Answer with the documents that are newer than the asker's."""
@@ -129,6 +138,11 @@
         if known.assignment_revision > wanted.assignmentRevision:
             content.assignment = known.assignment
             content.assignmentRevision = known.assignment_revision
+        if self._beliefs.directory.digest() != wanted.serversDigest:
+            backends = self._beliefs.directory.all().values()
+            servers = content.init("servers", len(backends))
+            for entry, backend in zip(servers, backends, strict=True):
+                _write_server(entry, backend)
         return answer
 
     async def _report_regularly(self) -> None:
@@ -163,6 +177,28 @@
         self._board.add(_read_report(frame.body.hostReport))
 
 
+def _write_server(entry: Any, backend: Backend) -> None:
+    entry.server, entry.service = backend.server, backend.service
+    entry.address, entry.zone = backend.address, backend.zone
+    entry.slots, entry.draining = backend.slots, backend.draining
+    entry.warmupMs = int(backend.warmup_s * 1000)
+    entry.bornMs, entry.revision = backend.born_ms, backend.revision
+
+
+def _read_server(entry: Any) -> Backend:
+    return Backend(
+        entry.server,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.draining,
+        entry.warmupMs / 1000,
+        entry.bornMs,
+        entry.revision,
+    )
+
+
 def _write_report(content: Any, report: HostReport) -> None:
     content.host = report.host
     content.spanMs = int(report.span_s * 1000)
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -28,8 +28,16 @@
 """Entries change with each heartbeat of each server, so changes are fetched at this
 pace; a draining server must be left within two seconds."""
 
-RETRY_S = 0.25
-EXPIRE_S = 0.25
+RETRY_S = 0.4
+EXPIRE_S = 0.2
+
+PEER_PERIOD_S = 0.3
+"""While the store does not answer, a peer is asked this often."""
+
+PEER_FRESH_S = 2.0
+"""When a peer heard of the store within this time, the store was not down."""
+
+COUNTS_PERIOD_S = 10.0
 
 
 class PeerDocuments(Protocol):
@@ -64,6 +72,8 @@
         self.add_future(self._follow("own", self._read_own))
         self.add_future(self._follow("servers", self._read_servers))
         self.add_future(self._expire())
+        self.add_future(self._ask_peers())
+        self.add_future(self._log_counts())
 
     async def _follow(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
         """Run one part again and again; each run lists and then watches."""
@@ -162,12 +172,28 @@
         if part not in self._failing:
             self._failing[part] = boot_time_s()
             self._events.process("store_lost", part=part, error=str(error))
-        try:
-            await self._peers.refresh()
-        except JacinthpathError as peer_error:
-            self._events.process("peer_unavailable", error=str(peer_error))
         await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
 
+    async def _ask_peers(self) -> None:
+        """Follow the peers while any part of the store does not answer."""
+        answering = True
+        while not self.should_stop:
+            await asyncio.sleep(PEER_PERIOD_S * (0.8 + 0.4 * self._random.random()))
+            if not self._failing:
+                continue
+            try:
+                await self._peers.refresh()
+                answering = True
+            except JacinthpathError as error:
+                if answering:
+                    self._events.process("peers_unavailable", error=str(error))
+                answering = False
+
+    async def _log_counts(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(COUNTS_PERIOD_S)
+            self._events.process("store_calls", **self._store.calls)
+
     async def _expire(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(EXPIRE_S)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -39,6 +39,7 @@
     process = secrets.token_hex(8)
     metrics = Metrics()
     events = EventLog(settings.host, count=metrics.count)
+    events.attach_library_logs()
     store = PlatformStore(settings.store_address)
     orders = OrderClient()
     servers = ServerClient()
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -278,12 +278,19 @@
 struct DocumentsWanted {
   configurationRevision @0 :UInt64;   # Newest that the sender has.
   assignmentRevision @1 :UInt64;
+  serversDigest @2 :UInt64;           # Of the servers that the sender believes in.
 }
 
 struct ServerEntry {
   server @0 :Text;
-  content @1 :Data;
-  revision @2 :UInt64;
+  service @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  warmupMs @6 :UInt32;
+  bornMs @7 :UInt64;
+  revision @8 :UInt64;
 }
 
 struct Documents {
@@ -291,6 +298,6 @@
   configurationRevision @1 :UInt64;
   assignment @2 :Data;
   assignmentRevision @3 :UInt64;
-  servers @4 :List(ServerEntry);
+  servers @4 :List(ServerEntry);      # All, or none when the digests are equal.
   ageMs @5 :UInt32;                   # Since the answering host heard of the store.
 }
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -83,7 +83,10 @@
         if self._callers is None or self._callers.server is None:
             return
         for connection in [*self._callers.server.connections]:
-            if connection._current_request is None and not connection._messages:
+            # Only a connection whose handler waits for the next request is idle; one
+            # whose request has just been taken shows no current request yet.
+            waiter = connection._waiter
+            if waiter is not None and not waiter.done():
                 connection.force_close()
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
