--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -69,6 +69,7 @@
         self._configuration = b""
         self._configuration_revision = 0
         self._assignment_content = b""
+        self._leader_revision = 0
         self._refused: set[tuple[str, int]] = set()
 
     def documents(self) -> Documents:
@@ -81,8 +82,8 @@
         )
 
     def age_s(self) -> float:
-        """Return the time since the store last answered this host."""
-        return boot_time_s() - self.confirmed_s
+        """Return the age of the newest news of the store, also by way of peers."""
+        return boot_time_s() - max(self.confirmed_s, self.peer_confirmed_s)
 
     def peer_age_s(self) -> float:
         """Return the time since the store last answered a peer, as far as known."""
@@ -174,7 +175,10 @@
         self._notify()
 
     def apply_leader(self, content: bytes | None, revision: int) -> None:
-        """Take the leader's record, or its removal."""
+        """Take the leader's record, or its removal, unless a newer one is known."""
+        if revision < self._leader_revision:
+            return
+        self._leader_revision = revision
         before = self.leader
         if content is None:
             self.leader = None
@@ -210,15 +214,14 @@
         """Record that a peer heard of the store ``age_s`` ago."""
         self.peer_confirmed_s = max(self.peer_confirmed_s, boot_time_s() - age_s)
 
-    def adopt_servers(self, backends: list[Backend]) -> None:
-        """Take the servers of a peer that reaches the store, while this host does not.
+    def adopt_servers(self, backends: list[Backend], revision: int) -> None:
+        """Take the servers of a peer whose news of the store is newer.
 
-        What is missing there was removed from the store while it was up.
+        :param revision: newest revision of an entry that the peer has seen.
         """
         for backend in backends:
             self._log_server(self.directory.find(backend.server), backend)
-        newest = max((backend.revision for backend in backends), default=0)
-        self.directory.replace_all(backends, newest, boot_time_s())
+        self.directory.replace_all(backends, revision, boot_time_s(), doubted=False)
         self.servers_known = True
         self._notify()
 
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -36,6 +36,9 @@
         self._doubt_until_s = float("-inf")
         self.draining_since_s: dict[str, float] = {}
         self.version = 0
+        self.revision = 0
+        self._digest = 0
+        self._digest_version = -1
 
     def doubt(self, now_s: float) -> None:
         """Record that the store has just answered again after an outage.
@@ -53,6 +56,7 @@
 
     def put(self, backend: Backend, now_s: float) -> None:
         """Record an entry; an older one than is known is ignored."""
+        self.revision = max(self.revision, backend.revision)
         known = self._present.get(backend.server)
         if known is not None and known.revision > backend.revision:
             return
@@ -71,9 +75,12 @@
 
     def remove(self, server: str, revision: int, now_s: float) -> None:
         """Record that an entry was removed."""
+        self.revision = max(self.revision, revision)
         known = self._present.get(server)
         if known is None or known.revision > revision:
             return
+        if server in self._missing:
+            return
         self._removed_s = [
             at_s for at_s in self._removed_s if now_s - at_s < MASS_WINDOW_S
         ]
@@ -83,24 +90,41 @@
             self.doubt(now_s)
         self.expire(now_s)
 
-    def replace_all(self, backends: list[Backend], revision: int, now_s: float) -> None:
-        """Take a complete list; what is not in it was removed."""
+    def replace_all(
+        self,
+        backends: list[Backend],
+        revision: int,
+        now_s: float,
+        doubted: bool = True,
+    ) -> None:
+        """Take a complete list; what is not in it was removed.
+
+        :param doubted: whether removals may stem from an outage; a peer that passes
+            its list on has settled that already.
+        """
+        self.revision = max(self.revision, revision)
         listed = {backend.server for backend in backends}
         for backend in backends:
             self.put(backend, now_s)
         for server in [*self._present]:
-            if server not in listed and server not in self._missing:
+            if server in listed:
+                continue
+            if doubted:
                 self.remove(server, revision, now_s)
+            elif self._present[server].revision <= revision:
+                self._missing[server] = _Missing(self._present[server], now_s)
+        self.expire(now_s)
 
     def digest(self) -> int:
         """Return a digest of the servers and what matters of their entries."""
-        content = repr(
-            sorted(
+        if self._digest_version != self.version:
+            rows = sorted(
                 (b.server, b.address, b.born_ms, b.draining)
                 for b in self._present.values()
             )
-        )
-        return xxhash.xxh64_intdigest(content.encode())
+            self._digest = xxhash.xxh64_intdigest(repr(rows).encode())
+            self._digest_version = self.version
+        return self._digest
 
     def expire(self, now_s: float) -> None:
         """Drop the entries that stayed missing."""
--- a/src/jacinthpath/gateway/leadership.py
+++ b/src/jacinthpath/gateway/leadership.py
@@ -154,6 +154,7 @@
         sent_s = boot_time_s()
         try:
             await self._store.renew_lease(self._lease)
+            self._beliefs.confirm()
             if self.authority is not None:
                 self.authority.confirm(sent_s)
         except LeaseEnded:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -5,7 +5,7 @@
 __all__ = ["Peering"]
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -17,6 +17,7 @@
 from ..metrics import Metrics
 from ..peers import PeerIdentity, PeerPool, PeerServer
 from .beliefs import Beliefs
+from .clock import boot_time_s
 from .events import EventLog
 from .loads import (
     HostReport,
@@ -30,6 +31,14 @@
 REPORT_S = 0.5
 SEND_TIMEOUT_S = 0.4
 MAX_REPORTED_KEYS = 4_096
+FOLLOW_WAIT_S = 1.0
+"""The leader answers at once when it has news and after this time otherwise."""
+
+FOLLOWED_S = 1.7
+"""Without a fresh answer of the leader for this long, a host reads the store."""
+
+LEADER_FRESH_S = 1.5
+FOLLOW_RETRY_S = 0.15
 MAX_ADDRESSES_TRIED = 3
 
 FRESH_S = 2.0
@@ -66,6 +75,8 @@
         self._board = board
         self._events = events
         self._random = random
+        self._followed_s = float("-inf")
+        self.is_leading: Callable[[], bool] = lambda: False
         handlers: Mapping[str, Any] = {
             "hostReport": self._take_report,
             "documentsWanted": self._give_documents,
@@ -77,12 +88,17 @@
         """Listen to peers and begin to report."""
         await self._server.start()
         self.add_future(self._report_regularly())
+        self.add_future(self._follow_leader())
 
     async def on_stop(self) -> None:
         """Close all connections."""
         await self._pool.close()
         await self._server.close()
 
+    def is_following(self) -> bool:
+        """Return whether the leader keeps this host up to date."""
+        return boot_time_s() - self._followed_s < FOLLOWED_S
+
     async def refresh(self) -> None:
         """Ask peers in random order until one answers, and apply what it knows.
 
@@ -95,25 +111,52 @@
         last: JacinthpathError = PeerUnavailable("No peer is known.", "")
         for address in chosen:
             try:
-                await self._ask(address)
+                await self._ask(address, 0.0)
                 return
             except JacinthpathError as error:
                 last = error
         raise last
 
-    async def _ask(self, address: str) -> None:
-        known = self._beliefs.documents()
+    async def _follow_leader(self) -> None:
+        """Keep up with the leader as long as it is another host and answers."""
+        while not self.should_stop:
+            leader = self._beliefs.leader
+            if leader is None or leader.address == self._address:
+                await asyncio.sleep(FOLLOW_RETRY_S)
+                continue
+            try:
+                answer = await self._ask(leader.address, FOLLOW_WAIT_S)
+            except JacinthpathError as error:
+                if self.is_following():
+                    self._events.process(
+                        "leader_silent", leader=leader.host, error=str(error)
+                    )
+                await asyncio.sleep(FOLLOW_RETRY_S)
+                continue
+            if answer.leading and answer.ageMs < LEADER_FRESH_S * 1000:
+                self._followed_s = boot_time_s()
+            # News come in bursts; a pause lets one answer carry several, and bounds
+            # the messages should two hosts not agree.
+            await asyncio.sleep(FOLLOW_RETRY_S * self._random.random())
+
+    async def _ask(self, address: str, wait_s: float) -> Any:
+        """Ask one peer for newer documents, apply them and return its answer."""
+        beliefs = self._beliefs
+        known = beliefs.documents()
         frame = new_frame()
         wanted = frame.body.init("documentsWanted")
         wanted.configurationRevision = known.configuration_revision
         wanted.assignmentRevision = known.assignment_revision
-        wanted.serversDigest = self._beliefs.directory.digest()
-        answer = await self._pool.request(address, frame, SEND_TIMEOUT_S)
+        wanted.serversDigest = beliefs.directory.digest()
+        wanted.hosts = len(beliefs.hosts)
+        wanted.waitMs = int(wait_s * 1000)
+        answer = await self._pool.request(address, frame, SEND_TIMEOUT_S + wait_s)
         content = answer.body.documents
+        self._apply(content, f"peer {address}")
+        return content
+
+    def _apply(self, content: Any, source: str) -> None:
         beliefs = self._beliefs
-        source = f"peer {address}"
-        age_s = content.ageMs / 1000
-        beliefs.confirm_by_peer(age_s)
         if content.configuration:
             beliefs.apply_configuration(
                 bytes(content.configuration), content.configurationRevision, source
@@ -122,27 +165,64 @@
             beliefs.apply_assignment(
                 bytes(content.assignment), content.assignmentRevision, source
             )
-        if age_s < min(FRESH_S, beliefs.age_s()) and len(content.servers):
-            beliefs.adopt_servers([_read_server(entry) for entry in content.servers])
+        for entry in content.hosts:
+            beliefs.apply_host(entry.host, entry.address.encode())
+        age_s = content.ageMs / 1000
+        newer = content.leading or age_s < min(FRESH_S, beliefs.age_s())
+        if newer and len(content.servers):
+            beliefs.adopt_servers(
+                [_read_server(entry) for entry in content.servers],
+                content.serversRevision,
+            )
+        beliefs.confirm_by_peer(age_s)
 
     async def _give_documents(self, _connection: Any, frame: Any) -> Any:
-        """Answer with the documents that are newer than the asker's."""
+        """Answer with what is newer than what the asker has; wait for it if asked."""
         wanted = frame.body.documentsWanted
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + min(FOLLOW_WAIT_S, wanted.waitMs / 1000)
+        while not self._has_news(wanted) and loop.time() < until_s:
+            changed = self._beliefs.changed
+            try:
+                async with asyncio.timeout_at(until_s):
+                    await changed.wait()
+            except TimeoutError:
+                break
+        return self._documents_frame(wanted)
+
+    def _has_news(self, wanted: Any) -> bool:
         known = self._beliefs.documents()
+        return (
+            known.configuration_revision > wanted.configurationRevision
+            or known.assignment_revision > wanted.assignmentRevision
+            or self._beliefs.directory.digest() != wanted.serversDigest
+        )
+
+    def _documents_frame(self, wanted: Any) -> Any:
+        beliefs = self._beliefs
+        known = beliefs.documents()
         answer = new_frame()
         content = answer.body.init("documents")
-        content.ageMs = min(2**32 - 1, int(max(0.0, self._beliefs.age_s()) * 1000))
+        content.ageMs = min(2**32 - 1, int(max(0.0, beliefs.age_s()) * 1000))
+        content.leading = self.is_leading()
         if known.configuration_revision > wanted.configurationRevision:
             content.configuration = known.configuration
             content.configurationRevision = known.configuration_revision
         if known.assignment_revision > wanted.assignmentRevision:
             content.assignment = known.assignment
             content.assignmentRevision = known.assignment_revision
-        if self._beliefs.directory.digest() != wanted.serversDigest:
-            backends = self._beliefs.directory.all().values()
+        if beliefs.directory.digest() != wanted.serversDigest:
+            backends = beliefs.directory.all().values()
+            content.serversRevision = beliefs.directory.revision
             servers = content.init("servers", len(backends))
             for entry, backend in zip(servers, backends, strict=True):
                 _write_server(entry, backend)
+        if len(beliefs.hosts) != wanted.hosts:
+            hosts = content.init("hosts", len(beliefs.hosts))
+            for entry, (host, address) in zip(
+                hosts, beliefs.hosts.items(), strict=True
+            ):
+                entry.host, entry.address = host, address
         return answer
 
     async def _report_regularly(self) -> None:
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -18,6 +18,8 @@
 from .store import Change, HistoryLost, Store
 
 CONFIGURATION_KEY = "op/config"
+"""Written by the operator; see the platform page of the documentation."""
+
 OWN_PREFIX = "jacinthpath/"
 SERVERS_PREFIX = "servers/"
 
@@ -28,6 +30,9 @@
 """Entries change with each heartbeat of each server, so changes are fetched at this
 pace; a draining server must be left within two seconds."""
 
+FOLLOW_POLL_S = 0.1
+"""Pause between looks at whether the leader still answers this host."""
+
 RETRY_S = 0.4
 EXPIRE_S = 0.2
 
@@ -41,14 +46,22 @@
 
 
 class PeerDocuments(Protocol):
-    """Asks peers for newer documents."""
+    """Learns documents from peers."""
+
+    def is_following(self) -> bool:
+        """Return whether the leader keeps this host up to date."""
 
     async def refresh(self) -> None:
         """Apply what one peer knows."""
 
 
 class StoreWatcher(Service):
-    """Keeps the beliefs of this host up to date."""
+    """Keeps the beliefs of this host up to date.
+
+    Every host watches the configuration and who leads: a call for each change. The
+    owners and the servers change all the time; they come from the leader, and from
+    the store only while no leader answers, so that calls do not grow with the fleet.
+    """
 
     def __init__(
         self,
@@ -69,43 +82,57 @@
     async def on_start(self) -> None:
         """Start a task for each part of the store that is followed."""
         self.add_future(self._follow("configuration", self._read_configuration))
-        self.add_future(self._follow("own", self._read_own))
-        self.add_future(self._follow("servers", self._read_servers))
+        self.add_future(self._follow("leader", self._read_leader))
+        self.add_future(self._follow("own", self._read_own, unless_following=True))
+        self.add_future(
+            self._follow("servers", self._read_servers, unless_following=True)
+        )
         self.add_future(self._expire())
         self.add_future(self._ask_peers())
         self.add_future(self._log_counts())
 
-    async def _follow(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+    async def _follow(
+        self,
+        part: str,
+        run: Callable[[], Awaitable[None]],
+        unless_following: bool = False,
+    ) -> None:
         """Run one part again and again; each run lists and then watches."""
         while not self.should_stop:
+            if unless_following and self._peers.is_following():
+                self._failing.pop(part, None)
+                await asyncio.sleep(FOLLOW_POLL_S)
+                continue
             try:
                 await run()
             except HistoryLost as error:
-                self._events.process("store_history_lost", part=name, error=str(error))
+                self._events.process("store_history_lost", part=part, error=str(error))
+                await asyncio.sleep(RETRY_S * self._random.random())
             except (StoreError, KeyError, TypeError, ValueError) as error:
-                await self._store_failed(name, error)
+                await self._store_failed(part, error)
 
     async def _read_configuration(self) -> None:
-        item = await self._store.read(CONFIGURATION_KEY)
+        listed = await self._store.list(CONFIGURATION_KEY)
         self._answered("configuration")
-        revision = 0
-        if item is not None:
-            revision = item.revision
-            self._beliefs.apply_configuration(item.value, item.revision, "store")
-        else:
-            await asyncio.sleep(RETRY_S)
-        await self._watch("configuration", CONFIGURATION_KEY, revision, 0.0)
+        for item in listed.items:
+            self._apply_configuration(Change(*item))
+        await self._watch("configuration", CONFIGURATION_KEY, listed.revision)
+
+    async def _read_leader(self) -> None:
+        listed = await self._store.list(LEADER_KEY)
+        self._answered("leader")
+        for item in listed.items:
+            self._apply_own(Change(*item))
+        if not listed.items:
+            self._beliefs.apply_leader(None, listed.revision)
+        await self._watch("leader", LEADER_KEY, listed.revision)
 
     async def _read_own(self) -> None:
         listed = await self._store.list(OWN_PREFIX)
         self._answered("own")
-        keys = set()
         for item in listed.items:
-            keys.add(item.key)
-            self._apply_own(Change(item.key, item.value, item.revision))
-        if LEADER_KEY not in keys:
-            self._beliefs.apply_leader(None, listed.revision)
-        await self._watch("own", OWN_PREFIX, listed.revision, 0.0)
+            self._apply_own(Change(*item))
+        await self._watch("own", OWN_PREFIX, listed.revision)
 
     async def _read_servers(self) -> None:
         listed = await self._store.list(SERVERS_PREFIX)
@@ -114,21 +141,24 @@
         await self._watch("servers", SERVERS_PREFIX, listed.revision, SERVERS_PACE_S)
 
     async def _watch(
-        self, part: str, prefix: str, revision: int, pace_s: float
+        self, part: str, prefix: str, revision: int, pace_s: float = 0.0
     ) -> None:
+        """Apply changes; end when the leader begins to keep this part up to date."""
         apply = {
             "configuration": self._apply_configuration,
+            "leader": self._apply_own,
             "own": self._apply_own,
             "servers": self._apply_server,
         }[part]
-        while not self.should_stop:
+        followed = part in ("own", "servers")
+        while not (followed and self._peers.is_following()) and not self.should_stop:
             try:
                 changes = await self._store.watch(prefix, revision, WATCH_S)
             except HistoryLost:
                 raise
             except StoreError as error:
-                await self._store_failed(part, error)
                 # The missed changes are asked for again; a list is dearer.
+                await self._store_failed(part, error)
                 continue
             self._answered(part)
             revision = max(revision, changes.revision)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -71,6 +71,7 @@
         process,
         settings.lease_min_s,
     )
+    peering.is_leading = lambda: leadership.authority is not None
     assigner = Assigner(
         store, beliefs, leadership, orders, board, settings.timing, events, metrics
     )
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -279,6 +279,8 @@
   configurationRevision @0 :UInt64;   # Newest that the sender has.
   assignmentRevision @1 :UInt64;
   serversDigest @2 :UInt64;           # Of the servers that the sender believes in.
+  waitMs @3 :UInt32;                  # How long the answer may wait for news.
+  hosts @4 :UInt32;                   # How many hosts the sender knows.
 }
 
 struct ServerEntry {
@@ -300,4 +302,12 @@
   assignmentRevision @3 :UInt64;
   servers @4 :List(ServerEntry);      # All, or none when the digests are equal.
   ageMs @5 :UInt32;                   # Since the answering host heard of the store.
+  hosts @6 :List(HostAddress);        # All, or none when the sender knows as many.
+  leading @7 :Bool;                   # Whether the answering host leads.
+  serversRevision @8 :UInt64;         # Newest revision of an entry that was seen.
+}
+
+struct HostAddress {
+  host @0 :Text;
+  address @1 :Text;
 }
