--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -48,8 +48,8 @@
     async def stop_listening(self) -> None:
         """Accept no further connections."""
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
+    def close_idle(self) -> int:
+        """Close the connections that wait for a request; return how many are left."""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -126,10 +126,10 @@
         await self._leadership.resign()
         await asyncio.sleep(LEAVE_S)
         await self.listener.stop_listening()
-        self.listener.close_idle()
-        while self._forwarder.in_flight and loop.time() < end_s:
+        # A request that is still being received is not in flight yet, so the
+        # connections are counted.
+        while self.listener.close_idle() and loop.time() < end_s:
             await asyncio.sleep(DRAIN_POLL_S)
-            self.listener.close_idle()
         return self._forwarder.in_flight
 
     def reload(self) -> None:
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -78,16 +78,17 @@
             if runner is not None:
                 await runner.cleanup()
 
-    def close_idle(self) -> None:
-        """Close the connections that wait for a request."""
+    def close_idle(self) -> int:
+        """Close the connections that wait for a request; return how many are left."""
         if self._callers is None or self._callers.server is None:
-            return
+            return 0
         for connection in [*self._callers.server.connections]:
             # Only a connection whose handler waits for the next request is idle; one
             # whose request has just been taken shows no current request yet.
             waiter = connection._waiter
             if waiter is not None and not waiter.done():
                 connection.force_close()
+        return len(self._callers.server.connections)
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != READY_PATH:
--- /dev/null
+++ b/tests/test_gateway_ownership.py
@@ -0,0 +1,127 @@
+"""One owner of each key, through everything that the platform's pages allow."""
+
+import pytest
+
+from jacinthpath.gateway import ownership
+
+from .gateway_world import World
+
+SEEDS = range(12)
+
+
+async def settle(world, span_s=5.0):
+    for _ in range(int(span_s / 0.1)):
+        await world.step()
+
+
+async def disturb(world, span_s=40.0):
+    """Change something at random a few times a second."""
+    random = world.random
+    for _ in range(int(span_s / 0.1)):
+        await world.step()
+        if random.random() > 0.12:
+            continue
+        leader = random.choice(world.leaders)
+        server = random.choice([*world.servers])
+        action = random.choice(["cut", "cut", "heal", "server", "path", "listed"])
+        if action == "cut":
+            leader.cut = True
+        elif action == "heal":
+            leader.cut = False
+        elif action == "server":
+            if world.servers[server].up:
+                world.stop_server(server)
+            else:
+                world.start_server(server)
+        elif action == "path":
+            world.cuts ^= {(leader.name, server)}
+        else:
+            world.listed ^= {server}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_one_owner_through_random_faults(seed, monkeypatch):
+    """Two servers never hold a key at once, and fences rise with each new owner."""
+    world = World(seed, monkeypatch, late_orders=0.1, lost_writes=0.1)
+    await settle(world)
+    await disturb(world)
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_all_keys_are_served_again_after_the_faults(seed, monkeypatch):
+    """A fault leaves no key without an owner once everything works again."""
+    world = World(seed, monkeypatch, late_orders=0.1, lost_writes=0.1)
+    await settle(world)
+    await disturb(world, 20.0)
+    world.late_orders = world.lost_writes = 0.0
+    world.cuts.clear()
+    for leader in world.leaders:
+        leader.cut = False
+    for server, life in [*world.servers.items()]:
+        if not life.up:
+            world.start_server(server)
+        world.listed.add(server)
+    await settle(world, 30.0)
+    assert [key for key in world.probes if world.holder(key) is None] == []
+    assert world.broken == []
+
+
+async def test_a_crashed_server_is_replaced_within_seconds(monkeypatch):
+    """A server that is lost for good leaves its keys unserved for one hold."""
+    world = World(1, monkeypatch)
+    await settle(world)
+    world.stop_server("s1")
+    await settle(world, 4.0)
+    assert all(world.holder(key) for key in world.probes)
+
+
+async def test_a_change_of_leader_moves_no_key(monkeypatch):
+    """The successor grants the same ranges to the same servers."""
+    world = World(2, monkeypatch)
+    await settle(world)
+    before = {key: world.holder(key).server for key in world.probes}
+    leader = next(one for one in world.leaders if one.leadership.authority)
+    leader.cut = True
+    for _ in range(60):
+        await world.step()
+        assert all(world.holder(key) for key in world.probes)
+    assert {key: world.holder(key).server for key in world.probes} == before
+    assert leader.leadership.authority is None or not leader.cut or world.broken == []
+
+
+async def test_an_outage_of_the_store_costs_no_key(monkeypatch):
+    """While the store is down for nine seconds every key keeps its owner."""
+    world = World(3, monkeypatch)
+    await settle(world)
+    for leader in world.leaders:
+        leader.cut = True
+    for _ in range(90):
+        await world.step()
+        assert all(world.holder(key) for key in world.probes)
+
+
+async def test_a_plain_version_without_waiting_is_caught(monkeypatch):
+    """The check finds two owners when holds are not waited for."""
+    monkeypatch.setattr(ownership.Holding, "may_leave", lambda *_args: True)
+    broken = []
+    for seed in SEEDS:
+        world = World(seed, monkeypatch, late_orders=0.1, lost_writes=0.1)
+        await settle(world)
+        await disturb(world)
+        broken += world.broken
+    assert broken
+
+
+async def test_a_plain_version_without_the_extension_bound_is_caught(monkeypatch):
+    """The check finds two owners when a former leader's grants are not waited for."""
+    from jacinthpath.gateway import assigner
+
+    monkeypatch.setattr(assigner, "former_bound_s", lambda now_s, *_rest: now_s)
+    broken = []
+    for seed in range(30):
+        world = World(seed, monkeypatch, late_orders=0.1, lost_writes=0.1)
+        await settle(world)
+        await disturb(world)
+        broken += world.broken
+    assert broken
