Offer a request again to an owner that turned it away

Ruled out: load, since the servers had free slots. A refusal now leaves the server in use, and the request is offered again within the shared budget.

--- a/src/jacinthpath/gateway/attempts.py
+++ b/src/jacinthpath/gateway/attempts.py
@@ -15,6 +15,10 @@
 """A repeat needs this share of the time that an answer is expected to take, at the
 least; with less left it would only load the next server."""
 
+MAX_REPEATS = 3
+"""Sends of one request beyond the first. A server that turns a share of its requests
+away without running them is asked again, within the shared budget."""
+
 RETRY_AFTER_LEAST_S = 0.1
 RETRY_AFTER_MOST_S = 1.0
 
@@ -44,6 +48,7 @@
 def next_step(
     route: Route,
     results: list[AttemptResult],
+    servers: int,
     left_s: float,
     expected_s: float,
     another: bool,
@@ -51,6 +56,7 @@
 ) -> Step:
     """Return the step after the last of ``results``.
 
+    :param servers: servers that a repeat would bring the request to, in all.
     :param left_s: time that the caller still waits.
     :param expected_s: time that an answer of another server is expected to take.
     :param another: whether there is a server that may run the request.
@@ -61,7 +67,7 @@
         return Step(StepKind.ANSWER, "")
     may_have_run = any(result.outcome not in NOT_RUN for result in results)
     obstacle = _obstacle(
-        route, results, may_have_run, left_s, expected_s, another, budget_left
+        route, results, servers, may_have_run, left_s, expected_s, another, budget_left
     )
     if not obstacle:
         return Step(StepKind.REPEAT, last.outcome.value)
@@ -86,6 +92,7 @@
 def _obstacle(
     route: Route,
     results: list[AttemptResult],
+    servers: int,
     may_have_run: bool,
     left_s: float,
     expected_s: float,
@@ -95,7 +102,7 @@
     """Return why there is no repeat, or an empty string."""
     if may_have_run and not route.idempotent:
         return "not-repeatable"
-    if len(results) >= route.max_servers:
+    if servers > route.max_servers or len(results) > MAX_REPEATS:
         return "max-servers"
     if not another:
         return "no-other-server"
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -202,8 +202,7 @@
         beliefs = self._f._beliefs
         until_s = self._loop.time() + min(MOVE_WAIT_S, self._left_s())
         while True:
-            index = beliefs.owners.get(self._service.name)
-            owned = index.find(self._request.key) if index else None
+            owned = self._present_owner()
             if owned is None:
                 return None, "no-owner", NO_OWNER_RETRY_S
             if not owned.target:
@@ -272,6 +271,8 @@
                 f._counter.answered(self._service.name, backend.server, took_s)
         elif result.outcome in (Outcome.NOT_OWNER, Outcome.TIMED_OUT):
             f._pool.abandoned(backend, now_s)
+        elif result.outcome is Outcome.REFUSED:
+            f._pool.refused(backend, now_s)
         elif f._pool.failed(backend, now_s):
             f._events.belief(
                 "server_ejected",
@@ -284,10 +285,14 @@
     async def _decide(self, result: AttemptResult) -> Step:
         f = self._f
         now_s = boot_time_s()
+        servers = len(set(self._tried))
         if self._keyed:
             another = await self._keyed_retry_possible(result)
             expected_s = 0.0
+            owner = self._present_owner()
+            servers += owner is not None and owner.server not in self._tried
         else:
+            servers += 1
             backends = f._beliefs.directory.of_service(self._service.name)
             other = f._pool.choose(backends, now_s, self._tried)
             another = other is not None
@@ -295,7 +300,13 @@
         budget = f.budget(self._service.name)
         allowed = budget.allows(self._loop.time(), len(f._beliefs.hosts))
         return next_step(
-            self._route, self._results, self._left_s(), expected_s, another, allowed
+            self._route,
+            self._results,
+            servers,
+            self._left_s(),
+            expected_s,
+            another,
+            allowed,
         )
 
     async def _keyed_retry_possible(self, result: AttemptResult) -> bool:
@@ -305,14 +316,17 @@
         if result.outcome is Outcome.NOT_OWNER:
             # The new owner is written before it is granted; news follow shortly.
             await self._wait_for_news()
-        index = self._f._beliefs.owners.get(self._service.name)
-        owned = index.find(self._request.key) if index else None
+        owned = self._present_owner()
         if owned is None:
             return False
-        if result.outcome in (Outcome.NOT_OWNER, Outcome.BROKEN, Outcome.FAILED):
+        if result.outcome is not Outcome.TIMED_OUT:
             return True
         return bool(owned.target) or owned.server != self._tried[-1]
 
+    def _present_owner(self) -> OwnedRange | None:
+        index = self._f._beliefs.owners.get(self._service.name)
+        return index.find(self._request.key) if index else None
+
     async def _wait_for_news(self) -> None:
         changed = self._f._beliefs.changed
         try:
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -118,6 +118,12 @@
         state.log_latency += gain * (latency - state.log_latency)
         state.samples += 1
 
+    def refused(self, backend: Backend, now_s: float) -> None:
+        """Record that the server turned a request away; it is up, so it stays."""
+        state = self._state(backend, now_s)
+        state.in_flight = max(0, state.in_flight - 1)
+        state.failure_share += FAILURE_GAIN * (1 - state.failure_share)
+
     def failed(self, backend: Backend, now_s: float) -> bool:
         """Record a failure; return whether the server was ejected by it."""
         state = self._state(backend, now_s)
