Move a key that cannot be split to a faster server; read the store at once without a leader

Cause: a single busy key was left on a slow server. Speeds are learned only from servers without a queue, or the key would wander. Repeats to the same owner pause, since four sends within a millisecond met the same full queue.

--- a/src/jacinthpath/gateway/balance.py
+++ b/src/jacinthpath/gateway/balance.py
@@ -30,6 +30,9 @@
 MAX_RANGES_PER_SERVER = 24
 """Each range is a grant that is repeated."""
 
+FASTER_FACTOR = 1.3
+"""A key that keeps its server busy alone moves to a server that is faster by this."""
+
 IDLE_RATE = 2.0
 """Below this many requests a second there is nothing worth moving."""
 
@@ -72,6 +75,11 @@
         high = bisect_right(self.keys, last)
         return self._sums[high] - self._sums[low] + self._base * (last - first + 1)
 
+    def keys_in(self, first: int, last: int) -> list[int]:
+        """Return the keys of a range that were seen."""
+        low = bisect_left(self.keys, first)
+        return self.keys[low : bisect_right(self.keys, last)]
+
     def cut(self, first: int, last: int, wanted: float) -> int:
         """Return the last key of the part from ``first`` with the wanted load.
 
@@ -169,15 +177,36 @@
             wanted = gap * min(self._speeds[source], self._speeds[target]) / 2
         piece = self._best_piece(source, target, wanted)
         if piece is None:
-            # What is left at the source is one key too busy to move.
+            # What is left at the source is one key that cannot be split.
             self._spent.add(source)
-            return self.next_transfer()
+            return self._to_faster(source) or self.next_transfer()
         first, last = piece
         load = self._loads.of(first, last)
         self._load[source] -= load
         self._load[target] += load
         return Move(first, last, target)
 
+    def _to_faster(self, source: str) -> Move | None:
+        """Move the busiest key of a server to the fastest one, if that is faster."""
+        target = max(self._speeds, key=self._speeds.__getitem__)
+        if self._speeds[target] < FASTER_FACTOR * self._speeds[source]:
+            return None
+        keys = [
+            key
+            for begin, end in self._pieces[source]
+            for key in self._loads.keys_in(begin, end)
+        ]
+        if not keys:
+            return None
+        key = max(keys, key=lambda key: self._loads.of(key, key))
+        load = self._loads.of(key, key)
+        if load < self._mean * self._speeds[source]:
+            return None
+        self._take(source, key, key)
+        self._load[source] -= load
+        self._load[target] += load
+        return Move(key, key, target)
+
     def _place(self, owned: OwnedRange) -> None:
         server = owned.target or owned.server
         if server not in self._speeds:
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -36,6 +36,10 @@
 """Share of the drain time for which a draining owner is still sent to, counted from
 when its report was seen; the report itself is older."""
 
+REPEAT_PAUSE_S = 0.02
+"""Pause before a request goes to the same server again; it doubles each time. A full
+server needs about this long to free a slot."""
+
 MIN_SEND_S = 0.02
 """Less time than this is not offered to a server."""
 
@@ -180,6 +184,16 @@
             if step.kind is not StepKind.REPEAT:
                 return self._reply(step)
             f.budget(self._service.name).repeated(self._loop.time())
+            await self._pause(result)
+
+    async def _pause(self, result: AttemptResult) -> None:
+        """Wait a little before a keyed request goes to the same owner again."""
+        if not self._keyed or result.outcome is not Outcome.REFUSED:
+            return
+        pause_s = REPEAT_PAUSE_S * 2 ** (len(self._results) - 1)
+        pause_s *= 0.5 + self._f._random.random()
+        if pause_s < self._left_s():
+            await asyncio.sleep(pause_s)
 
     def _left_s(self) -> float:
         return self._end_s - self._loop.time()
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -18,6 +18,9 @@
 """Speeds last, and single latencies scatter by half; a faster estimate moves keys back
 and forth."""
 
+QUEUED_FROM = 4.5
+"""Mean number of requests at a server of three slots that shows a queue."""
+
 SPEED_LIMITS = (0.25, 4.0)
 """Estimated speeds stay within these bounds of the mean of the service."""
 
@@ -29,11 +32,13 @@
     """What one host saw of a server since its last report.
 
     :param log_latency_sum: sum of the natural logarithms of latencies in seconds.
+    :param latency_sum_s: sum of the latencies.
     """
 
     server: str
     answered: int
     log_latency_sum: float
+    latency_sum_s: float
 
 
 class ServiceReport(NamedTuple):
@@ -69,8 +74,9 @@
 
     def answered(self, service: str, server: str, latency_s: float) -> None:
         """Record the latency of an answer."""
-        sums = self._latencies[service].setdefault(server, [0, 0.0])
+        sums = self._latencies[service].setdefault(server, [0, 0.0, 0.0])
         sums[0] += 1
+        sums[2] += latency_s
         sums[1] += math.log(max(latency_s, 1e-4))
 
     def take(self, host: str, span_s: float) -> HostReport:
@@ -80,8 +86,10 @@
                 service,
                 keys,
                 tuple(
-                    ServerEvidence(server, int(count), total)
-                    for server, (count, total) in self._latencies[service].items()
+                    ServerEvidence(server, int(count), logs, latencies)
+                    for server, (count, logs, latencies) in self._latencies[
+                        service
+                    ].items()
                 ),
             )
             for service, keys in self._keys.items()
@@ -95,6 +103,7 @@
     def __init__(self) -> None:
         self.rates: dict[int, float] = defaultdict(float)
         self.latencies: dict[str, float] = {}
+        self.present: dict[str, float] = defaultdict(float)
 
 
 class LoadBoard:
@@ -126,6 +135,8 @@
                     if rate * factor > FORGOTTEN_RATE
                 },
             )
+            for server in board.present:
+                board.present[server] *= factor
 
     def key_loads(self, service: str) -> KeyLoads:
         """Return the loads by key of a service."""
@@ -151,6 +162,11 @@
     def _learn(board: _ServiceBoard, seen: ServerEvidence) -> None:
         if not seen.answered:
             return
+        # By Little's law this is the mean number of requests at the server.
+        board.present[seen.server] += seen.latency_sum_s / LOAD_DECAY_S
+        if board.present[seen.server] > QUEUED_FROM and seen.server in board.latencies:
+            # Latencies of a server with a queue tell its load, not its speed.
+            return
         latency = seen.log_latency_sum / seen.answered
         known = board.latencies.get(seen.server)
         if known is None:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -31,11 +31,12 @@
 REPORT_S = 0.3
 SEND_TIMEOUT_S = 0.4
 MAX_REPORTED_KEYS = 4_096
-FOLLOW_WAIT_S = 1.0
+FOLLOW_WAIT_S = 0.5
 """The leader answers at once when it has news and after this time otherwise."""
 
-FOLLOWED_S = 1.7
-"""Without a fresh answer of the leader for this long, a host reads the store."""
+FOLLOWED_S = 1.0
+"""Without a fresh answer of the leader for this long, a host reads the store: a server
+that drains has to be left within two seconds."""
 
 LEADER_FRESH_S = 1.5
 FOLLOW_RETRY_S = 0.15
@@ -76,6 +77,7 @@
         self._events = events
         self._random = random
         self._followed_s = float("-inf")
+        self._followed_process = ""
         self.is_leading: Callable[[], bool] = lambda: False
         handlers: Mapping[str, Any] = {
             "hostReport": self._take_report,
@@ -97,7 +99,12 @@
 
     def is_following(self) -> bool:
         """Return whether the leader keeps this host up to date."""
-        return boot_time_s() - self._followed_s < FOLLOWED_S
+        leader = self._beliefs.leader
+        return (
+            leader is not None
+            and leader.process == self._followed_process
+            and boot_time_s() - self._followed_s < FOLLOWED_S
+        )
 
     async def refresh(self) -> None:
         """Ask peers in random order until one answers, and apply what it knows.
@@ -135,6 +142,7 @@
                 continue
             if answer.leading and answer.ageMs < LEADER_FRESH_S * 1000:
                 self._followed_s = boot_time_s()
+                self._followed_process = leader.process
             # News come in bursts; a pause lets one answer carry several, and bounds
             # the messages should two hosts not agree.
             await asyncio.sleep(FOLLOW_RETRY_S * self._random.random())
@@ -292,7 +300,8 @@
             row.key, row.requests = key, requests
         servers = entry.init("servers", len(service.servers))
         for row, seen in zip(servers, service.servers, strict=True):
-            row.server, row.answered, row.logLatencySum = seen
+            row.server, row.answered = seen.server, seen.answered
+            row.logLatencySum, row.latencySumS = seen[2:]
 
 
 def _read_report(content: Any) -> HostReport:
@@ -306,7 +315,7 @@
             raise FrameError("A load report lists too many keys.", "Check the sender.")
         keys = {row.key: row.requests for row in entry.keys if row.key < KEY_COUNT}
         servers = tuple(
-            ServerEvidence(row.server, row.answered, row.logLatencySum)
+            ServerEvidence(row.server, row.answered, row.logLatencySum, row.latencySumS)
             for row in entry.servers
         )
         services.append(ServiceReport(entry.service, keys, servers))
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -261,6 +261,7 @@
   server @0 :Text;
   answered @1 :UInt32;
   logLatencySum @2 :Float32;  # Natural logarithms of latencies in seconds.
+  latencySumS @3 :Float32;
 }
 
 struct ServiceReport {
