Move few keys, send a compact assignment, prefer servers of the own data centre

Moves are paid by the key, the assignment went to every host with a full line a range, and two thirds of the answers crossed data centres. Of parts with much the same load the narrowest one moves, servers without a queue are left alone, and a far server counts 1.4 times slower.

--- a/bench/keyed_model.py
+++ b/bench/keyed_model.py
@@ -215,7 +215,10 @@
     def _plan(self, now_s: float, _content: object) -> None:
         self.board.decay(now_s)
         speeds = self.board.speeds("s")
-        members = [Member(name, speeds.get(name, 1.0)) for name in self.servers]
+        members = [
+            Member(name, speeds.get(name, 1.0), False, self.board.present("s", name))
+            for name in self.servers
+        ]
         for move in self.plan(self.ranges, members, self.board):
             self._move(now_s, move)
         self._push(now_s + PLAN_S, "plan", None)
--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -270,7 +270,12 @@
         failing = self._failing(service)
         speeds = self._loads.speeds(service)
         members = [
-            Member(b.server, speeds.get(b.server, 1.0), b.server in failing)
+            Member(
+                b.server,
+                speeds.get(b.server, 1.0),
+                b.server in failing,
+                self._loads.present(service, b.server),
+            )
             for b in ready
         ]
         if all(member.leaving for member in members):
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -71,14 +71,28 @@
 
 
 def encode_assignment(assignment: Assignment) -> bytes:
-    """Return the stored form."""
-    document = {
-        "fence": assignment.fence,
-        "ranges": {
-            service: [list(owned) for owned in ranges]
-            for service, ranges in assignment.ranges.items()
-        },
+    """Return the stored form.
+
+    It goes to every host with each change, so the lives of servers are listed once
+    and ranges name them by index.
+    """
+    lives: dict[tuple[str, str, int], int] = {}
+    rows = {
+        service: [
+            [
+                owned.first,
+                owned.last,
+                lives.setdefault(
+                    (owned.server, owned.address, owned.born_ms), len(lives)
+                ),
+                owned.fence,
+                *([owned.target] if owned.target else []),
+            ]
+            for owned in ranges
+        ]
+        for service, ranges in assignment.ranges.items()
     }
+    document = {"fence": assignment.fence, "lives": [*lives], "ranges": rows}
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -89,14 +103,15 @@
     """
     try:
         document = json.loads(content)
+        lives = document["lives"]
         ranges = {
-            service: tuple(OwnedRange(*row) for row in rows)
+            service: tuple(_decode_range(row, lives) for row in rows)
             for service, rows in document["ranges"].items()
         }
         assignment = Assignment(int(document["fence"]), ranges)
         for owned in ranges.values():
             _check_order(owned)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise JacinthpathError(
             f"The assignment cannot be read: {error!r}.",
             "Remove the key jacinthpath/assignment once no server holds keys.",
@@ -104,6 +119,14 @@
     return assignment
 
 
+def _decode_range(row: list, lives: list) -> OwnedRange:
+    first, last, life, fence, *target = row
+    server, address, born_ms = lives[life]
+    return OwnedRange(
+        first, last, server, address, born_ms, fence, target[0] if target else ""
+    )
+
+
 def merge_adjacent(ranges: Iterable[OwnedRange], fence: int) -> tuple[OwnedRange, ...]:
     """Give all ranges one fence and join neighbours of the same owner."""
     merged: list[OwnedRange] = []
--- a/src/jacinthpath/gateway/balance.py
+++ b/src/jacinthpath/gateway/balance.py
@@ -9,6 +9,7 @@
 
 __all__ = ["KeyLoads", "Member", "Move", "first_ranges", "plan_moves"]
 
+import math
 from bisect import bisect_left, bisect_right
 from collections.abc import Mapping, Sequence
 from itertools import accumulate
@@ -33,6 +34,20 @@
 FASTER_FACTOR = 1.3
 """A key that keeps its server busy alone moves to a server that is faster by this."""
 
+WIDTH_COST = 8.0
+"""What moving all keys would cost, in units of the wanted load."""
+
+JOIN_GAIN = 0.1
+"""What a part that joins a range of the target is better by: it needs no grant of its
+own."""
+
+LEAST_PART = 0.1
+"""A part with less than this share of the wanted load is not worth a move."""
+
+BUSY_FROM = 1.3
+"""Mean number of requests at a server of three slots below which nothing waits there,
+so that moving its keys would gain nothing."""
+
 IDLE_RATE = 2.0
 """Below this many requests a second there is nothing worth moving."""
 
@@ -42,11 +57,13 @@
 
     :param speed: work that it does in the time in which an average one does 1.
     :param leaving: whether all of its keys have to go.
+    :param present: mean number of requests at it.
     """
 
     server: str
     speed: float
     leaving: bool = False
+    present: float = math.inf
 
 
 class Move(NamedTuple):
@@ -142,6 +159,7 @@
     ) -> None:
         self._loads = loads
         self._speeds = {m.server: m.speed for m in members if not m.leaving}
+        self._busy = {m.server for m in members if m.present >= BUSY_FROM}
         self._load = dict.fromkeys(self._speeds, 0.0)
         self._pieces: dict[str, list[tuple[int, int]]] = {s: [] for s in self._speeds}
         self._homeless: list[tuple[int, int]] = []
@@ -166,6 +184,9 @@
         if len(order) < 2:
             return None
         target, source = order[0], order[-1]
+        if source not in self._busy:
+            self._spent.add(source)
+            return self.next_transfer()
         gap = self._use(source) - self._use(target)
         if gap < MOVE_THRESHOLD * self._mean:
             return None
@@ -238,39 +259,49 @@
     def _best_piece(
         self, source: str, target: str, wanted: float
     ) -> tuple[int, int] | None:
-        """Return the part of the source's ranges closest to the wanted load."""
-        best: tuple[float, int, int] | None = None
+        """Return the part of the source's ranges that fits the wanted load best.
+
+        A part is a whole range or one end of it. Of parts with much the same load the
+        one with the fewest keys is taken, since moves are paid for by the key.
+        """
         crowded = len(self._pieces[source]) >= MAX_RANGES_PER_SERVER
         neighbours = {first for first, _ in self._pieces[target]}
-        for first, last in self._pieces[source]:
-            piece = self._cut_piece(first, last, wanted, last + 1 in neighbours)
-            if piece is None or (crowded and piece != (first, last)):
-                continue
-            distance = abs(self._loads.of(*piece) - wanted)
-            if best is None or distance < best[0]:
-                best = (distance, *piece)
-        if best is None or self._loads.of(best[1], best[2]) < 0.1 * wanted:
+        neighbours |= {last + 1 for _, last in self._pieces[target]}
+        best: tuple[float, int, int] | None = None
+        for piece in self._pieces[source]:
+            for first, last in self._ends(*piece, wanted):
+                if crowded and (first, last) != piece:
+                    continue
+                cost = abs(self._loads.of(first, last) - wanted) / wanted
+                cost += WIDTH_COST * (last - first + 1) / KEY_COUNT
+                if first in neighbours or last + 1 in neighbours:
+                    cost -= JOIN_GAIN
+                if best is None or cost < best[0]:
+                    best = (cost, first, last)
+        if best is None or self._loads.of(best[1], best[2]) < LEAST_PART * wanted:
             return None
-        first, last = best[1], best[2]
-        self._take(source, first, last)
-        return first, last
-
-    def _cut_piece(
-        self, first: int, last: int, wanted: float, from_end: bool
-    ) -> tuple[int, int] | None:
-        if self._loads.of(first, last) <= wanted:
-            return first, last
-        if from_end:
-            spare = self._loads.of(first, last) - wanted
-            begin = self._loads.cut(first, last, spare) + 2
-            if begin <= last:
-                return begin, last
-        end = self._loads.cut(first, last, wanted)
+        self._take(source, best[1], best[2])
+        return best[1], best[2]
+
+    def _ends(self, first: int, last: int, wanted: float) -> list[tuple[int, int]]:
+        """Return the parts of a range that carry about the wanted load."""
+        loads = self._loads
+        whole = loads.of(first, last)
+        if whole <= wanted:
+            return [(first, last)]
+        parts = []
+        end = loads.cut(first, last, wanted)
         if end >= first:
-            return first, end
-        # The first key alone is busier than what is wanted: skip it.
-        end = self._loads.cut(first + 1, last, wanted)
-        return (first + 1, end) if end > first else None
+            parts.append((first, end))
+        begin = loads.cut(first, last, whole - wanted) + 2
+        if begin <= last:
+            parts.append((begin, last))
+        if not parts:
+            # The first key alone is busier than what is wanted: skip it.
+            end = loads.cut(first + 1, last, wanted)
+            if end > first:
+                parts.append((first + 1, end))
+        return parts
 
     def _take(self, source: str, first: int, last: int) -> None:
         pieces = []
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -154,6 +154,10 @@
             for server, latency in latencies.items()
         }
 
+    def present(self, service: str, server: str) -> float:
+        """Return the mean number of requests at a server."""
+        return self._services[service].present.get(server, 0.0)
+
     def forget(self, service: str, server: str) -> None:
         """Drop the evidence about a server, such as that of an earlier life."""
         self._services[service].latencies.pop(server, None)
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -14,9 +14,9 @@
 """Servers compared for each choice. With two, servers of unequal speed receive about
 their share; with more, all hosts crowd onto the same few fast ones."""
 
-FAR_FACTOR = 1.15
-"""A server of another data centre counts as this much slower: bytes between data
-centres are priced, but less than a slower answer."""
+FAR_FACTOR = 1.4
+"""A server of another data centre counts as this much slower, since bytes between data
+centres are paid for."""
 
 COLD_FACTOR = 2.0
 """A server that has just started takes about twice as long (platform page)."""
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -23,7 +23,7 @@
 OWN_PREFIX = "jacinthpath/"
 SERVERS_PREFIX = "servers/"
 
-WATCH_S = 12.0
+WATCH_S = 25.0
 """Longest wait of one watch; keep-alive probes find a dead path earlier."""
 
 SERVERS_PACE_S = 0.6
