--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,208 @@
+"""Stand-in for a server of the platform: fenced grants, identities and faults."""
+
+from __future__ import annotations
+
+__all__ = ["PlatformServerStandIn"]
+
+import asyncio
+import json
+import socket
+import struct
+import time
+from typing import NamedTuple
+
+REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request", 503: "Unavailable"}
+
+
+class _Request(NamedTuple):
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class PlatformServerStandIn:
+    """A server on raw streams, so that it can also answer in broken ways.
+
+    ``fault`` is one of ``""``, ``shed``, ``extra`` (a second answer behind the first),
+    ``stray`` (an answer to another request first), ``unframed`` (no length),
+    ``reset`` (no length, cut by a reset), ``cut`` (half of the body), ``lost`` (run
+    and not answered), ``silent`` and ``slow``.
+    """
+
+    def __init__(self, server: str, service: str, keyed: bool = False) -> None:
+        self.server = server
+        self.service = service
+        self.keyed = keyed
+        self.fault = ""
+        self.runs: list[str] = []
+        self.targets: list[tuple[str, str, bytes]] = []
+        self.budgets_ms: list[int] = []
+        self.dropped = 0
+        self.holds: dict[tuple[int, int], tuple[int, float]] = {}
+        self.fence = 0
+        self.address = ""
+        self.born_ms = int(time.time() * 1000)
+        self._listener: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        self._listener.close()
+        for writer in [*self._writers]:
+            writer.close()
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return what the server writes of itself into the store."""
+        entry = {
+            "address": self.address,
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": "a",
+                "slots": 3,
+            },
+            "status": {"state": state, "sequence": 1, "warmup_left": "0ms"},
+        }
+        return json.dumps(entry).encode()
+
+    def holds_key(self, key: int) -> bool:
+        """Return whether the server may run requests for a key."""
+        now = time.monotonic()
+        return any(
+            first <= key <= last and until > now
+            for (first, last), (_, until) in self.holds.items()
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                request = await _read_request(reader)
+                if request is None:
+                    break
+                running = asyncio.ensure_future(self._answer(request, writer))
+                gone = asyncio.ensure_future(_closed(reader))
+                await asyncio.wait({running, gone}, return_when="FIRST_COMPLETED")
+                if not running.done():
+                    running.cancel()
+                    self.dropped += 1
+                    break
+                gone.cancel()
+                if not running.result():
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(self, request: _Request, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request; return whether the connection stays."""
+        if request.target in ("/-/grant", "/-/release"):
+            writer.write(self._order(request))
+            return True
+        attempt = request.headers.get("x-attempt-id", "")
+        expected = request.headers.get("x-expected-instance")
+        if expected and expected != self.server:
+            writer.write(_message(421, {"X-Instance-Id": self.server}, b""))
+            return True
+        key = request.headers.get("x-shard-key")
+        if self.keyed and not (key and self.holds_key(int(key))):
+            writer.write(_message(421, {"X-Not-Executed": "1"}, b""))
+            return True
+        if self.fault == "shed":
+            writer.write(_message(503, {"X-Not-Executed": "1"}, b""))
+            return True
+        self.runs.append(attempt)
+        self.targets.append((request.method, request.target, request.body))
+        self.budgets_ms.append(int(request.headers["x-request-deadline-ms"]))
+        return await self._run(attempt, writer)
+
+    async def _run(self, attempt: str, writer: asyncio.StreamWriter) -> bool:
+        body = f"answer to {attempt}".encode()
+        fields = {"X-Attempt-Id": attempt, "X-Server-Signature": f"sig.{self.server}"}
+        whole = _message(200, fields, body)
+        if self.fault == "slow":
+            await asyncio.sleep(0.5)
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        if self.fault == "lost":
+            return False
+        if self.fault == "cut":
+            writer.write(whole[:-4])
+            return False
+        if self.fault == "stray":
+            other = {**fields, "X-Attempt-Id": "another"}
+            writer.write(_message(200, other, b"not yours"))
+        if self.fault in ("unframed", "reset"):
+            head = whole.replace(f"Content-Length: {len(body)}\r\n".encode(), b"")
+            writer.write(head[: len(head) - (5 if self.fault == "reset" else 0)])
+            await writer.drain()
+            if self.fault == "reset":
+                await asyncio.sleep(0.05)
+                _reset(writer)
+            return False
+        writer.write(whole)
+        if self.fault == "extra":
+            writer.write(whole)
+        return True
+
+    def _order(self, request: _Request) -> bytes:
+        order = json.loads(request.body)
+        span = (order["from"], order["to"])
+        if request.target == "/-/release":
+            self.fence = max(self.fence, order["fence"])
+            self.holds = {
+                other: hold
+                for other, hold in self.holds.items()
+                if other[1] < span[0] or span[1] < other[0]
+            }
+            return _message(200, {"X-Handover": "handover"}, b"")
+        self.fence = max(self.fence, order["fence"])
+        hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
+        self.holds[span] = (order["fence"], time.monotonic() + hold_s)
+        return _message(200, {}, b"")
+
+
+async def _read_request(reader: asyncio.StreamReader) -> _Request | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    pairs = (line.partition(":") for line in lines[1:] if line)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return _Request(method, target, headers, body)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset; a plain close would end it in order."""
+    opened = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def _closed(reader: asyncio.StreamReader) -> None:
+    """Return when the other end has closed its side."""
+    while not reader.at_eof() and reader.exception() is None:
+        await asyncio.sleep(0.01)
+
+
+def _message(status: int, fields: dict[str, str], body: bytes) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    lines += [f"Content-Length: {len(body)}", "", ""]
+    return "\r\n".join(lines).encode() + body
--- /dev/null
+++ b/tests/gateway_system.py
@@ -0,0 +1,186 @@
+"""A gateway in this process, between stand-ins of the platform."""
+
+import asyncio
+import json
+import socket
+
+import aiohttp
+from yarl import URL
+
+from jacinthpath.gateway import assigner
+from jacinthpath.gateway_composition import build_gateway
+from standins.platform_server import PlatformServerStandIn
+from standins.platform_store import PlatformStoreStandIn
+
+SETTINGS = """
+node_name = "{name}"
+ip = "{ip}"
+zone = "a"
+internal_port_range = [{peer_port}, {peer_port}]
+seeds = []
+heartbeat = "500ms"
+[listen]
+front = "{ip}:{front_port}"
+ready = "{ip}:{ready_port}"
+[bounds]
+contact = "3000ms"
+drain = "2000ms"
+grace = "6s"
+retry_budget_ratio = 0.2
+retry_window = "10s"
+retry_budget_slack = 58
+hold_max = "10000ms"
+[provider]
+address = "{store}"
+ttl_min = "1000ms"
+"""
+
+ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "target_latency",
+    "priority",
+    "traffic_split",
+    "max_attempts",
+    "service",
+]
+
+
+def route(name, prefix, service, kind="idempotent", timeout="800ms", split=None):
+    return [
+        name,
+        "h.example",
+        prefix,
+        kind,
+        timeout,
+        "300ms",
+        1,
+        split,
+        2,
+        None if split else service,
+    ]
+
+
+def configuration(version, routes, keyed=("keys",), services=("plain", "keys")):
+    return json.dumps(
+        {
+            "version": f"r{version}",
+            "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
+            "services": {
+                "columns": ["name", "health_path", "max_connections", "sharded"],
+                "rows": [
+                    [name, "/health", 110, True if name in keyed else None]
+                    for name in services
+                ],
+            },
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1000,
+                "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        }
+    ).encode()
+
+
+ROUTES = [
+    route("read", "/read/", "plain"),
+    route("order", "/order/", "plain", kind="non_idempotent"),
+    route("keyed", "/keyed/", "keys"),
+]
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class GatewaySystem:
+    """Store, servers and one or more gateways on loopback."""
+
+    def __init__(self, tmp_path):
+        self.tmp_path = tmp_path
+        self.store = PlatformStoreStandIn("127.0.0.1:0")
+        self.servers = {}
+        self.gateways = []
+        self.session = None
+
+    async def start(self, plain=2, keyed=2, gateways=1):
+        # All servers are registered before the first gateway starts.
+        assigner.FOUND_DELAY_S = 0.1
+        await self.store.start()
+        self.store.put("op/config", configuration(3, ROUTES))
+        for index in range(plain):
+            await self.add_server(f"p{index}", "plain")
+        for index in range(keyed):
+            await self.add_server(f"k{index}", "keys", keyed=True)
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        for index in range(gateways):
+            await self.add_gateway(index)
+        return self
+
+    async def add_server(self, name, service, keyed=False):
+        server = PlatformServerStandIn(name, service, keyed)
+        await server.start()
+        self.servers[name] = server
+        self.store.put(f"servers/{name}", server.entry())
+        return server
+
+    async def add_gateway(self, index):
+        path = self.tmp_path / f"gateway-{index}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=f"g{index}",
+                ip=f"127.0.0.{index + 2}",
+                peer_port=free_port(),
+                front_port=free_port(),
+                ready_port=free_port(),
+                store=self.store.address,
+            )
+        )
+        gateway = build_gateway(str(path))
+        await gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    async def close(self):
+        await self.session.close()
+        for gateway in self.gateways:
+            await gateway.stop()
+        for server in self.servers.values():
+            await server.close()
+        await self.store.close()
+
+    async def ready(self, limit_s=8.0):
+        async with asyncio.timeout(limit_s):
+            while any(gateway.unready_reason() for gateway in self.gateways):
+                await asyncio.sleep(0.02)
+            while self.gateways and not self._all_held():
+                await asyncio.sleep(0.02)
+
+    def _all_held(self):
+        keyed = [server for server in self.servers.values() if server.keyed]
+        return not keyed or all(
+            any(server.holds_key(key) for server in keyed)
+            for key in range(0, 65_536, 4_095)
+        )
+
+    async def send(self, path, attempt="a1", gateway=0, method="GET", **options):
+        headers = {"Host": "h.example", "X-Request-Deadline-Ms": "800"}
+        headers["X-Attempt-Id"] = attempt
+        key = options.pop("key", None)
+        if key is not None:
+            headers["X-Shard-Key"] = str(key)
+        headers.update(options.pop("headers", {}))
+        address = self.gateways[gateway].settings.callers_address
+        async with self.session.request(
+            method,
+            URL(f"http://{address}{path}", encoded=True),
+            headers=headers,
+            **options,
+        ) as response:
+            return response.status, response.headers.copy(), await response.read()
