Give no keys to a server that left a grant unanswered; explain a request from the logs

A silent server is no target after its first unanswered grant. A request that a silent server let pass its time counts as a failure of the server.

--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -6,7 +6,7 @@
 
 import sys
 from collections.abc import Callable
-from typing import TYPE_CHECKING, TypeVar
+from typing import IO, TYPE_CHECKING, TypeVar
 
 import click
 
@@ -118,6 +118,22 @@
     _run(path, check, load_settings, lambda _settings: build_gateway(path))
 
 
+@main.command()
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.File(errors="replace"))
+def explain(request_id: str, logs: tuple[IO[str], ...]) -> None:
+    """Tell what happened to REQUEST_ID, from LOGS or standard input.
+
+    LOGS are the standard output of the gateways, in any order.
+    """
+    from .gateway.explain import explain as explained, read_lines
+
+    sources = logs or (click.get_text_stream("stdin", errors="replace"),)
+    lines = (line for source in sources for line in source)
+    for told in explained(request_id, read_lines(lines)):
+        click.echo(told)
+
+
 @main.command()
 @click.argument("page", type=click.Choice(["metrics", "settings"]))
 def reference(page: str) -> None:
--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -154,9 +154,10 @@
             self._unwritten = True
             await self._write(ownership)
             self._unwritten = False
-        for holding in finished:
+        for service, holding in finished:
             self._events.belief(
                 "keys_moved",
+                service=service,
                 first=holding.owned.first,
                 last=holding.owned.last,
                 server=holding.owned.server,
@@ -203,12 +204,12 @@
             b for b in self._beliefs.directory.of_service(service) if not b.draining
         ]
 
-    def _failing(self, service: str) -> set[str]:
-        """Return the servers that do not answer grants."""
+    def _failing(self, service: str, failures: int = FAILURES_TO_MOVE) -> set[str]:
+        """Return the servers that left so many grants in a row unanswered."""
         return {
             holding.owned.server
             for holding in self._ownership.holdings.get(service, ())
-            if holding.failures >= FAILURES_TO_MOVE
+            if holding.failures >= failures
         }
 
     def _retarget(self, backends: dict[str, Backend]) -> bool:
@@ -268,6 +269,7 @@
         if not ready:
             return []
         failing = self._failing(service)
+        silent = self._failing(service, 1)
         speeds = self._loads.speeds(service)
         members = [
             Member(
@@ -275,6 +277,7 @@
                 speeds.get(b.server, 1.0),
                 b.server in failing,
                 self._loads.present(service, b.server),
+                b.server not in silent,
             )
             for b in ready
         ]
--- a/src/jacinthpath/gateway/attempts.py
+++ b/src/jacinthpath/gateway/attempts.py
@@ -20,7 +20,7 @@
 away without running them is asked again, within the shared budget."""
 
 RETRY_AFTER_LEAST_S = 0.1
-RETRY_AFTER_MOST_S = 1.0
+RETRY_AFTER_MOST_S = 2.5
 
 
 class StepKind(enum.Enum):
--- a/src/jacinthpath/gateway/balance.py
+++ b/src/jacinthpath/gateway/balance.py
@@ -58,12 +58,14 @@
     :param speed: work that it does in the time in which an average one does 1.
     :param leaving: whether all of its keys have to go.
     :param present: mean number of requests at it.
+    :param accepting: whether it may receive keys.
     """
 
     server: str
     speed: float
     leaving: bool = False
     present: float = math.inf
+    accepting: bool = True
 
 
 class Move(NamedTuple):
@@ -160,6 +162,7 @@
         self._loads = loads
         self._speeds = {m.server: m.speed for m in members if not m.leaving}
         self._busy = {m.server for m in members if m.present >= BUSY_FROM}
+        self._targets = [m.server for m in members if m.accepting and not m.leaving]
         self._load = dict.fromkeys(self._speeds, 0.0)
         self._pieces: dict[str, list[tuple[int, int]]] = {s: [] for s in self._speeds}
         self._homeless: list[tuple[int, int]] = []
@@ -173,17 +176,18 @@
         """Place all keys whose owner is leaving or gone."""
         moves = []
         for first, last in self._homeless:
-            if not self._speeds:
+            if not self._targets:
                 break
             moves.extend(self._share_out(first, last))
         return moves
 
     def next_transfer(self) -> Move | None:
         """Return the move from the busiest to the least busy server, if it pays."""
-        order = sorted((s for s in self._speeds if s not in self._spent), key=self._use)
-        if len(order) < 2:
+        sources = [s for s in self._speeds if s not in self._spent]
+        source = max(sources, key=self._use, default=None)
+        target = min(self._targets, key=self._use, default=None)
+        if source is None or target is None or source == target:
             return None
-        target, source = order[0], order[-1]
         if source not in self._busy:
             self._spent.add(source)
             return self.next_transfer()
@@ -209,7 +213,7 @@
 
     def _to_faster(self, source: str) -> Move | None:
         """Move the busiest key of a server to the fastest one, if that is faster."""
-        target = max(self._speeds, key=self._speeds.__getitem__)
+        target = max(self._targets, key=self._speeds.__getitem__)
         if self._speeds[target] < FASTER_FACTOR * self._speeds[source]:
             return None
         keys = [
@@ -244,9 +248,9 @@
     def _share_out(self, first: int, last: int) -> list[Move]:
         """Split a range over the least busy servers, few keys short of even."""
         moves = []
-        fair = max(1, (last - first + 1) // max(1, len(self._speeds)))
+        fair = max(1, (last - first + 1) // len(self._targets))
         while first <= last:
-            target = min(self._speeds, key=self._use)
+            target = min(self._targets, key=self._use)
             room = self._mean * self._speeds[target] - self._load[target]
             end = self._loads.cut(first, last, max(room, 0.0))
             end = min(last, max(end, first + fair - 1))
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -24,6 +24,7 @@
 )
 from .loads import KeyCounter
 from .model import Backend, Route, Service, Timing
+from .ownership import HOLD_S
 from .pool import ServerPool
 from .route_index import ShareCycle
 
@@ -40,6 +41,9 @@
 """Pause before a request goes to the same server again; it doubles each time. A full
 server needs about this long to free a slot."""
 
+SILENT_FACTOR = 4.0
+"""Long work takes up to seven times the mean, but only three requests in a hundred."""
+
 MIN_SEND_S = 0.02
 """Less time than this is not offered to a server."""
 
@@ -224,12 +228,19 @@
             changed = beliefs.changed
             left_s = until_s - self._loop.time()
             if left_s <= 0 or self._moves_slowly(owned):
-                return None, "key-moving", MOVED_RETRY_S
+                return None, "key-moving", self._until_moved_s(owned)
             try:
                 async with asyncio.timeout(left_s):
                     await changed.wait()
             except TimeoutError:
-                return None, "key-moving", MOVED_RETRY_S
+                return None, "key-moving", self._until_moved_s(owned)
+
+    def _until_moved_s(self, owned: OwnedRange) -> float:
+        """Return how long a move may still take that waits for a hold to run out."""
+        since_s = self._f._beliefs.moving_since_s.get(
+            (self._service.name, owned.first, owned.last), boot_time_s()
+        )
+        return max(MOVED_RETRY_S, HOLD_S - (boot_time_s() - since_s))
 
     def _moves_slowly(self, owned: OwnedRange) -> bool:
         since_s = self._f._beliefs.moving_since_s.get(
@@ -283,7 +294,11 @@
             f._metrics.observe("attempt_duration_seconds", took_s)
             if self._keyed:
                 f._counter.answered(self._service.name, backend.server, took_s)
-        elif result.outcome in (Outcome.NOT_OWNER, Outcome.TIMED_OUT):
+        elif result.outcome is Outcome.NOT_OWNER:
+            f._pool.abandoned(backend, now_s)
+        elif result.outcome is Outcome.TIMED_OUT and not self._was_silent(
+            backend, took_s
+        ):
             f._pool.abandoned(backend, now_s)
         elif result.outcome is Outcome.REFUSED:
             f._pool.refused(backend, now_s)
@@ -296,6 +311,10 @@
                 detail=result.detail,
             )
 
+    def _was_silent(self, backend: Backend, took_s: float) -> bool:
+        """Return whether a server took far longer than its work explains."""
+        return took_s > SILENT_FACTOR * self._f._pool.latency_s(backend, boot_time_s())
+
     async def _decide(self, result: AttemptResult) -> Step:
         f = self._f
         now_s = boot_time_s()
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -211,10 +211,10 @@
 
     def finish_moves(
         self, now_s: float, backends: Mapping[str, Backend]
-    ) -> list[Holding]:
+    ) -> list[tuple[str, Holding]]:
         """Hand the ranges that may leave to their targets; return these."""
         finished = []
-        for _, holding in self.all_holdings():
+        for service, holding in self.all_holdings():
             owned = holding.owned
             target = backends.get(owned.target) if owned.target else None
             if target is None or not holding.may_leave(now_s):
@@ -231,7 +231,7 @@
             holding.granted = holding.released = False
             holding.held_until_s = float("-inf")
             holding.failures = 0
-            finished.append(holding)
+            finished.append((service, holding))
         return finished
 
     def renew_lives(self, backends: Mapping[str, Backend]) -> bool:
