--- a/bench/keyed_model.py
+++ b/bench/keyed_model.py
@@ -38,6 +38,8 @@
     """Load of a keyed service, as on the users' deployments.
 
     :param rate: mean requests a second.
+    :param slow: start, length, share and factor of servers that turn slow.
+    :param deadline_s: time after which a request is dropped at its server.
     :param hot: start, length, share and count of keys of each time of hot keys.
     """
 
@@ -53,6 +55,8 @@
     length_s: float = 32.0
     hot: tuple[tuple[float, float, float, int], ...] = ()
     burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
+    slow: tuple[float, float, float, float] = (0.0, 0.0, 0.0, 1.0)
+    deadline_s: float = 0.8
 
 
 class KeyedResult(NamedTuple):
@@ -191,18 +195,26 @@
         state.running += 1
         load = self.load
         sigma = load.spread
-        work_s = load.mean_s * math.exp(self.random.gauss(-sigma**2 / 2, sigma))
+        work_s = load.mean_s * math.exp(self.random.gauss(-(sigma**2) / 2, sigma))
         if self.random.random() < TAIL_SHARE:
             work_s *= TAIL_FACTOR
-        self._push(now_s + work_s / state.speed, "finish", (server, arrived_s))
+        begin, length, share, factor = load.slow
+        if begin <= now_s < begin + length and int(server[1:]) < share * load.servers:
+            work_s *= factor
+        end_s = min(now_s + work_s / state.speed, arrived_s + load.deadline_s)
+        self._push(max(now_s, end_s), "finish", (server, arrived_s))
 
     def _finish(self, now_s: float, content: tuple[str, float]) -> None:
         server, arrived_s = content
         state = self.servers[server]
         state.running -= 1
         took_s = now_s - arrived_s
-        self.counter.answered("s", server, took_s)
         kind = "in" if took_s <= self.load.objective_s else "late"
+        if took_s < self.load.deadline_s:
+            self.counter.answered("s", server, took_s)
+        else:
+            self.counter.timed_out("s", server, took_s)
+            kind = "refused"
         self.outcomes.append((arrived_s, kind))
         if state.queue:
             waiting_s, _, _ = state.queue.popleft()
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -52,6 +52,9 @@
 NO_CONFIGURATION_RETRY_S = 0.5
 
 
+_NO_CONTACT = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT})
+
+
 class Forwarder:
     """Handles callers' requests.
 
@@ -257,8 +260,8 @@
         limit_s = DRAIN_USE_SHARE * self._f._timing.drain_s
         if since_s is not None and boot_time_s() - since_s > limit_s:
             return None, "owner-draining", MOVED_RETRY_S
-        if self._f._pool.is_ejected(backend, boot_time_s()):
-            return None, "owner-failing", NO_OWNER_RETRY_S
+        if self._f._pool.is_unreachable(backend, boot_time_s()):
+            return None, "owner-unreachable", NO_OWNER_RETRY_S
         return backend, "", 0.0
 
     async def _attempt(self, backend: Backend) -> AttemptResult:
@@ -302,7 +305,7 @@
             f._pool.abandoned(backend, now_s)
         elif result.outcome is Outcome.REFUSED:
             f._pool.refused(backend, now_s)
-        elif f._pool.failed(backend, now_s):
+        elif f._pool.failed(backend, now_s, result.outcome in _NO_CONTACT):
             f._events.belief(
                 "server_ejected",
                 server=backend.server,
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -47,6 +47,7 @@
         "in_flight",
         "log_latency",
         "samples",
+        "unreachable_until_s",
     )
 
     def __init__(self, backend: Backend, now_s: float) -> None:
@@ -59,6 +60,7 @@
         self.failure_share = 0.0
         self.ejections = 0
         self.ejected_until_s = float("-inf")
+        self.unreachable_until_s = float("-inf")
 
 
 class ServerPool:
@@ -93,9 +95,14 @@
         """Return the requests that this host has at the server."""
         return self._state(backend, now_s).in_flight
 
-    def is_ejected(self, backend: Backend, now_s: float) -> bool:
-        """Return whether the server failed too often of late."""
-        return self._is_ejected(backend, now_s)
+    def is_unreachable(self, backend: Backend, now_s: float) -> bool:
+        """Return whether the server has not been reached of late.
+
+        A server that answers some requests is not unreachable: its keys have no
+        other owner, so it is worth trying.
+        """
+        state = self._states.get(backend.server)
+        return state is not None and now_s < state.unreachable_until_s
 
     def started(self, backend: Backend, now_s: float) -> None:
         """Record that a request was sent."""
@@ -112,6 +119,7 @@
         state.in_flight = max(0, state.in_flight - 1)
         state.failures = 0
         state.ejections = 0
+        state.unreachable_until_s = float("-inf")
         state.failure_share *= 1 - FAILURE_GAIN
         latency = math.log(max(latency_s, 1e-4))
         gain = max(LATENCY_GAIN, 1 / (state.samples + 1))
@@ -124,8 +132,11 @@
         state.in_flight = max(0, state.in_flight - 1)
         state.failure_share += FAILURE_GAIN * (1 - state.failure_share)
 
-    def failed(self, backend: Backend, now_s: float) -> bool:
-        """Record a failure; return whether the server was ejected by it."""
+    def failed(self, backend: Backend, now_s: float, no_contact: bool) -> bool:
+        """Record a failure; return whether the server was ejected by it.
+
+        :param no_contact: whether nothing at all came from the server.
+        """
         state = self._state(backend, now_s)
         state.in_flight = max(0, state.in_flight - 1)
         state.failures += 1
@@ -134,6 +145,8 @@
             return False
         length_s = min(EJECT_LIMIT_S, EJECT_S * 2**state.ejections)
         state.ejected_until_s = now_s + length_s * (0.75 + 0.5 * self._random.random())
+        if no_contact:
+            state.unreachable_until_s = state.ejected_until_s
         state.ejections += 1
         state.failures = EJECT_FAILURES - 1
         return True
