Learn the speed of servers that queue or give no answer in time

Load pattern: servers that turn many times slower (srv_slow). Cause: such a server answers nothing in time, so it looked idle and kept its keys. Its speed now follows its answers a second.

--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -297,7 +297,10 @@
             f._metrics.observe("attempt_duration_seconds", took_s)
             if self._keyed:
                 f._counter.answered(self._service.name, backend.server, took_s)
-        elif result.outcome is Outcome.NOT_OWNER:
+            return
+        if self._keyed and result.outcome is Outcome.TIMED_OUT:
+            f._counter.timed_out(self._service.name, backend.server, took_s)
+        if result.outcome is Outcome.NOT_OWNER:
             f._pool.abandoned(backend, now_s)
         elif result.outcome is Outcome.TIMED_OUT and not self._was_silent(
             backend, took_s
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -21,7 +21,16 @@
 QUEUED_FROM = 4.5
 """Mean number of requests at a server of three slots that shows a queue."""
 
-SPEED_LIMITS = (0.25, 4.0)
+SLOTS = 3
+"""Requests that a server runs at a time (platform page)."""
+
+LEAST_ANSWERED = 0.3
+SCATTER = 0.25
+"""Logarithm of the mean over the geometric mean of the lengths of requests."""
+
+QUEUED_GAIN = 0.15
+
+SPEED_LIMITS = (0.05, 4.0)
 """Estimated speeds stay within these bounds of the mean of the service."""
 
 FORGOTTEN_RATE = 0.02
@@ -79,6 +88,11 @@
         sums[2] += latency_s
         sums[1] += math.log(max(latency_s, 1e-4))
 
+    def timed_out(self, service: str, server: str, waited_s: float) -> None:
+        """Record a request that a server had not answered when its time ended."""
+        sums = self._latencies[service].setdefault(server, [0, 0.0, 0.0])
+        sums[2] += waited_s
+
     def take(self, host: str, span_s: float) -> HostReport:
         """Return what was recorded and start anew."""
         services = tuple(
@@ -104,6 +118,7 @@
         self.rates: dict[int, float] = defaultdict(float)
         self.latencies: dict[str, float] = {}
         self.present: dict[str, float] = defaultdict(float)
+        self.answered: dict[str, float] = defaultdict(float)
 
 
 class LoadBoard:
@@ -137,6 +152,8 @@
             )
             for server in board.present:
                 board.present[server] *= factor
+                board.answered[server] *= factor
+                self._learn_queued(board, server)
 
     def key_loads(self, service: str) -> KeyLoads:
         """Return the loads by key of a service."""
@@ -163,13 +180,26 @@
         self._services[service].latencies.pop(server, None)
 
     @staticmethod
-    def _learn(board: _ServiceBoard, seen: ServerEvidence) -> None:
-        if not seen.answered:
+    def _learn_queued(board: _ServiceBoard, server: str) -> None:
+        """Learn the speed of a server with a queue from its answers a second.
+
+        Its latencies tell the load rather than the speed, and a server that has
+        turned very slow gives no answer in time at all.
+        """
+        if board.present[server] <= QUEUED_FROM or server not in board.latencies:
             return
+        rate = max(LEAST_ANSWERED, board.answered[server])
+        latency = math.log(SLOTS / rate) - SCATTER
+        known = board.latencies[server]
+        board.latencies[server] = known + QUEUED_GAIN * (latency - known)
+
+    @staticmethod
+    def _learn(board: _ServiceBoard, seen: ServerEvidence) -> None:
         # By Little's law this is the mean number of requests at the server.
         board.present[seen.server] += seen.latency_sum_s / LOAD_DECAY_S
-        if board.present[seen.server] > QUEUED_FROM and seen.server in board.latencies:
-            # Latencies of a server with a queue tell its load, not its speed.
+        board.answered[seen.server] += seen.answered / LOAD_DECAY_S
+        queued = board.present[seen.server] > QUEUED_FROM
+        if not seen.answered or (queued and seen.server in board.latencies):
             return
         latency = seen.log_latency_sum / seen.answered
         known = board.latencies.get(seen.server)
