--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -187,11 +187,20 @@
             return "no-servers"
         if self._was_ready:
             return ""
-        owned = self._beliefs.owners
-        for service in self._beliefs.routes.table.services.values():
-            if service.keyed and service.name not in owned:
-                return "no-owners"
-        return ""
+        return "no-owners" if self._awaits_owners() else ""
+
+    def _awaits_owners(self) -> bool:
+        """Return whether keys of a service that has servers have no owners yet.
+
+        A service without servers must not keep the host from serving the others.
+        """
+        beliefs = self._beliefs
+        return any(
+            service.keyed
+            and service.name not in beliefs.owners
+            and beliefs.directory.of_service(service.name)
+            for service in beliefs.routes.table.services.values()
+        )
 
     async def _join(self) -> None:
         """Learn the key of the peers and leave the own address for them."""
--- /dev/null
+++ b/tests/test_gateway_load.py
@@ -0,0 +1,105 @@
+"""Placement of keys under the load patterns of the users' days.
+
+Each pattern is played on the model of a keyed service with the real placement and
+with the plain version of the decision. The bound comes from the aim that a decision
+is worth its code: it has to save at least half of what the plain version misses.
+"""
+
+import pytest
+
+from bench.keyed_model import KeyedLoad, planned_never, run_keyed
+from jacinthpath.gateway import loads
+from jacinthpath.gateway.assignment import OwnedRange
+from jacinthpath.gateway.balance import KeyLoads, Member, plan_moves
+
+SEEDS = range(3)
+
+BURST_OF_HOT_KEYS = KeyedLoad(
+    servers=11,
+    rate=254,
+    mean_s=0.051,
+    spread=0.3,
+    objective_s=0.2,
+    skew=0.738,
+    hot=((5, 5, 0.35, 200), (10.8, 4, 0.4, 60)),
+    burst=(10.1, 3, 1.4),
+)
+LONG_WORK = KeyedLoad(
+    servers=8,
+    rate=145,
+    mean_s=0.076,
+    spread=0.5,
+    objective_s=0.3,
+    skew=0.78,
+    hot=((5.7, 5, 0.4, 200), (11.2, 4, 0.43, 60)),
+    burst=(11.5, 2.6, 1.4),
+)
+ONE_HOT_KEY = KeyedLoad(
+    servers=11,
+    rate=150,
+    mean_s=0.051,
+    spread=0.3,
+    objective_s=0.2,
+    skew=0.738,
+    hot=((10.4, 5, 0.42, 1), (15.9, 4, 0.41, 1)),
+)
+
+
+def in_objective(load, **options):
+    results = [run_keyed(load, seed, **options) for seed in SEEDS]
+    return sum(result.in_objective for result in results) / len(results)
+
+
+@pytest.mark.parametrize("load", [BURST_OF_HOT_KEYS, LONG_WORK, ONE_HOT_KEY])
+def test_moving_keys_saves_half_of_what_equal_ranges_miss(load):
+    """Hot keys that lie close together overload one server of an equal division."""
+    plain = in_objective(load, plan=planned_never)
+    assert in_objective(load) >= plain + 0.5 * (1 - plain)
+
+
+def test_a_slow_server_loses_keys_although_it_answers_nothing(monkeypatch):
+    """A server that gave no answer in time looked idle and kept its keys."""
+    slow = KeyedLoad(8, 60, 0.076, 0.5, 0.3, 0.78, slow=(10, 12, 0.4, 12))
+    served = sum(1 - run_keyed(slow, seed).refused for seed in SEEDS)
+    monkeypatch.setattr(loads, "QUEUED_GAIN", 0.0)
+    plain = sum(1 - run_keyed(slow, seed).refused for seed in SEEDS)
+    assert served > plain
+
+
+def owned(first, last, server, target=""):
+    return OwnedRange(first, last, server, "", 1, 1, target)
+
+
+def test_a_key_that_cannot_be_split_moves_to_a_faster_server():
+    """It overloaded the slow server that happened to own it."""
+    ranges = [owned(0, 999, "slow"), owned(1_000, 65_535, "fast")]
+    members = [Member("slow", 0.7), Member("fast", 1.6)]
+    moves = plan_moves(ranges, members, KeyLoads({500: 50.0, 2_000: 5.0}))
+    assert (500, 500, "fast") in moves
+
+
+def test_a_server_that_left_a_grant_unanswered_receives_no_keys():
+    """A busy key was handed to a server that had just fallen silent."""
+    ranges = [owned(0, 30_000, "a"), owned(30_001, 65_535, "b")]
+    members = [Member("a", 1.0), Member("b", 1.0), Member("c", 1.0, accepting=False)]
+    rates = {key: 10.0 for key in range(0, 30_000, 1_000)}
+    moves = plan_moves(ranges, members, KeyLoads(rates))
+    assert moves
+    assert {move.target for move in moves} == {"b"}
+
+
+def test_all_keys_of_a_leaving_server_are_placed():
+    ranges = [owned(0, 30_000, "a"), owned(30_001, 65_535, "b")]
+    members = [Member("a", 1.0, leaving=True), Member("b", 1.0), Member("c", 1.0)]
+    moves = plan_moves(ranges, members, KeyLoads({}))
+    covered = sorted((move.first, move.last) for move in moves)
+    assert covered[0][0] == 0
+    assert covered[-1][1] == 30_000
+    assert all(a[1] + 1 == b[0] for a, b in zip(covered, covered[1:], strict=False))
+
+
+def test_idle_servers_keep_their_keys():
+    """Each moved key is paid for; nothing waits at a server with little work."""
+    ranges = [owned(0, 30_000, "a"), owned(30_001, 65_535, "b")]
+    members = [Member("a", 1.0, present=0.5), Member("b", 1.0, present=0.1)]
+    assert plan_moves(ranges, members, KeyLoads({5: 20.0, 9: 20.0})) == []
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -144,6 +144,17 @@
     assert (await system.send("/late/x", "a2"))[0] == 200
 
 
+async def test_a_keyed_service_without_servers_keeps_no_host_unready(tmp_path):
+    """A host that waited for owners of a service without servers never served."""
+    system = GatewaySystem(tmp_path)
+    try:
+        await system.start(keyed=0)
+        await system.ready()
+        assert (await system.send("/read/x"))[0] == 200
+    finally:
+        await system.close()
+
+
 async def test_a_split_follows_its_weights(system):
     await system.add_server("q0", "other")
     split = [{"service": "plain", "weight": 90}, {"service": "other", "weight": 10}]
