Ask earlier leaders whether they have ended; write how long a moving range is held

Servers that are lost for good leave their ranges waiting for every grant that may have been sent, and each change of leader began that wait anew with the longest bound (22 s). Ruled out: the servers, since the targets were ready; the store, since the moves were written. A range that moves now carries how long a grant may still be in force, counted by each host from when it first saw the move. A successor asks the earlier leaders; another process at their address, or one that has stepped down, bounds their grants by one hold. Holds in a quiet store are 5 s. Tests: three changes of leader after the loss of a server, on the virtual clock.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -5,13 +5,13 @@
 __all__ = ["Assigner"]
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from mode import Service
 
 from ..errors import StoreError, StoreOutcomeUnknown
-from .assignment import encode_assignment
+from .assignment import FormerLeader, encode_assignment
 from .balance import Member, first_ranges, plan_moves
 from .beliefs import ASSIGNMENT_KEY, LEADER_KEY, Beliefs
 from .clock import boot_time_s
@@ -21,6 +21,7 @@
 from .model import Backend, Timing
 from .orders import GrantOrder, OrderResult, OrderSender, ReleaseOrder
 from .ownership import (
+    ORDER_S,
     RENEWAL_S,
     Authority,
     Holding,
@@ -34,7 +35,9 @@
 PLAN_S = 0.3
 """Time between plans by load."""
 
-GRANT_TIMEOUT_S = 0.4
+FORMERS_S = 0.3
+"""Time between questions to earlier leaders whether they have ended."""
+
 RELEASE_TIMEOUT_S = 2.5
 """A release is answered when the running work has ended."""
 
@@ -59,6 +62,8 @@
         timing: Timing,
         events: EventLog,
         metrics: Any,
+        own: FormerLeader,
+        has_ended: Callable[[FormerLeader], Awaitable[bool]],
     ) -> None:
         super().__init__()
         self._store = store
@@ -69,6 +74,12 @@
         self._timing = timing
         self._events = events
         self._metrics = metrics
+        self._own = own
+        self._has_ended = has_ended
+        self._formers: set[FormerLeader] = set()
+        self._formers_asked_s = 0.0
+        self._formers_until_s = 0.0
+        self._asking = False
         self._ownership: Ownership | None = None
         self._reign: Authority | None = None
         self._revision = 0
@@ -100,6 +111,7 @@
         if self._ownership is None:
             return
         now_s = boot_time_s()
+        self._ask_formers(now_s)
         if authority.may_move(now_s):
             await self._change_owners(now_s)
         if authority.may_renew(boot_time_s()):
@@ -111,7 +123,8 @@
         """Write the assignment with a higher fence; no key moves."""
         item = await self._store.read(ASSIGNMENT_KEY)
         if item is None:
-            self._ownership = Ownership(self._beliefs.assignment, 0.0)
+            founding = self._beliefs.assignment._replace(leaders=(self._own,))
+            self._ownership = Ownership(founding, 0.0, {})
             self._revision = 0
             self._unwritten = False
             self._reign = authority
@@ -121,20 +134,46 @@
             raise StoreError(
                 "The written assignment cannot be read.", "See document_refused."
             )
-        assignment = adopted(self._beliefs.assignment)
-        bound_s = former_bound_s(
-            boot_time_s(), authority.ttl_s, self._timing.hold_max_s
-        )
-        ownership = Ownership(assignment, bound_s)
+        assignment = adopted(self._beliefs.assignment, self._own)
+        bound_s = former_bound_s(boot_time_s(), authority.ttl_s)
+        ownership = Ownership(assignment, bound_s, self._beliefs.moving_since_s)
+        self._formers = {*assignment.leaders} - {self._own}
+        self._formers_until_s = bound_s
         self._revision = item.revision
         await self._write(ownership)
         self._unwritten = False
+        if not self._formers:
+            # Only this process led before; its earlier orders have been given up.
+            ownership.former_leaders_ended(boot_time_s())
         self._ownership = ownership
         self._reign = authority
         self._events.belief(
             "assignment_adopted", revision=self._revision, fence=ownership.fence
         )
 
+    def _ask_formers(self, now_s: float) -> None:
+        """Find out whether the earlier leaders have ended, until their bound."""
+        if now_s >= self._formers_until_s and len(self._ownership.leaders) > 1:
+            # The next write leaves out the leaders whose grants count no more.
+            self._formers.clear()
+            self._ownership.leaders = (self._own,)
+        due = now_s - self._formers_asked_s >= FORMERS_S
+        if self._formers and due and not self._asking:
+            self._asking = True
+            self._formers_asked_s = now_s
+            self._start(self._learn_ended(self._ownership))
+
+    async def _learn_ended(self, ownership: Ownership) -> None:
+        try:
+            for former in [*self._formers]:
+                if await self._has_ended(former):
+                    self._formers.discard(former)
+        finally:
+            self._asking = False
+        if not self._formers and ownership is self._ownership:
+            ownership.former_leaders_ended(boot_time_s())
+            self._events.belief("former_leaders_ended", fence=ownership.fence)
+
     # Changing owners.
 
     async def _change_owners(self, now_s: float) -> None:
@@ -251,7 +290,7 @@
         self._loads.decay(now_s)
         for service in [*self._ownership.holdings]:
             for move in self._planned(service):
-                if not self._ownership.begin_move(service, *move):
+                if not self._ownership.begin_move(service, *move, now_s):
                     continue
                 self._events.belief(
                     "move_begun",
@@ -349,9 +388,7 @@
             owned.first, owned.last, owned.fence, hold_s, holding.handover
         )
         try:
-            answer = await self._orders.grant(
-                owned.server, address, order, GRANT_TIMEOUT_S
-            )
+            answer = await self._orders.grant(owned.server, address, order, ORDER_S)
         finally:
             holding.sending = False
         now_s = boot_time_s()
@@ -417,7 +454,7 @@
             fence=order.fence,
             result=answer.result.value,
             detail=answer.detail,
-            held_for_s=round(holding.held_until_s - boot_time_s(), 2),
+            held_for_s=round(holding.in_force_until_s() - boot_time_s(), 2),
         )
         if not done:
             await asyncio.sleep(TICK_S)
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -4,11 +4,14 @@
 
 __all__ = [
     "Assignment",
+    "FormerLeader",
+    "MovingKey",
     "OwnedRange",
     "OwnerIndex",
     "decode_assignment",
     "encode_assignment",
     "merge_adjacent",
+    "moving_key",
 ]
 
 import json
@@ -30,6 +33,8 @@
     :param born_ms: start of the owner's life that the grant was made to.
     :param fence: fence of the grant.
     :param target: server that the keys are moving to, or an empty string.
+    :param lapse_s: with a target: how long after the target was written a grant to
+        the holder may still be in force. No grant of the range is sent from then on.
     """
 
     first: int
@@ -39,21 +44,50 @@
     born_ms: int
     fence: int
     target: str = ""
+    lapse_s: float = 0.0
+
+
+class FormerLeader(NamedTuple):
+    """A leader whose grants may still be on their way or in force.
+
+    :param process: identity of its process.
+    :param address: where peers reach it.
+    """
+
+    process: str
+    address: str
 
 
 class Assignment(NamedTuple):
     """Owners of all keyed services.
 
     :param fence: the highest fence given out so far.
+    :param leaders: the leader that wrote it, last, and those before it whose grants
+        may count.
     """
 
     fence: int
     ranges: dict[str, tuple[OwnedRange, ...]]
+    leaders: tuple[FormerLeader, ...] = ()
 
 
 EMPTY_ASSIGNMENT = Assignment(0, {})
 
 
+class MovingKey(NamedTuple):
+    """Identifies one move of a range."""
+
+    service: str
+    first: int
+    last: int
+    fence: int
+
+
+def moving_key(service: str, owned: OwnedRange) -> MovingKey:
+    """Return what identifies the move of a range."""
+    return MovingKey(service, owned.first, owned.last, owned.fence)
+
+
 class OwnerIndex:
     """Finds the owner of a key of one service."""
 
@@ -86,13 +120,18 @@
                     (owned.server, owned.address, owned.born_ms), len(lives)
                 ),
                 owned.fence,
-                *([owned.target] if owned.target else []),
+                *([owned.target, owned.lapse_s] if owned.target else []),
             ]
             for owned in ranges
         ]
         for service, ranges in assignment.ranges.items()
     }
-    document = {"fence": assignment.fence, "lives": [*lives], "ranges": rows}
+    document = {
+        "fence": assignment.fence,
+        "leaders": assignment.leaders,
+        "lives": [*lives],
+        "ranges": rows,
+    }
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -108,7 +147,8 @@
             service: tuple(_decode_range(row, lives) for row in rows)
             for service, rows in document["ranges"].items()
         }
-        assignment = Assignment(int(document["fence"]), ranges)
+        leaders = tuple(FormerLeader(*row) for row in document["leaders"])
+        assignment = Assignment(int(document["fence"]), ranges, leaders)
         for owned in ranges.values():
             _check_order(owned)
     except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
@@ -120,18 +160,21 @@
 
 
 def _decode_range(row: list, lives: list) -> OwnedRange:
-    first, last, life, fence, *target = row
+    first, last, life, fence, *move = row
     server, address, born_ms = lives[life]
-    return OwnedRange(
-        first, last, server, address, born_ms, fence, target[0] if target else ""
-    )
+    return OwnedRange(first, last, server, address, born_ms, fence, *move)
 
 
 def merge_adjacent(ranges: Iterable[OwnedRange], fence: int) -> tuple[OwnedRange, ...]:
-    """Give all ranges one fence and join neighbours of the same owner."""
+    """Give all granted ranges one fence and join neighbours of the same owner.
+
+    A range that moves keeps its fence: it is granted to nobody now, and the fence
+    tells this move from others of the same keys.
+    """
     merged: list[OwnedRange] = []
     for owned in ranges:
-        owned = owned._replace(fence=fence)
+        if not owned.target:
+            owned = owned._replace(fence=fence)
         previous = merged[-1] if merged else None
         if previous is not None and _joins(previous, owned):
             merged[-1] = previous._replace(last=owned.last)
@@ -145,7 +188,8 @@
         left.last + 1 == right.first
         and left.server == right.server
         and left.born_ms == right.born_ms
-        and left.target == right.target
+        and not left.target
+        and not right.target
     )
 
 
--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -10,7 +10,14 @@
 from typing import NamedTuple
 
 from ..errors import JacinthpathError
-from .assignment import EMPTY_ASSIGNMENT, Assignment, OwnerIndex, decode_assignment
+from .assignment import (
+    EMPTY_ASSIGNMENT,
+    Assignment,
+    MovingKey,
+    OwnerIndex,
+    decode_assignment,
+    moving_key,
+)
 from .clock import boot_time_s
 from .directory import ServerDirectory
 from .events import EventLog
@@ -57,7 +64,7 @@
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
         self.owners: dict[str, OwnerIndex] = {}
-        self.moving_since_s: dict[tuple[str, int, int], float] = {}
+        self.moving_since_s: dict[MovingKey, float] = {}
         self.leader: LeaderRecord | None = None
         self.hosts: dict[str, str] = {}
         self.confirmed_s = float("-inf")
@@ -276,7 +283,7 @@
         self.moving_since_s = {
             key: self.moving_since_s.get(key, now_s)
             for key in (
-                (service, owned.first, owned.last)
+                moving_key(service, owned)
                 for service, ranges in assignment.ranges.items()
                 for owned in ranges
                 if owned.target
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -7,7 +7,7 @@
 import asyncio
 from random import Random
 
-from .assignment import OwnedRange
+from .assignment import OwnedRange, moving_key
 from .attempts import Step, StepKind, expected_retry_after_s, next_step
 from .beliefs import Beliefs
 from .budget import RepeatBudget
@@ -24,7 +24,6 @@
 )
 from .loads import KeyCounter
 from .model import Backend, Route, Service, Timing
-from .ownership import HOLD_S
 from .pool import ServerPool
 from .route_index import ShareCycle
 
@@ -241,13 +240,13 @@
     def _until_moved_s(self, owned: OwnedRange) -> float:
         """Return how long a move may still take that waits for a hold to run out."""
         since_s = self._f._beliefs.moving_since_s.get(
-            (self._service.name, owned.first, owned.last), boot_time_s()
+            moving_key(self._service.name, owned), boot_time_s()
         )
-        return max(MOVED_RETRY_S, HOLD_S - (boot_time_s() - since_s))
+        return max(MOVED_RETRY_S, owned.lapse_s - (boot_time_s() - since_s))
 
     def _moves_slowly(self, owned: OwnedRange) -> bool:
         since_s = self._f._beliefs.moving_since_s.get(
-            (self._service.name, owned.first, owned.last)
+            moving_key(self._service.name, owned)
         )
         return since_s is None or boot_time_s() - since_s > MOVE_WAIT_S
 
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -13,7 +13,14 @@
 
 from collections.abc import Iterable, Mapping
 
-from .assignment import Assignment, OwnedRange, merge_adjacent
+from .assignment import (
+    Assignment,
+    FormerLeader,
+    MovingKey,
+    OwnedRange,
+    merge_adjacent,
+    moving_key,
+)
 from .model import Backend
 
 CLOCK_DRIFT = 0.02
@@ -30,6 +37,13 @@
 """How long a leader that cannot confirm itself repeats its grants: outages of the
 store last up to nine seconds on the platform's days."""
 
+QUIET_HOLD_S = 5.0
+"""Hold once the store is quiet: a leader that dies in an outage leaves its successor
+this time, and the keys of a server that dies with it wait for it."""
+
+ORDER_S = 0.4
+"""A grant without an answer is given up after this; its connection is reset then."""
+
 MARGIN_S = 0.3
 """Time by which a move needs authority to outlast its decision."""
 
@@ -63,28 +77,36 @@
     def hold_s(self, now_s: float, hold_max_s: float) -> float:
         """Return the hold to grant: long once the store is quiet."""
         quiet = now_s - self.confirmed_s > QUIET_S
-        return hold_max_s if quiet else min(HOLD_S, hold_max_s)
+        return min(QUIET_HOLD_S if quiet else HOLD_S, hold_max_s)
+
 
+def ended_bound_s(now_s: float) -> float:
+    """Return when all grants of a leader have run out that has ended by ``now_s``."""
+    return now_s + ORDER_S + QUIET_HOLD_S * (1 + CLOCK_DRIFT) + MARGIN_S
 
-def former_bound_s(now_s: float, ttl_s: float, hold_max_s: float) -> float:
+
+def former_bound_s(now_s: float, ttl_s: float) -> float:
     """Return when all grants of earlier leaders have run out.
 
     An earlier leader was last confirmed before ``now_s`` and may repeat grants for
     its lease and the extension.
     """
-    return now_s + ttl_s + EXTENSION_S + hold_max_s * (1 + CLOCK_DRIFT) + MARGIN_S
+    return ended_bound_s(now_s + ttl_s + EXTENSION_S)
 
 
 class Holding:
     """A range with what is known about grants of it.
 
     :param owned: the range as it is written in the store.
-    :param held_until_s: no grant that was sent is in force from then on.
+    :param held_until_s: no grant that this leader sent is in force from then on.
+    :param former_until_s: the same for the grants of earlier leaders; it counts until
+        the server has answered this leader and so refuses the earlier ones.
     """
 
     __slots__ = (
         "answered_s",
         "failures",
+        "former_until_s",
         "granted",
         "handover",
         "held_until_s",
@@ -93,9 +115,10 @@
         "sending",
     )
 
-    def __init__(self, owned: OwnedRange, held_until_s: float) -> None:
+    def __init__(self, owned: OwnedRange, former_until_s: float) -> None:
         self.owned = owned
-        self.held_until_s = held_until_s
+        self.held_until_s = float("-inf")
+        self.former_until_s = former_until_s
         self.answered_s = float("-inf")
         self.granted = False
         self.failures = 0
@@ -110,7 +133,8 @@
         the same fence, which were sent earlier.
         """
         until_s = now_s + hold_s * (1 + CLOCK_DRIFT)
-        self.held_until_s = max(self.held_until_s, until_s) if self.granted else until_s
+        self.held_until_s = max(self.held_until_s, until_s)
+        self.former_until_s = float("-inf")
         self.granted = True
         self.answered_s = now_s
         self.failures = 0
@@ -135,22 +159,40 @@
         """Return whether the keys may be granted to another server."""
         if self.sending:
             return False
-        return self.released or now_s >= self.held_until_s
+        return self.released or now_s >= self.in_force_until_s()
+
+    def in_force_until_s(self) -> float:
+        """Return when no grant of the keys is in force any more."""
+        return max(self.held_until_s, self.former_until_s)
 
 
 class Ownership:
     """All holdings of the leader.
 
     :param assignment: what is written in the store.
-    :param held_until_s: bound of the grants of earlier leaders.
+    :param former_until_s: bound of the grants of earlier leaders.
+    :param moving_since_s: when this host first saw a range moving. Such a range has
+        not been granted since.
     """
 
-    def __init__(self, assignment: Assignment, held_until_s: float) -> None:
+    def __init__(
+        self,
+        assignment: Assignment,
+        former_until_s: float,
+        moving_since_s: Mapping[MovingKey, float],
+    ) -> None:
         self.fence = assignment.fence
+        self.leaders = assignment.leaders
         self.holdings: dict[str, list[Holding]] = {
-            service: [Holding(owned, held_until_s) for owned in ranges]
+            service: [Holding(owned, former_until_s) for owned in ranges]
             for service, ranges in assignment.ranges.items()
         }
+        for service, holding in self.all_holdings():
+            owned = holding.owned
+            since_s = moving_since_s.get(moving_key(service, owned))
+            if owned.target and since_s is not None:
+                lapsed_s = since_s + owned.lapse_s * (1 + CLOCK_DRIFT) + MARGIN_S
+                holding.former_until_s = min(former_until_s, lapsed_s)
 
     def written(self) -> Assignment:
         """Return what the store has to hold for the present holdings."""
@@ -158,7 +200,12 @@
             service: tuple(holding.owned for holding in holdings)
             for service, holdings in self.holdings.items()
         }
-        return Assignment(self.fence, ranges)
+        return Assignment(self.fence, ranges, self.leaders)
+
+    def former_leaders_ended(self, now_s: float) -> None:
+        """Record that no earlier leader sends grants any more."""
+        for _, holding in self.all_holdings():
+            holding.former_until_s = min(holding.former_until_s, ended_bound_s(now_s))
 
     def all_holdings(self) -> Iterable[tuple[str, Holding]]:
         """Yield each service with each of its holdings."""
@@ -184,7 +231,9 @@
             for first, last, backend in ranges
         ]
 
-    def begin_move(self, service: str, first: int, last: int, target: str) -> bool:
+    def begin_move(
+        self, service: str, first: int, last: int, target: str, now_s: float
+    ) -> bool:
         """Split ``first`` to ``last`` off its holding and mark it as moving.
 
         :return: whether it was; a range with an order on its way is left alone,
@@ -204,7 +253,8 @@
         for holding in holdings:
             owned = holding.owned
             if first <= owned.first and owned.last <= last and not owned.target:
-                holding.owned = owned._replace(target=target)
+                lapse_s = max(0.0, holding.in_force_until_s() - now_s)
+                holding.owned = owned._replace(target=target, lapse_s=lapse_s)
                 self.fence = fence
         self.holdings[service] = holdings
         return self.fence == fence
@@ -229,7 +279,7 @@
                 self.fence,
             )
             holding.granted = holding.released = False
-            holding.held_until_s = float("-inf")
+            holding.held_until_s = holding.former_until_s = float("-inf")
             holding.failures = 0
             finished.append((service, holding))
         return finished
@@ -260,14 +310,18 @@
         return changed
 
 
-def adopted(assignment: Assignment) -> Assignment:
-    """Return the assignment that a successor writes: a higher fence, no move."""
+def adopted(assignment: Assignment, leader: FormerLeader) -> Assignment:
+    """Return the assignment that a successor writes: a higher fence, no move.
+
+    :param leader: the successor itself.
+    """
     fence = assignment.fence + 1
     ranges = {
         service: merge_adjacent(owned, fence)
         for service, owned in assignment.ranges.items()
     }
-    return Assignment(fence, ranges)
+    others = tuple(one for one in assignment.leaders if one != leader)
+    return Assignment(fence, ranges, (*others, leader))
 
 
 def _split(holding: Holding, first: int, last: int) -> list[Holding]:
@@ -281,7 +335,10 @@
         return [holding]
     parts = []
     for begin, end in zip(cuts, [*cuts[1:], owned.last + 1], strict=True):
-        part = Holding(owned._replace(first=begin, last=end - 1), holding.held_until_s)
+        part = Holding(
+            owned._replace(first=begin, last=end - 1), holding.former_until_s
+        )
+        part.held_until_s = holding.held_until_s
         part.granted = holding.granted
         part.answered_s = holding.answered_s
         part.failures = holding.failures
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -16,6 +16,7 @@
 from ..keyring import SharedKey
 from ..metrics import Metrics
 from ..peers import PeerIdentity, PeerPool, PeerServer
+from .assignment import FormerLeader
 from .beliefs import Beliefs
 from .clock import boot_time_s
 from .events import EventLog
@@ -106,6 +107,21 @@
             and boot_time_s() - self._followed_s < FOLLOWED_S
         )
 
+    async def has_ended(self, leader: FormerLeader) -> bool:
+        """Return whether a former leader is known to send no grants any more.
+
+        Another process at its address proves that it ended; a process that answers
+        may have stepped down. Silence proves nothing.
+        """
+        try:
+            connection = await self._pool.connect(leader.address)
+            if connection.remote.process_id != leader.process:
+                return True
+            answer = await self._ask(leader.address, 0.0)
+        except JacinthpathError:
+            return False
+        return not answer.leading
+
     async def refresh(self) -> None:
         """Ask peers in random order until one answers, and apply what it knows.
 
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from .gateway.assigner import Assigner
+from .gateway.assignment import FormerLeader
 from .gateway.beliefs import Beliefs
 from .gateway.events import EventLog
 from .gateway.forwarder import Forwarder
@@ -73,7 +74,16 @@
     )
     peering.is_leading = lambda: leadership.authority is not None
     assigner = Assigner(
-        store, beliefs, leadership, orders, board, settings.timing, events, metrics
+        store,
+        beliefs,
+        leadership,
+        orders,
+        board,
+        settings.timing,
+        events,
+        metrics,
+        FormerLeader(process, settings.peer_address),
+        peering.has_ended,
     )
     forwarder = Forwarder(
         beliefs, pool, servers, counter, settings.timing, events, random, metrics
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -13,6 +13,7 @@
 from jacinthpath.errors import StoreOutcomeUnknown, StoreUnavailable
 from jacinthpath.gateway import assigner as assigner_module
 from jacinthpath.gateway.assigner import Assigner
+from jacinthpath.gateway.assignment import FormerLeader, moving_key
 from jacinthpath.gateway.beliefs import ASSIGNMENT_KEY, LEADER_KEY
 from jacinthpath.gateway.loads import LoadBoard
 from jacinthpath.gateway.model import KEY_COUNT, Backend, RouteTable, Service, Timing
@@ -177,6 +178,8 @@
         self.directory = Directory(world)
         self.assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
+        self.moving_since_s = {}
+        self.world = world
 
     def apply_assignment(self, content, revision, _source):
         from jacinthpath.gateway.assignment import decode_assignment
@@ -184,6 +187,15 @@
         if revision > self.assignment_revision:
             self.assignment = decode_assignment(content)
             self.assignment_revision = revision
+            self.moving_since_s = {
+                key: self.moving_since_s.get(key, self.world.now_s)
+                for key in (
+                    moving_key(service, owned)
+                    for service, ranges in self.assignment.ranges.items()
+                    for owned in ranges
+                    if owned.target
+                )
+            }
 
 
 class WorldLeadership:
@@ -195,6 +207,7 @@
     def __init__(self, world, name):
         self.world, self.name = world, name
         self.cut = False
+        self.silent = False
         self.lease_until_s = 0.0
         self.leadership = WorldLeadership()
         self.beliefs = BeliefsOf(world)
@@ -207,8 +220,17 @@
             TIMING,
             NoEvents(),
             NoEvents(),
+            FormerLeader(name, name),
+            self.has_ended,
         )
 
+    async def has_ended(self, former):
+        """Ask another leader, as a peer would."""
+        other = next(one for one in self.world.leaders if one.name == former.address)
+        if (self.name, other.name) in self.world.cuts or other.silent:
+            return False
+        return other.leadership.authority is None
+
 
 class World:
     """Everything together; :attr:`now_s` is the boot clock of all."""
@@ -266,7 +288,10 @@
         self._apply_late()
         self._run_leases()
         self.check_owners()
+        item = self.store.items.get(ASSIGNMENT_KEY)
         for leader in self.leaders:
+            if item is not None and not leader.cut:
+                leader.beliefs.apply_assignment(item.value, item.revision, "store")
             try:
                 await leader.assigner._tick()
             except (StoreUnavailable, StoreOutcomeUnknown, ConflictingWrite):
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -76,6 +76,26 @@
     assert all(world.holder(key) for key in world.probes)
 
 
+@pytest.mark.parametrize("silent", [False, True])
+async def test_a_change_of_leader_does_not_keep_lost_keys_unserved(silent, monkeypatch):
+    """Each change of leader waited anew for the grants of all earlier leaders, so the
+    keys of a lost server were refused for the rest of the day (incident inc-a9a3)."""
+    world = World(4, monkeypatch)
+    await settle(world)
+    world.stop_server("s1")
+    await settle(world, 1.5)
+    for _ in range(3):
+        leader = next(one for one in world.leaders if one.leadership.authority)
+        leader.silent = silent
+        leader.cut = True
+        await settle(world, 2.0)
+        leader.cut = False
+    limit_s = 7.0 if not silent else 17.0
+    await settle(world, limit_s - 6.0)
+    assert all(world.holder(key) for key in world.probes)
+    assert world.broken == []
+
+
 async def test_a_change_of_leader_moves_no_key(monkeypatch):
     """The successor grants the same ranges to the same servers."""
     world = World(2, monkeypatch)
@@ -118,6 +138,7 @@
     from jacinthpath.gateway import assigner
 
     monkeypatch.setattr(assigner, "former_bound_s", lambda now_s, *_rest: now_s)
+    monkeypatch.setattr(ownership, "ended_bound_s", lambda now_s: now_s)
     broken = []
     for seed in range(30):
         world = World(seed, monkeypatch, late_orders=0.1, lost_writes=0.1)
