--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-__all__ = ["StoreWatcher"]
+__all__ = ["StoreWatcher", "WatchedKeys"]
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from mode import Service
 
@@ -17,11 +17,7 @@
 from .events import EventLog
 from .store import Change, HistoryLost, Store
 
-CONFIGURATION_KEY = "op/config"
-"""Written by the operator; see the platform page of the documentation."""
-
 OWN_PREFIX = "jacinthpath/"
-SERVERS_PREFIX = "servers/"
 
 WATCH_S = 25.0
 """Longest wait of one watch; keep-alive probes find a dead path earlier."""
@@ -45,6 +41,17 @@
 COUNTS_PERIOD_S = 10.0
 
 
+class WatchedKeys(NamedTuple):
+    """Where the operator and the servers write.
+
+    :param configuration: key of the operator's configuration.
+    :param servers_prefix: prefix of the servers' entries; their identity follows.
+    """
+
+    configuration: str
+    servers_prefix: str
+
+
 class PeerDocuments(Protocol):
     """Learns documents from peers."""
 
@@ -66,6 +73,7 @@
     def __init__(
         self,
         store: Store,
+        keys: WatchedKeys,
         beliefs: Beliefs,
         peers: PeerDocuments,
         events: EventLog,
@@ -73,6 +81,7 @@
     ) -> None:
         super().__init__()
         self._store = store
+        self._keys = keys
         self._beliefs = beliefs
         self._peers = peers
         self._events = events
@@ -112,11 +121,11 @@
                 await self._store_failed(part, error)
 
     async def _read_configuration(self) -> None:
-        listed = await self._store.list(CONFIGURATION_KEY)
+        listed = await self._store.list(self._keys.configuration)
         self._answered("configuration")
         for item in listed.items:
             self._apply_configuration(Change(*item))
-        await self._watch("configuration", CONFIGURATION_KEY, listed.revision)
+        await self._watch("configuration", self._keys.configuration, listed.revision)
 
     async def _read_leader(self) -> None:
         listed = await self._store.list(LEADER_KEY)
@@ -135,10 +144,12 @@
         await self._watch("own", OWN_PREFIX, listed.revision)
 
     async def _read_servers(self) -> None:
-        listed = await self._store.list(SERVERS_PREFIX)
+        listed = await self._store.list(self._keys.servers_prefix)
         self._answered("servers")
         self._beliefs.replace_servers(listed.items, listed.revision)
-        await self._watch("servers", SERVERS_PREFIX, listed.revision, SERVERS_PACE_S)
+        await self._watch(
+            "servers", self._keys.servers_prefix, listed.revision, SERVERS_PACE_S
+        )
 
     async def _watch(
         self, part: str, prefix: str, revision: int, pace_s: float = 0.0
@@ -168,7 +179,7 @@
                 await asyncio.sleep(pace_s * (0.9 + 0.2 * self._random.random()))
 
     def _apply_configuration(self, change: Change) -> None:
-        if change.key == CONFIGURATION_KEY and change.value is not None:
+        if change.key == self._keys.configuration and change.value is not None:
             self._beliefs.apply_configuration(change.value, change.revision, "store")
 
     def _apply_own(self, change: Change) -> None:
@@ -181,7 +192,7 @@
             self._beliefs.apply_host(name, change.value)
 
     def _apply_server(self, change: Change) -> None:
-        server = change.key.removeprefix(SERVERS_PREFIX)
+        server = change.key.removeprefix(self._keys.servers_prefix)
         if change.value is None:
             self._beliefs.remove_server(server, change.revision)
         else:
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -23,6 +23,7 @@
 from .metrics import Metrics
 from .peers import PeerIdentity
 from .platform import (
+    WATCHED_KEYS,
     OrderClient,
     PlatformStore,
     decode_backend,
@@ -61,7 +62,7 @@
         events,
         random,
     )
-    watcher = StoreWatcher(store, beliefs, peering, events, random)
+    watcher = StoreWatcher(store, WATCHED_KEYS, beliefs, peering, events, random)
     leadership = Leadership(
         store,
         beliefs,
--- a/src/jacinthpath/platform/__init__.py
+++ b/src/jacinthpath/platform/__init__.py
@@ -9,9 +9,10 @@
 from .documents import decode_backend, decode_route_table
 from .orders import OrderClient
 from .settings import load_settings
-from .store import PlatformStore
+from .store import WATCHED_KEYS, PlatformStore
 
 __all__ = [
+    "WATCHED_KEYS",
     "OrderClient",
     "PlatformStore",
     "decode_backend",
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["PlatformStore"]
+__all__ = ["WATCHED_KEYS", "PlatformStore"]
 
 import base64
 import json
@@ -26,8 +26,11 @@
     LeaseEnded,
     Write,
 )
+from ..gateway.watching import WatchedKeys
 from .values import duration_s, duration_text
 
+WATCHED_KEYS = WatchedKeys(configuration="op/config", servers_prefix="servers/")
+
 CALL_TIMEOUT_S = 1.0
 """Longest wait for an answer. An answer of the busy store takes 0.4 s; a silent one
 must be noticed well within the lease of the leader."""
