Raise no doubt after a cut that peers did not share

Each return of the store raised 2.5 s of doubt about removed entries, longer than the 2 s of the drain rule; a host cut off alone could send to a server that had left. Change: doubt only if no peer heard of the store within the last 2 s. The test failed before the change.

--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -204,9 +204,14 @@
         if since_s is None:
             return
         now_s = boot_time_s()
-        self._beliefs.directory.doubt(now_s)
+        only_here = self._beliefs.peer_age_s() < PEER_FRESH_S
+        if not only_here:
+            self._beliefs.directory.doubt(now_s)
         self._events.process(
-            "store_regained", part=part, lost_s=round(now_s - since_s, 2)
+            "store_regained",
+            part=part,
+            lost_s=round(now_s - since_s, 2),
+            peers_reached_it=only_here,
         )
 
     async def _store_failed(self, part: str, error: Exception) -> None:
--- /dev/null
+++ b/tests/test_gateway_watching.py
@@ -0,0 +1,42 @@
+"""What a host makes of removed entries after it could not reach the store."""
+
+from random import Random
+
+import pytest
+
+from jacinthpath.gateway.beliefs import Beliefs
+from jacinthpath.gateway.clock import boot_time_s
+from jacinthpath.gateway.model import Backend
+from jacinthpath.gateway.watching import StoreWatcher, WatchedKeys
+
+from .gateway_world import NoEvents
+
+
+@pytest.fixture
+def watcher():
+    beliefs = Beliefs(NoEvents(), lambda _content: None, lambda *_parts: None)
+    backend = Backend("s", "x", "10.0.0.1:1", "a", 3, False, 0.0, 1, 5)
+    beliefs.directory.put(backend, boot_time_s())
+    keys = WatchedKeys("configuration", "servers/")
+    return StoreWatcher(None, keys, beliefs, None, NoEvents(), Random(1))
+
+
+def lose_and_regain(watcher):
+    watcher._failing["servers"] = boot_time_s() - 5.0
+    watcher._answered("servers")
+
+
+def test_a_cut_that_peers_did_not_share_raises_no_doubt(watcher):
+    """The entry of a server that had left was kept for 2.5 s after the cut, longer
+    than the time for which the server may still be sent to."""
+    watcher._beliefs.confirm_by_peer(0.3)
+    lose_and_regain(watcher)
+    watcher._beliefs.remove_server("s", 6)
+    assert watcher._beliefs.directory.find("s") is None
+
+
+def test_after_an_outage_a_missing_entry_is_doubted_first(watcher):
+    """Entries that lapse in an outage are back shortly after it."""
+    lose_and_regain(watcher)
+    watcher._beliefs.remove_server("s", 6)
+    assert watcher._beliefs.directory.find("s") is not None
