Choose a server once, ask lost holders at a pace, find servers by service

Cause, from reading the diff: each answered request chose a next server that was never used, and every choice walked all servers. A conditional write was written twice in the code. Change: an answer ends the attempts; servers are kept by service; a release is repeated after 0.4 s.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -41,6 +41,10 @@
 RELEASE_TIMEOUT_S = 2.5
 """A release is answered when the running work has ended."""
 
+RELEASE_RETRY_S = 0.4
+"""Time between releases to a holder that does not answer: a lost server with many
+ranges was asked for each of them ten times a second."""
+
 FAILURES_TO_MOVE = 2
 """Grants in a row without an answer after which a server's keys are moved."""
 
@@ -265,12 +269,14 @@
     def _retarget(self, backends: dict[str, Backend]) -> bool:
         """Choose another target where one is gone, draining or not answering."""
         changed = False
-        for service, holding in self._ownership.all_holdings():
+        moving = (
+            (service, holding, self._failing(service))
+            for service, holding in self._ownership.all_holdings()
+            if holding.owned.target
+        )
+        for service, holding, failing in moving:
             target = holding.owned.target
-            if not target:
-                continue
             backend = backends.get(target)
-            failing = self._failing(service)
             if backend is not None and not backend.draining and target not in failing:
                 continue
             others = [b for b in self._ready(service) if b.server not in failing]
@@ -346,22 +352,25 @@
             Condition(ASSIGNMENT_KEY, self._revision),
             Condition(LEADER_KEY, self._leadership.record_revision),
         )
+        writes = (Write(ASSIGNMENT_KEY, content),)
         try:
-            self._revision = await self._store.write(
-                conditions, (Write(ASSIGNMENT_KEY, content),)
-            )
+            self._revision = await self._write_surely(conditions, writes)
         except ConflictingWrite as conflict:
             self._revision = self._settled(content, conflict)
-        except StoreOutcomeUnknown:
-            # The same write under the same conditions takes effect once at most.
-            try:
-                self._revision = await self._store.write(
-                    conditions, (Write(ASSIGNMENT_KEY, content),)
-                )
-            except ConflictingWrite as conflict:
-                self._revision = self._settled(content, conflict)
         self._beliefs.apply_assignment(content, self._revision, "own")
 
+    async def _write_surely(
+        self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
+    ) -> int:
+        """Write; repeat a write whose answer was lost.
+
+        The same write under the same conditions takes effect once at most.
+        """
+        try:
+            return await self._store.write(conditions, writes)
+        except StoreOutcomeUnknown:
+            return await self._store.write(conditions, writes)
+
     def _settled(self, content: bytes, conflict: ConflictingWrite) -> int:
         """Return the revision of a write that was done without an answer.
 
@@ -438,12 +447,15 @@
             detail=answer.detail,
             failures=holding.failures,
         )
-        await asyncio.sleep(0)
 
     def _release_moving(self) -> None:
         """Ask the holders of moving ranges to give them up."""
+        now_s = boot_time_s()
         for service, holding in self._ownership.all_holdings():
-            if holding.owned.target and not holding.released and not holding.sending:
+            if not holding.owned.target or holding.released or holding.sending:
+                continue
+            if now_s - holding.asked_s >= RELEASE_RETRY_S:
+                holding.asked_s = now_s
                 holding.sending = True
                 self._start(self._release(service, holding))
 
@@ -473,8 +485,6 @@
             detail=answer.detail,
             held_for_s=round(holding.in_force_until_s() - boot_time_s(), 2),
         )
-        if not done:
-            await asyncio.sleep(TICK_S)
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._present: dict[str, Backend] = {}
+        self._by_service: dict[str, dict[str, Backend]] = {}
         self._missing: dict[str, _Missing] = {}
         self._removed_s: list[float] = []
         self._doubt_until_s = float("-inf")
@@ -65,7 +66,7 @@
             self.draining_since_s.setdefault(backend.server, now_s)
         else:
             self.draining_since_s.pop(backend.server, None)
-        self._present[backend.server] = backend
+        self._store(backend)
         if (
             known is None
             or known._replace(revision=backend.revision, warmup_s=backend.warmup_s)
@@ -131,7 +132,7 @@
         for server, missing in [*self._missing.items()]:
             if now_s >= missing.gone_at_s:
                 del self._missing[server]
-                self._present.pop(server, None)
+                self._discard(server)
                 self.draining_since_s.pop(server, None)
                 self.version += 1
 
@@ -141,8 +142,18 @@
 
     def of_service(self, service: str) -> list[Backend]:
         """Return the servers of a service, also those that drain."""
-        return [b for b in self._present.values() if b.service == service]
+        return [*self._by_service.get(service, {}).values()]
 
     def all(self) -> dict[str, Backend]:
         """Return all servers by identity."""
         return self._present
+
+    def _store(self, backend: Backend) -> None:
+        self._discard(backend.server)
+        self._present[backend.server] = backend
+        self._by_service.setdefault(backend.service, {})[backend.server] = backend
+
+    def _discard(self, server: str) -> None:
+        known = self._present.pop(server, None)
+        if known is not None:
+            del self._by_service[known.service][server]
--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -321,6 +321,8 @@
         return took_s > SILENT_FACTOR * self._f._pool.latency_s(backend, boot_time_s())
 
     async def _decide(self, result: AttemptResult) -> Step:
+        if result.outcome is Outcome.ANSWERED:
+            return Step(StepKind.ANSWER, "")
         f = self._f
         now_s = boot_time_s()
         servers = len(set(self._tried))
@@ -349,8 +351,6 @@
 
     async def _keyed_retry_possible(self, result: AttemptResult) -> bool:
         """Return whether the key has an owner to which a repeat may go."""
-        if result.outcome is Outcome.ANSWERED:
-            return False
         if result.outcome is Outcome.NOT_OWNER:
             # The new owner is written before it is granted; news follow shortly.
             await self._wait_for_news()
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -104,6 +104,7 @@
 
     __slots__ = (
         "answered_s",
+        "asked_s",
         "failures",
         "former_until_s",
         "granted",
@@ -119,6 +120,7 @@
         self.held_until_s = float("-inf")
         self.former_until_s = former_until_s
         self.answered_s = float("-inf")
+        self.asked_s = float("-inf")
         self.granted = False
         self.failures = 0
         self.released = False
@@ -279,6 +281,7 @@
             holding.granted = holding.released = False
             holding.held_until_s = holding.former_until_s = float("-inf")
             holding.failures = 0
+            holding.asked_s = float("-inf")
             finished.append((service, holding))
         return finished
 
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -4,7 +4,7 @@
 
 from jacinthpath.gateway import assigner, ownership
 
-from .gateway_world import World
+from .gateway_world import OrdersOf, World
 
 SEEDS = range(12)
 
@@ -112,6 +112,23 @@
     assert world.broken == []
 
 
+async def test_a_lost_holder_is_asked_at_a_pace(monkeypatch):
+    """A lost server with many ranges was asked for each of them at every tick."""
+    world = World(1, monkeypatch)
+    await settle(world)
+    world.stop_server("s1")
+    sent = []
+    refuse = OrdersOf.release
+
+    async def release(self, server, *rest):
+        sent.append(server)
+        return await refuse(self, server, *rest)
+
+    monkeypatch.setattr(OrdersOf, "release", release)
+    await settle(world, 2.0)
+    assert 0 < sent.count("s1") <= 2.0 / assigner.RELEASE_RETRY_S + 1
+
+
 async def test_a_change_of_leader_moves_no_key(monkeypatch):
     """The successor grants the same ranges to the same servers."""
     world = World(2, monkeypatch)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -49,6 +49,18 @@
     assert status == 404
 
 
+async def test_an_answered_request_chooses_a_server_once(system, monkeypatch):
+    """The next server was chosen even when no repeat could follow."""
+    pool = system.gateways[0]._forwarder._pool
+    chosen = []
+    choose = pool.choose
+    monkeypatch.setattr(
+        pool, "choose", lambda *rest: chosen.append(rest) or choose(*rest)
+    )
+    assert (await system.send("/read/x"))[0] == 200
+    assert len(chosen) == 1
+
+
 async def test_time_left_is_passed_on(system):
     """Servers must not be handed more time than the caller waits."""
     await system.send("/read/x", headers={"X-Request-Deadline-Ms": "400"})
