Tell how fresh the servers are; scale thresholds by slots

Cause, from reading the diff: a host followed a leader that was fresh by its lease renewals even if its watch of the servers hung, so drains could be missed; a special case for three slots stood in the loads and the placement. Change: documents carry the age of what is known of the servers, from watches that end after 0.8 s; the leader reads each 0.4 s. Thresholds count by the slots of each server's entry. Two tests that use what is new; no figure claimed yet.

--- a/src/jacinthpath/gateway/balance.py
+++ b/src/jacinthpath/gateway/balance.py
@@ -44,8 +44,8 @@
 LEAST_PART = 0.1
 """A part with less than this share of the wanted load is not worth a move."""
 
-BUSY_FROM = 1.3
-"""Mean number of requests at a server of three slots below which nothing waits there,
+BUSY_FROM = 0.43
+"""Mean number of requests at a server, by its slots, below which nothing waits there,
 so that moving its keys would gain nothing."""
 
 IDLE_RATE = 2.0
@@ -57,7 +57,7 @@
 
     :param speed: work that it does in the time in which an average one does 1.
     :param leaving: whether all of its keys have to go.
-    :param present: mean number of requests at it.
+    :param present: mean number of requests at it, by its slots.
     :param accepting: whether it may receive keys.
     """
 
--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -69,6 +69,7 @@
         self.hosts: dict[str, str] = {}
         self.confirmed_s = float("-inf")
         self.peer_confirmed_s = float("-inf")
+        self.servers_confirmed_s = float("-inf")
         self.changed = asyncio.Event()
         self._events = events
         self._decode_routes = decode_routes
@@ -92,6 +93,10 @@
         """Return the age of the newest news of the store, also by way of peers."""
         return boot_time_s() - max(self.confirmed_s, self.peer_confirmed_s)
 
+    def servers_age_s(self) -> float:
+        """Return the age of what is known of the servers, also by way of peers."""
+        return boot_time_s() - self.servers_confirmed_s
+
     def peer_age_s(self) -> float:
         """Return the time since the store last answered a peer, as far as known."""
         return boot_time_s() - self.peer_confirmed_s
@@ -217,9 +222,15 @@
         """Record that the store answered."""
         self.confirmed_s = boot_time_s()
 
+    def confirm_servers(self) -> None:
+        """Record that the store has just told of the servers."""
+        self.servers_confirmed_s = boot_time_s()
+
     def confirm_by_peer(self, age_s: float) -> None:
-        """Record that a peer heard of the store ``age_s`` ago."""
-        self.peer_confirmed_s = max(self.peer_confirmed_s, boot_time_s() - age_s)
+        """Record that a peer heard of the servers from the store ``age_s`` ago."""
+        heard_s = boot_time_s() - age_s
+        self.peer_confirmed_s = max(self.peer_confirmed_s, heard_s)
+        self.servers_confirmed_s = max(self.servers_confirmed_s, heard_s)
 
     def adopt_servers(self, backends: list[Backend], revision: int) -> None:
         """Take the servers of a peer whose news of the store is newer.
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -140,6 +140,11 @@
         """Return a server that is present or only doubted."""
         return self._present.get(server)
 
+    def slots_of(self, server: str) -> int | None:
+        """Return how many requests a server runs at a time, if it is known."""
+        known = self._present.get(server)
+        return known.slots if known is not None else None
+
     def of_service(self, service: str) -> list[Backend]:
         """Return the servers of a service, also those that drain."""
         return [*self._by_service.get(service, {}).values()]
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from .balance import KeyLoads
@@ -18,11 +18,11 @@
 """Speeds last, and single latencies scatter by half; a faster estimate moves keys back
 and forth."""
 
-QUEUED_FROM = 4.5
-"""Mean number of requests at a server of three slots that shows a queue."""
+QUEUED_FROM = 1.5
+"""Mean number of requests at a server, by its slots, that shows a queue."""
 
-SLOTS = 3
-"""Requests that a server runs at a time (platform page)."""
+DEFAULT_SLOTS = 3
+"""Slots of a server whose entry is not known (platform page)."""
 
 LEAST_ANSWERED = 0.3
 SCATTER = 0.25
@@ -122,9 +122,15 @@
 
 
 class LoadBoard:
-    """Merges the reports of all hosts."""
+    """Merges the reports of all hosts.
 
-    def __init__(self) -> None:
+    :param slots_of: returns how many requests a server runs at a time, or ``None``.
+    """
+
+    def __init__(
+        self, slots_of: Callable[[str], int | None] = lambda _server: None
+    ) -> None:
+        self._slots_of = slots_of
         self._services: dict[str, _ServiceBoard] = defaultdict(_ServiceBoard)
         self._decayed_s = 0.0
 
@@ -172,33 +178,33 @@
         }
 
     def present(self, service: str, server: str) -> float:
-        """Return the mean number of requests at a server."""
-        return self._services[service].present.get(server, 0.0)
+        """Return the mean number of requests at a server, by its slots."""
+        return self._use(self._services[service], server)
+
+    def _slots(self, server: str) -> int:
+        return self._slots_of(server) or DEFAULT_SLOTS
 
-    def forget(self, service: str, server: str) -> None:
-        """Drop the evidence about a server, such as that of an earlier life."""
-        self._services[service].latencies.pop(server, None)
+    def _use(self, board: _ServiceBoard, server: str) -> float:
+        return board.present.get(server, 0.0) / self._slots(server)
 
-    @staticmethod
-    def _learn_queued(board: _ServiceBoard, server: str) -> None:
+    def _learn_queued(self, board: _ServiceBoard, server: str) -> None:
         """Learn the speed of a server with a queue from its answers a second.
 
         Its latencies tell the load rather than the speed, and a server that has
         turned very slow gives no answer in time at all.
         """
-        if board.present[server] <= QUEUED_FROM or server not in board.latencies:
+        if self._use(board, server) <= QUEUED_FROM or server not in board.latencies:
             return
         rate = max(LEAST_ANSWERED, board.answered[server])
-        latency = math.log(SLOTS / rate) - SCATTER
+        latency = math.log(self._slots(server) / rate) - SCATTER
         known = board.latencies[server]
         board.latencies[server] = known + QUEUED_GAIN * (latency - known)
 
-    @staticmethod
-    def _learn(board: _ServiceBoard, seen: ServerEvidence) -> None:
+    def _learn(self, board: _ServiceBoard, seen: ServerEvidence) -> None:
         # By Little's law this is the mean number of requests at the server.
         board.present[seen.server] += seen.latency_sum_s / LOAD_DECAY_S
         board.answered[seen.server] += seen.answered / LOAD_DECAY_S
-        queued = board.present[seen.server] > QUEUED_FROM
+        queued = self._use(board, seen.server) > QUEUED_FROM
         if not seen.answered or (queued and seen.server in board.latencies):
             return
         latency = seen.log_latency_sum / seen.answered
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -42,6 +42,8 @@
 LEADER_FRESH_S = 1.5
 FOLLOW_RETRY_S = 0.15
 MAX_ADDRESSES_TRIED = 3
+MAX_AGE_S = 4_000_000.0
+"""Longest age that a message can carry; it stands for one that is not known."""
 
 FRESH_S = 2.0
 """A peer that heard of the store within this time reaches it; its list of servers is
@@ -192,7 +194,7 @@
         for entry in content.hosts:
             beliefs.apply_host(entry.host, entry.address.encode())
         age_s = content.ageMs / 1000
-        newer = content.leading or age_s < min(FRESH_S, beliefs.age_s())
+        newer = age_s < min(FRESH_S, beliefs.servers_age_s())
         if newer and len(content.servers):
             beliefs.adopt_servers(
                 [_read_server(entry) for entry in content.servers],
@@ -227,7 +229,7 @@
         known = beliefs.documents()
         answer = new_frame()
         content = answer.body.init("documents")
-        content.ageMs = min(2**32 - 1, int(max(0.0, beliefs.age_s()) * 1000))
+        content.ageMs = int(min(MAX_AGE_S, beliefs.servers_age_s()) * 1000)
         content.leading = self.is_leading()
         if known.configuration_revision > wanted.configurationRevision:
             content.configuration = known.configuration
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -22,9 +22,13 @@
 WATCH_S = 25.0
 """Longest wait of one watch; keep-alive probes find a dead path earlier."""
 
-SERVERS_PACE_S = 0.6
+SERVERS_PACE_S = 0.4
 """Entries change with each heartbeat of each server, so changes are fetched at this
-pace; a draining server must be left within two seconds."""
+pace, mostly by the leader alone; a draining server must be left within two seconds."""
+
+SERVERS_WATCH_S = 0.8
+"""A watch of the servers ends at the latest after this, so that an answer shows how
+fresh the list is."""
 
 FOLLOW_POLL_S = 0.1
 """Pause between looks at whether the leader still answers this host."""
@@ -148,11 +152,20 @@
         self._answered("servers")
         self._beliefs.replace_servers(listed.items, listed.revision)
         await self._watch(
-            "servers", self._keys.servers_prefix, listed.revision, SERVERS_PACE_S
+            "servers",
+            self._keys.servers_prefix,
+            listed.revision,
+            SERVERS_WATCH_S,
+            SERVERS_PACE_S,
         )
 
     async def _watch(
-        self, part: str, prefix: str, revision: int, pace_s: float = 0.0
+        self,
+        part: str,
+        prefix: str,
+        revision: int,
+        wait_s: float = WATCH_S,
+        pace_s: float = 0.0,
     ) -> None:
         """Apply changes; end when the leader begins to keep this part up to date."""
         apply = {
@@ -164,7 +177,7 @@
         followed = part in ("own", "servers")
         while not (followed and self._peers.is_following()) and not self.should_stop:
             try:
-                changes = await self._store.watch(prefix, revision, WATCH_S)
+                changes = await self._store.watch(prefix, revision, wait_s)
             except HistoryLost:
                 raise
             except StoreError as error:
@@ -200,6 +213,8 @@
 
     def _answered(self, part: str) -> None:
         self._beliefs.confirm()
+        if part == "servers":
+            self._beliefs.confirm_servers()
         since_s = self._failing.pop(part, None)
         if since_s is None:
             return
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -48,7 +48,7 @@
     keys = SharedKey()
     beliefs = Beliefs(events, decode_route_table, decode_backend)
     counter = KeyCounter()
-    board = LoadBoard()
+    board = LoadBoard(beliefs.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
     peering = Peering(
         PeerIdentity(settings.host, settings.data_centre, "gateway", process),
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -302,7 +302,7 @@
   assignment @2 :Data;
   assignmentRevision @3 :UInt64;
   servers @4 :List(ServerEntry);      # All, or none when the digests are equal.
-  ageMs @5 :UInt32;                   # Since the answering host heard of the store.
+  ageMs @5 :UInt32;                   # Of what the answering host knows of servers.
   hosts @6 :List(HostAddress);        # All, or none when the sender knows as many.
   leading @7 :Bool;                   # Whether the answering host leads.
   serversRevision @8 :UInt64;         # Newest revision of an entry that was seen.
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -78,6 +78,16 @@
     assert (500, 500, "fast") in moves
 
 
+def test_a_server_with_more_slots_is_busy_later():
+    """The thresholds were those of servers with three slots."""
+    seen = loads.ServerEvidence("a", 10, -20.0, 2 * loads.LOAD_DECAY_S)
+    report = loads.HostReport("h", 0.3, (loads.ServiceReport("s", {}, (seen,)),))
+    for slots, use in ((2, 1.0), (8, 0.25)):
+        board = loads.LoadBoard(lambda _server, slots=slots: slots)
+        board.add(report)
+        assert board.present("s", "a") == pytest.approx(use)
+
+
 def test_a_server_that_left_a_grant_unanswered_receives_no_keys():
     """A busy key was handed to a server that had just fallen silent."""
     ranges = [owned(0, 30_000, "a"), owned(30_001, 65_535, "b")]
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -35,6 +35,18 @@
     assert watcher._beliefs.directory.find("s") is None
 
 
+def test_news_of_the_store_say_nothing_of_the_servers(watcher):
+    """A leader whose watch of the servers hung seemed fresh by its lease renewals, and
+    the hosts that followed it did not learn of drains."""
+    beliefs = watcher._beliefs
+    watcher._answered("leader")
+    beliefs.confirm()
+    assert beliefs.age_s() < 1.0
+    assert beliefs.servers_age_s() > 1e9
+    watcher._answered("servers")
+    assert beliefs.servers_age_s() < 1.0
+
+
 def test_after_an_outage_a_missing_entry_is_doubted_first(watcher):
     """Entries that lapse in an outage are back shortly after it."""
     lose_and_regain(watcher)
