Split the assigner: record, orders, planning, earlier leaders

The reign of a leader is one object now, so nothing of an earlier reign is left over; the clock is passed in. Behaviour is unchanged.

--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -7,7 +7,7 @@
 import aiohttp
 from yarl import URL
 
-from jacinthpath.gateway import assigner
+from jacinthpath.gateway import move_planning
 from jacinthpath.gateway_composition import build_gateway
 from standins.platform_server import PlatformServerStandIn
 from standins.platform_store import PlatformStoreStandIn
@@ -111,7 +111,7 @@
 
     async def start(self, plain=2, keyed=2, gateways=1):
         # All servers are registered before the first gateway starts.
-        assigner.FOUND_DELAY_S = 0.1
+        move_planning.FOUND_DELAY_S = 0.1
         await self.store.start()
         self.store.put("op/config", configuration(3, ROUTES))
         for index in range(plain):
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -11,7 +11,6 @@
 from random import Random
 
 from jacinthpath.errors import StoreOutcomeUnknown, StoreUnavailable
-from jacinthpath.gateway import assigner as assigner_module
 from jacinthpath.gateway.assigner import Assigner
 from jacinthpath.gateway.assignment import FormerLeader, moving_key
 from jacinthpath.gateway.beliefs import ASSIGNMENT_KEY, LEADER_KEY
@@ -227,6 +226,7 @@
             NoEvents(),
             FormerLeader(name, name),
             self.has_ended,
+            lambda: world.now_s,
         )
 
     async def has_ended(self, former):
@@ -240,7 +240,7 @@
 class World:
     """Everything together; :attr:`now_s` is the boot clock of all."""
 
-    def __init__(self, seed, monkeypatch, late_orders=0.0, lost_writes=0.0):
+    def __init__(self, seed, late_orders=0.0, lost_writes=0.0):
         self.random = Random(seed)
         self.now_s = 1_000.0
         self.late_orders = late_orders
@@ -257,9 +257,6 @@
         for index in range(4):
             self.start_server(f"s{index}")
         self.leaders = [Leader(self, f"l{index}") for index in range(3)]
-        monkeypatch.setattr(assigner_module, "boot_time_s", lambda: self.now_s)
-        # Pauses after a failed order would pass in real time.
-        monkeypatch.setattr(assigner_module, "TICK_S", 0.0)
 
     def start_server(self, server):
         self.born_ms += 1
@@ -298,13 +295,13 @@
             if item is not None and not leader.cut:
                 leader.beliefs.apply_assignment(item.value, item.revision, "store")
             try:
-                await leader.assigner._tick()
+                await leader.assigner.act()
             except (StoreUnavailable, StoreOutcomeUnknown, ConflictingWrite):
                 pass
             except Exception as error:
                 if type(error).__name__ != "StoreError":
                     raise
-            tasks = [*leader.assigner._tasks]
+            tasks = [*leader.assigner._runner.tasks]
             if tasks:
                 await asyncio.gather(*tasks)
             self.check_owners()
