Open HTTP sessions and pass header fields in one place

Cause: three clients of the adapter opened the same session, and callers and servers dropped the fields of a connection by two copies. The log is flushed by the daemon instead of the store watcher; a parameter no longer hides a method.

--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -37,6 +37,7 @@
 """Time before the end of the grace at which work that is left is given up."""
 
 DRAIN_POLL_S = 0.02
+FLUSH_S = 0.2
 
 
 class CallerListener(Protocol):
@@ -59,7 +60,7 @@
     """One gateway process; its parts are wired by the composition root.
 
     :param clients: parts with ``start`` and ``close``, started first.
-    :param reload: reads the settings again.
+    :param read_settings: reads the settings again.
     """
 
     def __init__(
@@ -76,7 +77,7 @@
         clients: tuple[Any, ...],
         metrics: Metrics,
         events: EventLog,
-        reload: Callable[[], GatewaySettings],
+        read_settings: Callable[[], GatewaySettings],
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -93,7 +94,7 @@
         self._clients = clients
         self._metrics = metrics
         self._events = events
-        self._reload = reload
+        self._read_settings = read_settings
         self._was_ready = False
         self._admin = AdminServer(
             settings.metrics_address, metrics, self.unready_reason, self.status
@@ -111,6 +112,7 @@
         await self.add_runtime_dependency(self._assigner)
         self.add_future(self._join())
         self.add_future(self._publish_gauges())
+        self.add_future(self._flush_logs())
         await self.listener.start()
         self._events.process("listening", callers=self.settings.callers_address)
 
@@ -135,7 +137,7 @@
     def reload(self) -> None:
         """Read the settings again; a bad file leaves the last good ones in force."""
         try:
-            settings = self._reload()
+            settings = self._read_settings()
         except JacinthpathError as error:
             self._events.process("settings_refused", error=str(error))
             return
@@ -231,6 +233,12 @@
         if item is not None:
             self._keys.learn(item.value)
 
+    async def _flush_logs(self) -> None:
+        """Write what a slow reader of the log has left pending."""
+        while not self.should_stop:
+            await asyncio.sleep(FLUSH_S)
+            self._events.flush()
+
     async def _publish_gauges(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(1.0)
--- a/src/jacinthpath/gateway/store.py
+++ b/src/jacinthpath/gateway/store.py
@@ -16,6 +16,7 @@
     "Write",
 ]
 
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 from ..errors import StoreError
@@ -103,8 +104,12 @@
     Every call raises :class:`~jacinthpath.errors.StoreUnavailable` when nothing
     was done, and :class:`~jacinthpath.errors.StoreOutcomeUnknown` when a write may
     have been done or may still be.
+
+    :ivar calls: calls made, by name.
     """
 
+    calls: Mapping[str, int]
+
     async def read(self, key: str) -> Item | None:
         """Return a key, or ``None``."""
 
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -259,4 +259,3 @@
         while not self.should_stop:
             await asyncio.sleep(EXPIRE_S)
             self._beliefs.expire()
-            self._events.flush()
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -9,15 +9,17 @@
 
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
-from multidict import CIMultiDict
 
 from ..gateway.exchange import CallerRequest, Reply, own_reply
 from ..gateway.model import KEY_COUNT, CallerLimits
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, KEY
-from .servers import CONNECTION_FIELDS
+from .http import passed_fields
 
 BACKLOG = 1024
 MAX_LINE_BYTES = 16_384
+DROPPED_FIELDS = frozenset({"expect", EXPECTED_SERVER.lower()})
+"""Fields that the gateway answers or sets itself."""
+
 READY_PATH = "/-/ready"
 
 HandleRequest = Callable[[CallerRequest], Awaitable[Reply]]
@@ -130,7 +132,7 @@
             key=key,
             arrived_s=arrived_s,
             budget_s=budget_s,
-            headers=_passed_fields(request),
+            headers=passed_fields(request.headers, DROPPED_FIELDS),
             body=body,
         )
 
@@ -172,20 +174,6 @@
     return int(value)
 
 
-def _passed_fields(request: web.BaseRequest) -> CIMultiDict[str]:
-    named = {
-        name.strip().lower()
-        for value in request.headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    dropped = {*CONNECTION_FIELDS, *named, "expect", EXPECTED_SERVER.lower()}
-    return CIMultiDict(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in dropped
-    )
-
-
 async def _listen(runner: web.ServerRunner, address: str) -> web.TCPSite:
     host, _, port = address.rpartition(":")
     site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
--- a/src/jacinthpath/platform/orders.py
+++ b/src/jacinthpath/platform/orders.py
@@ -12,6 +12,7 @@
 from ..gateway.orders import GrantOrder, OrderAnswer, OrderResult, ReleaseOrder
 from ..gateway.sockets import abrupt_socket
 from .headers import EXPECTED_SERVER, HANDOVER
+from .http import open_session
 from .values import duration_text
 
 CONNECT_TIMEOUT_S = 0.4
@@ -32,17 +33,14 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+        self._session = open_session(
+            aiohttp.TCPConnector(
                 limit=0,
                 keepalive_timeout=IDLE_CONNECTION_S,
                 socket_factory=abrupt_socket,
             ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            CONNECT_TIMEOUT_S,
         )
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the HTTP session."""
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -10,13 +10,13 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from multidict import CIMultiDict
 from yarl import URL
 
 from ..gateway.exchange import AttemptResult, CallerRequest, Outcome, Reply
 from ..gateway.model import Backend
 from ..gateway.sockets import abrupt_socket
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, NOT_RUN, SIGNATURE
+from .http import open_session, passed_fields
 
 CONNECT_TIMEOUT_S = 0.3
 """Connections inside a region take a few milliseconds; the opening packet of a full
@@ -28,20 +28,6 @@
 
 MAX_HEADER_BYTES = 32_768
 
-CONNECTION_FIELDS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Fields that concern one connection only and are not passed on."""
-
 
 class ServerClient:
     """Sends requests; see :class:`jacinthpath.gateway.exchange.ServerSender`."""
@@ -51,27 +37,17 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=_ServerConnector(
+        self._session = open_session(
+            _ServerConnector(
                 limit=0,
                 keepalive_timeout=IDLE_CONNECTION_S,
                 socket_factory=abrupt_socket,
             ),
-            cookie_jar=aiohttp.DummyCookieJar(),
+            CONNECT_TIMEOUT_S,
             auto_decompress=False,
-            skip_auto_headers=(
-                "User-Agent",
-                "Accept",
-                "Accept-Encoding",
-                "Content-Type",
-            ),
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
-        # The library repeats some methods on a connection that breaks. Whether a
-        # request may be repeated is the route's decision.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the HTTP session."""
@@ -123,7 +99,7 @@
         return AttemptResult(Outcome.NOT_OWNER, "status 421")
     if NOT_RUN in response.headers:
         return AttemptResult(Outcome.REFUSED, f"status {status} not run")
-    reply = Reply(status, _passed_fields(response.headers), body)
+    reply = Reply(status, passed_fields(response.headers), body)
     detail = f"status {status}"
     if status >= 500:
         return AttemptResult(Outcome.FAILED, detail, reply)
@@ -140,19 +116,6 @@
     return answered_id == request.request_id
 
 
-def _passed_fields(headers: Any) -> CIMultiDict[str]:
-    named = {
-        name.strip().lower()
-        for value in headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    return CIMultiDict(
-        (name, value)
-        for name, value in headers.items()
-        if name.lower() not in CONNECTION_FIELDS and name.lower() not in named
-    )
-
-
 class _ServerConnector(aiohttp.TCPConnector):
     """Reuses no connection on which bytes arrived that nobody asked for."""
 
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -27,6 +27,7 @@
     Write,
 )
 from ..gateway.watching import WatchedKeys
+from .http import open_session
 from .values import duration_s, duration_text
 
 WATCHED_KEYS = WatchedKeys(configuration="op/config", servers_prefix="servers/")
@@ -58,17 +59,14 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+        self._session = open_session(
+            aiohttp.TCPConnector(
                 limit=MAX_CONNECTIONS,
                 keepalive_timeout=IDLE_CONNECTION_S,
                 socket_factory=prompt_socket,
             ),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            CONNECT_TIMEOUT_S,
         )
-        # The library would repeat a write on a connection that breaks.
-        self._session._retry_connection = False
 
     async def close(self) -> None:
         """Close the HTTP session."""
