--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -122,8 +122,6 @@
     drain_s: float
     grace_s: float
     hold_max_s: float
-    contact_s: float
-    heartbeat_s: float
     retry_window_s: float
     retry_ratio: float
     retry_slack: float
--- a/src/jacinthpath/platform/settings.py
+++ b/src/jacinthpath/platform/settings.py
@@ -65,8 +65,6 @@
             drain_s=self._duration("bounds.drain"),
             grace_s=self._duration("bounds.grace"),
             hold_max_s=self._duration("bounds.hold_max", "10s"),
-            contact_s=self._duration("bounds.contact", "3s"),
-            heartbeat_s=self._duration("heartbeat", "1s"),
             retry_window_s=self._duration("bounds.retry_window", "10s"),
             retry_ratio=self._number("bounds.retry_budget_ratio", 0.2),
             retry_slack=self._number("bounds.retry_budget_slack", 20),
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -24,7 +24,7 @@
 SERVICE = "preview"
 TTL_S = 1.2
 DRIFT = 1.02
-TIMING = Timing(2.0, 6.0, 10.0, 3.0, 1.0, 10.0, 0.2, 58)
+TIMING = Timing(2.0, 6.0, 10.0, 10.0, 0.2, 58)
 
 
 class NoEvents:
