Keep granting while a leader resigns without a successor

Ruled out: the budget of repeats (it ran out because servers answered "not owner") and the shorter hold of a quiet store alone (the leader stopped before it was used).

Now a leader that resigns moves nothing more but repeats its grants until it sees a successor, and its process stays until the end of the grace while the store is away.

--- a/src/jacinthpath/gateway/leadership.py
+++ b/src/jacinthpath/gateway/leadership.py
@@ -56,6 +56,7 @@
         self._ttl_s = max(LEASE_S, lease_least_s)
         self._lease = 0
         self._leaving = False
+        self._lease_ended = False
         self._seen = False
 
     async def on_start(self) -> None:
@@ -63,16 +64,20 @@
         self.add_future(self._run())
 
     async def resign(self) -> None:
-        """Give the leadership up, so that a successor need not wait."""
+        """Give the leadership up, so that a successor need not wait.
+
+        The grants in force are repeated until a successor is known: while the store
+        is away there can be none, and the keys would be refused for the rest of the
+        outage.
+        """
         self._leaving = True
-        if self.authority is None:
-            return
-        lease = self._lease
-        self._lose("resigned")
-        try:
-            await self._store.end_lease(lease)
-        except StoreError as error:
-            self._events.process("lease_not_ended", error=str(error))
+        if self.authority is not None:
+            self.authority.resigning = True
+            await self._end_lease()
+
+    def awaits_store(self) -> bool:
+        """Return whether this host resigns and no successor can be elected yet."""
+        return self.authority is not None and self._leaving and not self._lease_ended
 
     def step_down(self, reason: str) -> None:
         """Stop leading without a word to the store, since another host leads."""
@@ -81,7 +86,9 @@
 
     async def _run(self) -> None:
         while not self.should_stop:
-            if self.authority is not None:
+            if self.authority is not None and self._leaving:
+                await self._leave()
+            elif self.authority is not None:
                 await self._keep()
             elif self._leaving:
                 await asyncio.sleep(POLL_S)
@@ -177,6 +184,29 @@
             return
         await asyncio.sleep(max(0.05, RENEWAL_S - (boot_time_s() - sent_s)))
 
+    async def _leave(self) -> None:
+        """Take one step from resigning to the end of this leadership."""
+        leader = self._beliefs.leader
+        if leader is not None and leader.revision > self.record_revision:
+            self._lose("resigned")
+            return
+        if not self.authority.may_renew(boot_time_s()):
+            self._lose("resigned, without a successor for too long")
+            return
+        if not self._lease_ended:
+            await self._end_lease()
+        await asyncio.sleep(POLL_S)
+
+    async def _end_lease(self) -> None:
+        try:
+            await self._store.end_lease(self._lease)
+        except LeaseEnded:
+            pass
+        except StoreError as error:
+            self._events.process("lease_not_ended", error=str(error))
+            return
+        self._lease_ended = True
+
     def _superseded(self) -> bool:
         """Return whether the own record was seen and is there no more."""
         leader = self._beliefs.leader
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -56,11 +56,14 @@
 
     :param ttl_s: time to live of the lease.
     :param confirmed_s: when the last renewal that was answered had been sent.
+
+    A leader that is ``resigning`` moves nothing more, but repeats what is granted.
     """
 
     def __init__(self, ttl_s: float, confirmed_s: float) -> None:
         self.ttl_s = ttl_s
         self.confirmed_s = confirmed_s
+        self.resigning = False
 
     def confirm(self, sent_s: float) -> None:
         """Record a renewal that was answered."""
@@ -68,6 +71,8 @@
 
     def may_move(self, now_s: float) -> bool:
         """Return whether no successor can exist yet."""
+        if self.resigning:
+            return False
         return now_s < self.confirmed_s + self.ttl_s - MARGIN_S
 
     def may_renew(self, now_s: float) -> bool:
@@ -75,8 +80,11 @@
         return now_s < self.confirmed_s + self.ttl_s + EXTENSION_S
 
     def hold_s(self, now_s: float, hold_max_s: float) -> float:
-        """Return the hold to grant: long once the store is quiet."""
-        quiet = now_s - self.confirmed_s > QUIET_S
+        """Return the hold to grant: long once the store is quiet.
+
+        A leader that resigns may end before a successor is elected.
+        """
+        quiet = self.resigning or now_s - self.confirmed_s > QUIET_S
         return min(QUIET_HOLD_S if quiet else HOLD_S, hold_max_s)
 
 
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -130,10 +130,15 @@
         await self.listener.stop_listening()
         # A request that is still being received is not in flight yet, so the
         # connections are counted.
-        while self.listener.close_idle() and loop.time() < end_s:
+        while self._has_work_left() and loop.time() < end_s:
             await asyncio.sleep(DRAIN_POLL_S)
         return self._forwarder.in_flight
 
+    def _has_work_left(self) -> bool:
+        """Close idle connections; return whether this process is still needed."""
+        open_connections = self.listener.close_idle()
+        return open_connections > 0 or self._leadership.awaits_store()
+
     def reload(self) -> None:
         """Read the settings again; a bad file leaves the last good ones in force."""
         try:
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -213,6 +213,7 @@
         self.cut = False
         self.silent = False
         self.lease_until_s = 0.0
+        self.ends_s = 0.0
         self.leadership = WorldLeadership()
         self.beliefs = BeliefsOf(world)
         self.assigner = Assigner(
@@ -322,6 +323,9 @@
             authority = leader.leadership.authority
             if authority is None:
                 continue
+            if authority.resigning:
+                self._run_resignation(leader)
+                continue
             record = self.store.items.get(LEADER_KEY)
             mine = record and record.revision == leader.leadership.record_revision
             if not leader.cut and mine:
@@ -346,6 +350,28 @@
             if able:
                 self._elect(self.random.choice(able))
 
+    def resign(self, leader, grace_s=5.5):
+        """Begin to give the leadership up; the process ends after ``grace_s``."""
+        if leader.leadership.authority is not None:
+            leader.leadership.authority.resigning = True
+            leader.ends_s = self.now_s + grace_s
+
+    def _run_resignation(self, leader):
+        """End the lease when the store answers; stop once a successor is seen."""
+        own = leader.leadership.record_revision
+        record = self.store.items.get(LEADER_KEY)
+        if record and record.revision == own:
+            if not leader.cut or self.now_s >= leader.lease_until_s:
+                del self.store.items[LEADER_KEY]
+        succeeded = not leader.cut and record and record.revision > own
+        authority = leader.leadership.authority
+        if (
+            succeeded
+            or self.now_s >= leader.ends_s
+            or not authority.may_renew(self.now_s)
+        ):
+            leader.leadership.authority = None
+
     def _elect(self, leader):
         record = json.dumps({"host": leader.name}).encode()
         leader.leadership.record_revision = self.store.put(LEADER_KEY, record)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -59,6 +59,20 @@
     assert status == 200
 
 
+async def test_a_leader_that_leaves_in_an_outage_keeps_the_keys_served(fleet):
+    """Half of the keyed requests were refused for six seconds of an outage."""
+    (leader,) = leaders(fleet)
+    for gateway in fleet.gateways:
+        gateway._store._base = "http://127.0.0.1:9"
+    draining = asyncio.create_task(leader.drain())
+    await asyncio.sleep(4.0)
+    other = next(i for i, g in enumerate(fleet.gateways) if g is not leader)
+    status, _, _ = await fleet.send("/keyed/x", "n1", other, key=100)
+    assert status == 200
+    assert not draining.done()
+    assert await draining == 0
+
+
 async def test_after_all_hosts_are_gone_the_next_one_adopts_the_owners(fleet, tmp_path):
     """A restart of everything moves no key."""
     before = {
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -64,6 +64,18 @@
     assert world.broken == []
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_one_owner_while_leaders_resign(seed, monkeypatch):
+    """A leader that resigns repeats its grants until it sees a successor."""
+    world = World(seed, late_orders=0.1, lost_writes=0.1)
+    await settle(world)
+    for _ in range(8):
+        await disturb(world, 4.0)
+        world.resign(world.random.choice(world.leaders))
+        await disturb(world, 1.0)
+    assert world.broken == []
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_all_keys_are_served_again_after_the_faults(seed, monkeypatch):
     """A fault leaves no key without an owner once everything works again."""
@@ -154,6 +166,19 @@
         assert all(world.holder(key) for key in world.probes)
 
 
+async def test_a_leader_that_resigns_in_an_outage_costs_no_key(monkeypatch):
+    """Keys were refused from the end of a hold until the store came back."""
+    world = World(5)
+    await settle(world)
+    for leader in world.leaders:
+        leader.cut = True
+        world.resign(leader)
+    for _ in range(85):
+        await world.step()
+        assert all(world.holder(key) for key in world.probes)
+    assert world.broken == []
+
+
 async def test_a_plain_version_without_waiting_is_caught(monkeypatch):
     """The check finds two owners when holds are not waited for."""
     monkeypatch.setattr(ownership.Holding, "may_leave", lambda *_args: True)
