Retrieve the error of a peer connection that nobody awaits

The error is now read when the opening ends; those that still wait get it as before. The new test fails without the change.

--- a/src/jacinthpath/peers.py
+++ b/src/jacinthpath/peers.py
@@ -14,6 +14,7 @@
 import asyncio
 import random
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
 from .errors import AuthenticationError, FrameError, PeerUnavailable
@@ -164,9 +165,15 @@
         if task is None:
             task = asyncio.create_task(self._open(address))
             self._opening[address] = task
-            task.add_done_callback(lambda _: self._opening.pop(address, None))
+            task.add_done_callback(partial(self._opened, address))
         return await asyncio.shield(task)
 
+    def _opened(self, address: str, task: asyncio.Task[PeerConnection]) -> None:
+        self._opening.pop(address, None)
+        if not task.cancelled():
+            # Those that waited may have given up, so nobody else looks at the error.
+            task.exception()
+
     async def close(self) -> None:
         """End all connections."""
         opening = [*self._opening.values()]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,8 +1,10 @@
 import asyncio
+import gc
 import time
 
 import pytest
 
+from jacinthpath import peers
 from jacinthpath.codec import new_frame
 from jacinthpath.errors import FrameError, PeerUnavailable
 from jacinthpath.keyring import KeyRing
@@ -61,6 +63,25 @@
     await pool.close()
 
 
+async def test_a_connection_that_nobody_waits_for_fails_quietly(key_file, monkeypatch):
+    """A caller that gave up left a traceback on the log for each lost peer."""
+    monkeypatch.setattr(peers, "HANDSHAKE_TIMEOUT_S", 0.1)
+    unhandled = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: unhandled.append(context))
+    silent = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = silent.sockets[0].getsockname()
+    pool = pool_with(key_file)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.02):
+            await pool.connect(f"{host}:{port}")
+    await asyncio.sleep(0.2)
+    gc.collect()
+    assert unhandled == []
+    await pool.close()
+    silent.close()
+
+
 async def test_peer_with_another_key_is_refused(server, tmp_path):
     """Guards against a process of another system that connects by mistake."""
     other = tmp_path / "other.key"
