Send changes of owners and servers to followers, not whole documents

Hosts now name the revision and the digest that they have, and get what differs, if the answering host still knows that version: it keeps eight. A change that cannot be applied is followed by the whole document.

--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -8,15 +8,18 @@
     "MovingKey",
     "OwnedRange",
     "OwnerIndex",
+    "check_order",
     "decode_assignment",
+    "decode_ranges",
     "encode_assignment",
+    "encode_ranges",
     "merge_adjacent",
     "moving_key",
 ]
 
 import json
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from ..errors import JacinthpathError
@@ -47,6 +50,14 @@
     lapse_s: float = 0.0
 
 
+class ServerLife(NamedTuple):
+    """One life of a server, as it is listed in the stored form."""
+
+    server: str
+    address: str
+    born_ms: int
+
+
 class FormerLeader(NamedTuple):
     """A leader whose grants may still be on their way or in force.
 
@@ -105,34 +116,39 @@
 
 
 def encode_assignment(assignment: Assignment) -> bytes:
-    """Return the stored form.
+    """Return the stored form."""
+    lives, rows = encode_ranges(assignment.ranges)
+    document = {
+        "fence": assignment.fence,
+        "leaders": assignment.leaders,
+        "lives": lives,
+        "ranges": rows,
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
 
-    It goes to every host with each change, so the lives of servers are listed once
-    and ranges name them by index.
-    """
-    lives: dict[tuple[str, str, int], int] = {}
+
+def encode_ranges(
+    ranges_by_service: Mapping[str, tuple[OwnedRange, ...]],
+) -> tuple[list[ServerLife], dict[str, list[list]]]:
+    """Return the lives of servers, and rows by service that name them by index."""
+    lives: dict[ServerLife, int] = {}
     rows = {
         service: [
             [
                 owned.first,
                 owned.last,
                 lives.setdefault(
-                    (owned.server, owned.address, owned.born_ms), len(lives)
+                    ServerLife(owned.server, owned.address, owned.born_ms),
+                    len(lives),
                 ),
                 owned.fence,
                 *([owned.target, owned.lapse_s] if owned.target else []),
             ]
             for owned in ranges
         ]
-        for service, ranges in assignment.ranges.items()
-    }
-    document = {
-        "fence": assignment.fence,
-        "leaders": assignment.leaders,
-        "lives": [*lives],
-        "ranges": rows,
+        for service, ranges in ranges_by_service.items()
     }
-    return json.dumps(document, separators=(",", ":")).encode()
+    return [*lives], rows
 
 
 def decode_assignment(content: bytes) -> Assignment:
@@ -142,15 +158,11 @@
     """
     try:
         document = json.loads(content)
-        lives = document["lives"]
-        ranges = {
-            service: tuple(_decode_range(row, lives) for row in rows)
-            for service, rows in document["ranges"].items()
-        }
+        ranges = decode_ranges(document["lives"], document["ranges"])
         leaders = tuple(FormerLeader(*row) for row in document["leaders"])
         assignment = Assignment(int(document["fence"]), ranges, leaders)
         for owned in ranges.values():
-            _check_order(owned)
+            check_order(owned)
     except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise JacinthpathError(
             f"The assignment cannot be read: {error!r}.",
@@ -159,6 +171,16 @@
     return assignment
 
 
+def decode_ranges(
+    lives: list, rows_by_service: Mapping[str, list]
+) -> dict[str, tuple[OwnedRange, ...]]:
+    """Return the ranges that :func:`encode_ranges` has made rows of."""
+    return {
+        service: tuple(_decode_range(row, lives) for row in rows)
+        for service, rows in rows_by_service.items()
+    }
+
+
 def _decode_range(row: list, lives: list) -> OwnedRange:
     first, last, life, fence, *move = row
     server, address, born_ms = lives[life]
@@ -193,7 +215,11 @@
     )
 
 
-def _check_order(ranges: tuple[OwnedRange, ...]) -> None:
+def check_order(ranges: tuple[OwnedRange, ...]) -> None:
+    """Check that ranges rise and do not overlap.
+
+    :raises ValueError: they do.
+    """
     before = -1
     for owned in ranges:
         if not before < owned.first <= owned.last < KEY_COUNT:
--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -16,10 +16,12 @@
     MovingKey,
     OwnerIndex,
     decode_assignment,
+    encode_assignment,
     moving_key,
 )
+from .assignment_change import AssignmentHistory, apply_change
 from .clock import boot_time_s
-from .directory import ServerDirectory
+from .directory import ServerChange, ServerDirectory
 from .events import EventLog
 from .model import Backend, Documents, RouteTable
 from .route_index import RouteIndex
@@ -76,7 +78,9 @@
         self._decode_server = decode_server
         self._configuration = b""
         self._configuration_revision = 0
-        self._assignment_content = b""
+        self._assignment_content: bytes | None = b""
+        self._history = AssignmentHistory()
+        self.takes_changes = True
         self._leader_revision = 0
         self._refused: set[tuple[str, int]] = set()
 
@@ -85,10 +89,19 @@
         return Documents(
             self._configuration,
             self._configuration_revision,
-            self._assignment_content,
             self.assignment_revision,
         )
 
+    def assignment_content(self) -> bytes:
+        """Return the assignment in its stored form."""
+        if self._assignment_content is None:
+            self._assignment_content = encode_assignment(self.assignment)
+        return self._assignment_content
+
+    def assignment_change_from(self, revision: int) -> bytes | None:
+        """Return what has changed since a revision, if that one is still known."""
+        return self._history.change_from(revision)
+
     def age_s(self) -> float:
         """Return the age of the newest news of the store, also by way of peers."""
         return boot_time_s() - max(self.confirmed_s, self.peer_confirmed_s)
@@ -132,10 +145,34 @@
         except JacinthpathError as error:
             self._refuse("assignment", revision, error)
             return
+        self.takes_changes = True
+        self._take_assignment(assignment, content, revision, source)
+
+    def apply_assignment_change(
+        self, content: bytes, base: int, revision: int, source: str
+    ) -> None:
+        """Take a change to the assignment of revision ``base``.
+
+        A change that does not fit is not asked for again: the whole assignment is.
+        """
+        if base != self.assignment_revision or revision <= base:
+            return
+        try:
+            assignment = apply_change(self.assignment, content)
+        except JacinthpathError as error:
+            self._refuse("assignment change", revision, error)
+            self.takes_changes = False
+            return
+        self._take_assignment(assignment, None, revision, source)
+
+    def _take_assignment(
+        self, assignment: Assignment, content: bytes | None, revision: int, source: str
+    ) -> None:
         self._note_moving(assignment)
         self.assignment = assignment
         self.assignment_revision = revision
         self._assignment_content = content
+        self._history.add(revision, assignment)
         self.owners = {
             service: OwnerIndex(ranges) for service, ranges in assignment.ranges.items()
         }
@@ -243,6 +280,20 @@
         self.servers_known = True
         self._notify()
 
+    def adopt_server_change(
+        self, change: ServerChange, base: int, revision: int
+    ) -> None:
+        """Take what a peer with newer news says has changed.
+
+        :param base: digest of the servers that the change starts from.
+        """
+        if base != self.directory.digest():
+            return
+        for backend in change.backends:
+            self._log_server(self.directory.find(backend.server), backend)
+        self.directory.apply_change(change, revision, boot_time_s())
+        self._notify()
+
     def expire(self) -> None:
         """Drop servers that stayed missing after an outage."""
         version = self.directory.version
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["ServerDirectory"]
+__all__ = ["ServerChange", "ServerDirectory"]
 
 from typing import NamedTuple
 
@@ -21,6 +21,21 @@
 MASS_WINDOW_S = 1.0
 
 
+KEPT_DIGESTS = 8
+"""Hosts ask several times a second, so they are a few changes behind at most."""
+
+
+class ServerChange(NamedTuple):
+    """What differs between two lists of servers.
+
+    :param backends: servers that are new or have changed.
+    :param removed: identities of those that are gone.
+    """
+
+    backends: tuple[Backend, ...]
+    removed: tuple[str, ...]
+
+
 class _Missing(NamedTuple):
     backend: Backend
     gone_at_s: float
@@ -40,6 +55,7 @@
         self.revision = 0
         self._digest = 0
         self._digest_version = -1
+        self._kept: dict[int, dict[str, Backend]] = {}
 
     def doubt(self, now_s: float) -> None:
         """Record that the store has just answered again after an outage.
@@ -112,21 +128,47 @@
                 continue
             if doubted:
                 self.remove(server, revision, now_s)
-            elif self._present[server].revision <= revision:
-                self._missing[server] = _Missing(self._present[server], now_s)
+            else:
+                self._drop(server, revision, now_s)
+        self.expire(now_s)
+
+    def apply_change(self, change: ServerChange, revision: int, now_s: float) -> None:
+        """Take what a peer has settled; see :meth:`change_from`."""
+        self.revision = max(self.revision, revision)
+        for backend in change.backends:
+            self.put(backend, now_s)
+        for server in change.removed:
+            if server in self._present:
+                self._drop(server, revision, now_s)
         self.expire(now_s)
 
     def digest(self) -> int:
         """Return a digest of the servers and what matters of their entries."""
         if self._digest_version != self.version:
-            rows = sorted(
-                (b.server, b.address, b.born_ms, b.draining)
-                for b in self._present.values()
-            )
+            rows = sorted(_identity(backend) for backend in self._present.values())
             self._digest = xxhash.xxh64_intdigest(repr(rows).encode())
             self._digest_version = self.version
+            self._keep()
         return self._digest
 
+    def change_from(self, digest: int) -> ServerChange | None:
+        """Return what has changed since the list with a digest.
+
+        :return: ``None`` if that list is not kept.
+        """
+        present = self._present
+        self.digest()
+        before = self._kept.get(digest)
+        if before is None:
+            return None
+        changed = [
+            backend
+            for server, backend in present.items()
+            if server not in before or _identity(before[server]) != _identity(backend)
+        ]
+        removed = [server for server in before if server not in present]
+        return ServerChange(tuple(changed), tuple(removed))
+
     def expire(self, now_s: float) -> None:
         """Drop the entries that stayed missing."""
         for server, missing in [*self._missing.items()]:
@@ -153,6 +195,19 @@
         """Return all servers by identity."""
         return self._present
 
+    def _drop(self, server: str, revision: int, now_s: float) -> None:
+        """Let an entry expire that is not newer than the news of its removal."""
+        known = self._present[server]
+        if known.revision <= revision:
+            self._missing[server] = _Missing(known, now_s)
+
+    def _keep(self) -> None:
+        """Remember the present list under its digest."""
+        self._kept.pop(self._digest, None)
+        self._kept[self._digest] = dict(self._present)
+        while len(self._kept) > KEPT_DIGESTS:
+            del self._kept[next(iter(self._kept))]
+
     def _store(self, backend: Backend) -> None:
         self._discard(backend.server)
         self._present[backend.server] = backend
@@ -162,3 +217,8 @@
         known = self._present.pop(server, None)
         if known is not None:
             del self._by_service[known.service][server]
+
+
+def _identity(backend: Backend) -> tuple[str, str, int, bool]:
+    """Return what matters of an entry to those that follow it."""
+    return backend.server, backend.address, backend.born_ms, backend.draining
--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -107,12 +107,11 @@
     """The newest documents that a host knows, as they lie in the store.
 
     :param configuration: the operator's document, with its revision.
-    :param assignment: the owners of keys, with its revision.
+    :param assignment_revision: revision of the owners of keys.
     """
 
     configuration: bytes
     configuration_revision: int
-    assignment: bytes
     assignment_revision: int
 
 
--- /dev/null
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -0,0 +1,170 @@
+"""Load reports, servers and documents in the frames between gateways."""
+
+from __future__ import annotations
+
+__all__ = [
+    "apply_documents",
+    "read_report",
+    "write_documents",
+    "write_report",
+    "write_server",
+]
+
+from typing import Any
+
+from ..errors import FrameError
+from .beliefs import Beliefs
+from .directory import ServerChange
+from .loads import HostReport, ServerEvidence, ServiceReport
+from .model import KEY_COUNT, Backend
+
+MAX_REPORTED_KEYS = 4_096
+
+FRESH_S = 2.0
+"""A peer that heard of the store within this time reaches it; its list of servers is
+then newer than that of a host that does not."""
+
+
+def write_documents(content: Any, wanted: Any, beliefs: Beliefs) -> None:
+    """Write what is newer than what the asker has.
+
+    Of the owners and the servers it is only what has changed, if the asker's version
+    is still known and it can apply changes.
+    """
+    known = beliefs.documents()
+    if known.configuration_revision > wanted.configurationRevision:
+        content.configuration = known.configuration
+        content.configurationRevision = known.configuration_revision
+    if known.assignment_revision > wanted.assignmentRevision:
+        _write_assignment(content, wanted, beliefs)
+    if beliefs.directory.digest() != wanted.serversDigest:
+        _write_servers(content, wanted, beliefs)
+    if len(beliefs.hosts) != wanted.hosts:
+        hosts = content.init("hosts", len(beliefs.hosts))
+        for entry, (host, address) in zip(hosts, beliefs.hosts.items(), strict=True):
+            entry.host, entry.address = host, address
+
+
+def _write_assignment(content: Any, wanted: Any, beliefs: Beliefs) -> None:
+    content.assignmentRevision = beliefs.assignment_revision
+    change = None
+    if wanted.takesChanges:
+        change = beliefs.assignment_change_from(wanted.assignmentRevision)
+    if change is None:
+        content.assignment = beliefs.assignment_content()
+    else:
+        content.assignment = change
+        content.assignmentBase = wanted.assignmentRevision
+
+
+def _write_servers(content: Any, wanted: Any, beliefs: Beliefs) -> None:
+    directory = beliefs.directory
+    content.serversRevision = directory.revision
+    change = (
+        directory.change_from(wanted.serversDigest) if wanted.takesChanges else None
+    )
+    if change is None:
+        backends = tuple(directory.all().values())
+    else:
+        backends = change.backends
+        content.serversBase = wanted.serversDigest
+        content.serversGone = list(change.removed)
+    entries = content.init("servers", len(backends))
+    for entry, backend in zip(entries, backends, strict=True):
+        write_server(entry, backend)
+
+
+def apply_documents(content: Any, beliefs: Beliefs, source: str) -> None:
+    """Take what a peer has answered."""
+    if content.configuration:
+        beliefs.apply_configuration(
+            bytes(content.configuration), content.configurationRevision, source
+        )
+    if content.assignment:
+        _apply_assignment(content, beliefs, source)
+    for entry in content.hosts:
+        beliefs.apply_host(entry.host, entry.address.encode())
+    age_s = content.ageMs / 1000
+    if age_s < min(FRESH_S, beliefs.servers_age_s()):
+        _apply_servers(content, beliefs)
+    beliefs.confirm_by_peer(age_s)
+
+
+def _apply_assignment(content: Any, beliefs: Beliefs, source: str) -> None:
+    document, revision = bytes(content.assignment), content.assignmentRevision
+    if content.assignmentBase:
+        base = content.assignmentBase
+        beliefs.apply_assignment_change(document, base, revision, source)
+    else:
+        beliefs.apply_assignment(document, revision, source)
+
+
+def _apply_servers(content: Any, beliefs: Beliefs) -> None:
+    backends = [read_server(entry) for entry in content.servers]
+    if content.serversBase:
+        change = ServerChange(tuple(backends), tuple(content.serversGone))
+        beliefs.adopt_server_change(
+            change, content.serversBase, content.serversRevision
+        )
+    elif backends:
+        beliefs.adopt_servers(backends, content.serversRevision)
+
+
+def write_server(entry: Any, backend: Backend) -> None:
+    """Write a server into an entry of a frame."""
+    entry.server, entry.service = backend.server, backend.service
+    entry.address, entry.zone = backend.address, backend.zone
+    entry.slots, entry.draining = backend.slots, backend.draining
+    entry.warmupMs = int(backend.warmup_s * 1000)
+    entry.bornMs, entry.revision = backend.born_ms, backend.revision
+
+
+def read_server(entry: Any) -> Backend:
+    """Return the server in an entry of a frame."""
+    return Backend(
+        entry.server,
+        entry.service,
+        entry.address,
+        entry.zone,
+        entry.slots,
+        entry.draining,
+        entry.warmupMs / 1000,
+        entry.bornMs,
+        entry.revision,
+    )
+
+
+def write_report(content: Any, report: HostReport) -> None:
+    """Write a load report into a frame; of the keys only the busiest."""
+    content.host = report.host
+    content.spanMs = int(report.span_s * 1000)
+    services = content.init("services", len(report.services))
+    for entry, service in zip(services, report.services, strict=True):
+        entry.service = service.service
+        busiest = sorted(service.keys.items(), key=lambda pair: -pair[1])
+        busiest = busiest[:MAX_REPORTED_KEYS]
+        keys = entry.init("keys", len(busiest))
+        for row, (key, requests) in zip(keys, busiest, strict=True):
+            row.key, row.requests = key, requests
+        servers = entry.init("servers", len(service.servers))
+        for row, seen in zip(servers, service.servers, strict=True):
+            row.server, row.answered = seen.server, seen.answered
+            row.logLatencySum, row.latencySumS = seen[2:]
+
+
+def read_report(content: Any) -> HostReport:
+    """Return the report in a frame.
+
+    :raises FrameError: it is out of bounds.
+    """
+    services = []
+    for entry in content.services:
+        if len(entry.keys) > MAX_REPORTED_KEYS:
+            raise FrameError("A load report lists too many keys.", "Check the sender.")
+        keys = {row.key: row.requests for row in entry.keys if row.key < KEY_COUNT}
+        servers = tuple(
+            ServerEvidence(row.server, row.answered, row.logLatencySum, row.latencySumS)
+            for row in entry.servers
+        )
+        services.append(ServiceReport(entry.service, keys, servers))
+    return HostReport(content.host, content.spanMs / 1000, tuple(services))
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -12,7 +12,7 @@
 from mode import Service
 
 from ..codec import new_frame
-from ..errors import FrameError, JacinthpathError, PeerUnavailable
+from ..errors import JacinthpathError, PeerUnavailable
 from ..keyring import SharedKey
 from ..metrics import Metrics
 from ..peers import PeerIdentity, PeerPool, PeerServer
@@ -20,18 +20,16 @@
 from .beliefs import Beliefs
 from .clock import boot_time_s
 from .events import EventLog
-from .loads import (
-    HostReport,
-    KeyCounter,
-    LoadBoard,
-    ServerEvidence,
-    ServiceReport,
+from .loads import HostReport, KeyCounter, LoadBoard
+from .peer_messages import (
+    apply_documents,
+    read_report,
+    write_documents,
+    write_report,
 )
-from .model import KEY_COUNT, Backend
 
 REPORT_S = 0.3
 SEND_TIMEOUT_S = 0.4
-MAX_REPORTED_KEYS = 4_096
 FOLLOW_WAIT_S = 0.5
 """The leader answers at once when it has news and after this time otherwise."""
 
@@ -45,10 +43,6 @@
 MAX_AGE_S = 4_000_000.0
 """Longest age that a message can carry; it stands for one that is not known."""
 
-FRESH_S = 2.0
-"""A peer that heard of the store within this time reaches it; its list of servers is
-then newer than that of a host that does not."""
-
 
 class Peering(Service):
     """Serves and asks the other gateways.
@@ -175,33 +169,13 @@
         wanted.assignmentRevision = known.assignment_revision
         wanted.serversDigest = beliefs.directory.digest()
         wanted.hosts = len(beliefs.hosts)
+        wanted.takesChanges = beliefs.takes_changes
         wanted.waitMs = int(wait_s * 1000)
         answer = await self._pool.request(address, frame, SEND_TIMEOUT_S + wait_s)
         content = answer.body.documents
-        self._apply(content, f"peer {address}")
+        apply_documents(content, beliefs, f"peer {address}")
         return content
 
-    def _apply(self, content: Any, source: str) -> None:
-        beliefs = self._beliefs
-        if content.configuration:
-            beliefs.apply_configuration(
-                bytes(content.configuration), content.configurationRevision, source
-            )
-        if content.assignment:
-            beliefs.apply_assignment(
-                bytes(content.assignment), content.assignmentRevision, source
-            )
-        for entry in content.hosts:
-            beliefs.apply_host(entry.host, entry.address.encode())
-        age_s = content.ageMs / 1000
-        newer = age_s < min(FRESH_S, beliefs.servers_age_s())
-        if newer and len(content.servers):
-            beliefs.adopt_servers(
-                [_read_server(entry) for entry in content.servers],
-                content.serversRevision,
-            )
-        beliefs.confirm_by_peer(age_s)
-
     async def _give_documents(self, _connection: Any, frame: Any) -> Any:
         """Answer with what is newer than what the asker has; wait for it if asked."""
         wanted = frame.body.documentsWanted
@@ -226,29 +200,11 @@
 
     def _documents_frame(self, wanted: Any) -> Any:
         beliefs = self._beliefs
-        known = beliefs.documents()
         answer = new_frame()
         content = answer.body.init("documents")
         content.ageMs = int(min(MAX_AGE_S, beliefs.servers_age_s()) * 1000)
         content.leading = self.is_leading()
-        if known.configuration_revision > wanted.configurationRevision:
-            content.configuration = known.configuration
-            content.configurationRevision = known.configuration_revision
-        if known.assignment_revision > wanted.assignmentRevision:
-            content.assignment = known.assignment
-            content.assignmentRevision = known.assignment_revision
-        if beliefs.directory.digest() != wanted.serversDigest:
-            backends = beliefs.directory.all().values()
-            content.serversRevision = beliefs.directory.revision
-            servers = content.init("servers", len(backends))
-            for entry, backend in zip(servers, backends, strict=True):
-                _write_server(entry, backend)
-        if len(beliefs.hosts) != wanted.hosts:
-            hosts = content.init("hosts", len(beliefs.hosts))
-            for entry, (host, address) in zip(
-                hosts, beliefs.hosts.items(), strict=True
-            ):
-                entry.host, entry.address = host, address
+        write_documents(content, wanted, beliefs)
         return answer
 
     async def _report_regularly(self) -> None:
@@ -270,7 +226,7 @@
             self._board.add(report)
             return
         frame = new_frame()
-        _write_report(frame.body.init("hostReport"), report)
+        write_report(frame.body.init("hostReport"), report)
         try:
             await self._pool.request(leader.address, frame, SEND_TIMEOUT_S)
         except JacinthpathError as error:
@@ -280,61 +236,4 @@
             )
 
     async def _take_report(self, _connection: Any, frame: Any) -> None:
-        self._board.add(_read_report(frame.body.hostReport))
-
-
-def _write_server(entry: Any, backend: Backend) -> None:
-    entry.server, entry.service = backend.server, backend.service
-    entry.address, entry.zone = backend.address, backend.zone
-    entry.slots, entry.draining = backend.slots, backend.draining
-    entry.warmupMs = int(backend.warmup_s * 1000)
-    entry.bornMs, entry.revision = backend.born_ms, backend.revision
-
-
-def _read_server(entry: Any) -> Backend:
-    return Backend(
-        entry.server,
-        entry.service,
-        entry.address,
-        entry.zone,
-        entry.slots,
-        entry.draining,
-        entry.warmupMs / 1000,
-        entry.bornMs,
-        entry.revision,
-    )
-
-
-def _write_report(content: Any, report: HostReport) -> None:
-    content.host = report.host
-    content.spanMs = int(report.span_s * 1000)
-    services = content.init("services", len(report.services))
-    for entry, service in zip(services, report.services, strict=True):
-        entry.service = service.service
-        busiest = sorted(service.keys.items(), key=lambda pair: -pair[1])
-        busiest = busiest[:MAX_REPORTED_KEYS]
-        keys = entry.init("keys", len(busiest))
-        for row, (key, requests) in zip(keys, busiest, strict=True):
-            row.key, row.requests = key, requests
-        servers = entry.init("servers", len(service.servers))
-        for row, seen in zip(servers, service.servers, strict=True):
-            row.server, row.answered = seen.server, seen.answered
-            row.logLatencySum, row.latencySumS = seen[2:]
-
-
-def _read_report(content: Any) -> HostReport:
-    """Return the report in a frame.
-
-    :raises FrameError: it is out of bounds.
-    """
-    services = []
-    for entry in content.services:
-        if len(entry.keys) > MAX_REPORTED_KEYS:
-            raise FrameError("A load report lists too many keys.", "Check the sender.")
-        keys = {row.key: row.requests for row in entry.keys if row.key < KEY_COUNT}
-        servers = tuple(
-            ServerEvidence(row.server, row.answered, row.logLatencySum, row.latencySumS)
-            for row in entry.servers
-        )
-        services.append(ServiceReport(entry.service, keys, servers))
-    return HostReport(content.host, content.spanMs / 1000, tuple(services))
+        self._board.add(read_report(frame.body.hostReport))
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -282,6 +282,7 @@
   serversDigest @2 :UInt64;           # Of the servers that the sender believes in.
   waitMs @3 :UInt32;                  # How long the answer may wait for news.
   hosts @4 :UInt32;                   # How many hosts the sender knows.
+  takesChanges @5 :Bool;              # Whether the answer may hold changes.
 }
 
 struct ServerEntry {
@@ -299,13 +300,17 @@
 struct Documents {
   configuration @0 :Data;             # Empty when the sender has it.
   configurationRevision @1 :UInt64;
-  assignment @2 :Data;
+  assignment @2 :Data;                # Whole, or a change to assignmentBase.
   assignmentRevision @3 :UInt64;
-  servers @4 :List(ServerEntry);      # All, or none when the digests are equal.
+  servers @4 :List(ServerEntry);      # All, none when the digests are equal, or
+                                      # those that differ from serversBase.
   ageMs @5 :UInt32;                   # Of what the answering host knows of servers.
   hosts @6 :List(HostAddress);        # All, or none when the sender knows as many.
   leading @7 :Bool;                   # Whether the answering host leads.
   serversRevision @8 :UInt64;         # Newest revision of an entry that was seen.
+  assignmentBase @9 :UInt64;          # 0 when the assignment is whole.
+  serversBase @10 :UInt64;            # Digest that the servers are a change to, or 0.
+  serversGone @11 :List(Text);        # With serversBase: servers to leave out.
 }
 
 struct HostAddress {
--- /dev/null
+++ b/tests/test_gateway_changes.py
@@ -0,0 +1,212 @@
+"""Hosts that follow the leader receive changes, and end with what it has."""
+
+import json
+
+import pytest
+from hypothesis import given, strategies as st
+
+from jacinthpath.codec import new_frame
+from jacinthpath.errors import JacinthpathError
+from jacinthpath.gateway.assignment import (
+    Assignment,
+    FormerLeader,
+    OwnedRange,
+    encode_assignment,
+)
+from jacinthpath.gateway.assignment_change import (
+    KEPT_ASSIGNMENTS,
+    AssignmentHistory,
+    apply_change,
+    encode_change,
+)
+from jacinthpath.gateway.beliefs import Beliefs
+from jacinthpath.gateway.directory import ServerDirectory
+from jacinthpath.gateway.model import Backend
+from jacinthpath.gateway.peer_messages import apply_documents, write_documents
+
+from .gateway_world import NoEvents
+
+SERVERS = ["s1", "s2", "s3"]
+
+
+@st.composite
+def owned_ranges(draw):
+    edges = sorted(draw(st.sets(st.integers(0, 200), min_size=2, max_size=12)))
+    ranges = []
+    for first, end in zip(edges, edges[1:], strict=False):
+        server = draw(st.sampled_from(SERVERS))
+        target = draw(st.sampled_from(["", "", *SERVERS]))
+        lapse_s = draw(st.sampled_from([0.5, 2.25])) if target else 0.0
+        fence = draw(st.integers(1, 5))
+        ranges.append(
+            OwnedRange(first, end - 1, server, "a:1", 7, fence, target, lapse_s)
+        )
+    return tuple(ranges)
+
+
+assignments = st.builds(
+    Assignment,
+    st.integers(1, 99),
+    st.dictionaries(st.sampled_from(["x", "y"]), owned_ranges()),
+    st.sampled_from([(), (FormerLeader("p", "a:2"),)]),
+)
+
+
+@given(assignments, assignments)
+def test_a_change_leads_to_the_newer_assignment(older, newer):
+    """A host with another idea of the owners sends requests astray."""
+    changed = apply_change(older, encode_change(older, newer))
+    assert changed == newer
+    assert {*changed.ranges} == {*newer.ranges}
+
+
+def test_a_small_change_is_small():
+    """Whole assignments filled the links of a fleet of 90 hosts."""
+    ranges = tuple(
+        OwnedRange(first, first + 99, f"server-{first}", "10.0.0.1:80", 7, 3)
+        for first in range(0, 60_000, 100)
+    )
+    older = Assignment(3, {"keys": ranges})
+    moved = (*ranges[:5], ranges[5]._replace(server="s", fence=4), *ranges[6:])
+    newer = Assignment(4, {"keys": moved})
+    assert len(encode_change(older, newer)) < 0.02 * len(encode_assignment(newer))
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"[]", b"{}", b'{"lives":[],"ranges":{"x":[[1]]},"removed":{}}']
+)
+def test_a_change_that_cannot_be_read_is_refused(content):
+    with pytest.raises(JacinthpathError, match="change of the assignment"):
+        apply_change(Assignment(1, {}), content)
+
+
+def test_an_overlapping_change_is_refused():
+    """Two owners of one key must not be believed."""
+    older = Assignment(1, {"x": (OwnedRange(0, 9, "s1", "a:1", 1, 1),)})
+    newer = Assignment(2, {"x": (OwnedRange(5, 9, "s2", "a:1", 1, 2),)})
+    document = json.loads(encode_change(older, newer))
+    document["removed"] = {"x": []}
+    with pytest.raises(JacinthpathError, match="overlap|out of order"):
+        apply_change(older, json.dumps(document).encode())
+
+
+def test_an_old_assignment_is_forgotten():
+    history = AssignmentHistory()
+    for revision in range(1, KEPT_ASSIGNMENTS + 2):
+        history.add(revision, Assignment(revision, {}))
+    assert history.change_from(1) is None
+    assert history.change_from(2) is not None
+    assert history.change_from(KEPT_ASSIGNMENTS + 1) is None
+
+
+def backend(server, born_ms=1, draining=False, revision=1):
+    return Backend(server, "x", f"{server}:1", "a", 3, draining, 0.0, born_ms, revision)
+
+
+def listed(directory):
+    return {(b.server, b.born_ms, b.draining) for b in directory.all().values()}
+
+
+def test_a_change_of_servers_leads_to_the_newer_list():
+    leader, follower = ServerDirectory(), ServerDirectory()
+    for server in SERVERS:
+        leader.put(backend(server), 0.0)
+        follower.put(backend(server), 0.0)
+    base = leader.digest()
+    assert follower.digest() == base
+    leader.put(backend("s1", born_ms=2, revision=5), 1.0)
+    leader.put(backend("s4", revision=6), 1.0)
+    leader.remove("s2", 7, 1.0)
+    change = leader.change_from(base)
+    assert {b.server for b in change.backends} == {"s1", "s4"}
+    assert change.removed == ("s2",)
+    follower.apply_change(change, leader.revision, 1.0)
+    assert listed(follower) == listed(leader)
+    assert follower.digest() == leader.digest()
+
+
+def test_a_list_that_is_not_known_gives_no_change():
+    leader = ServerDirectory()
+    leader.put(backend("s1"), 0.0)
+    assert leader.change_from(12_345) is None
+
+
+class Host:
+    """Beliefs of one host, and what it asks a peer for."""
+
+    def __init__(self):
+        self.beliefs = Beliefs(NoEvents(), None, None)
+        self.beliefs.confirm_servers()
+
+    def ask(self, peer, age_ms=0):
+        """Ask a peer and apply its answer; return the answer."""
+        wanted = new_frame().body.init("documentsWanted")
+        wanted.assignmentRevision = self.beliefs.assignment_revision
+        wanted.serversDigest = self.beliefs.directory.digest()
+        wanted.takesChanges = self.beliefs.takes_changes
+        frame = new_frame()
+        content = frame.body.init("documents")
+        content.ageMs = age_ms
+        write_documents(content, wanted, peer.beliefs)
+        apply_documents(content, self.beliefs, "peer")
+        return content
+
+
+def assignment_of(fence, server):
+    ranges = (OwnedRange(0, 9, server, "a:1", 1, fence),)
+    return encode_assignment(Assignment(fence, {"x": ranges}))
+
+
+@pytest.fixture
+def leader_and_follower():
+    leader, follower = Host(), Host()
+    leader.beliefs.apply_assignment(assignment_of(1, "s1"), 11, "own")
+    follower.ask(leader)
+    return leader, follower
+
+
+def test_a_follower_takes_changes_after_a_whole_assignment(leader_and_follower):
+    leader, follower = leader_and_follower
+    assert follower.beliefs.assignment_revision == 11
+    leader.beliefs.apply_assignment(assignment_of(2, "s2"), 12, "own")
+    content = follower.ask(leader)
+    assert content.assignmentBase == 11
+    assert follower.beliefs.assignment == leader.beliefs.assignment
+    assert follower.beliefs.owners["x"].find(3).server == "s2"
+    assert json.loads(follower.beliefs.assignment_content()) == json.loads(
+        leader.beliefs.assignment_content()
+    )
+
+
+def test_a_change_that_does_not_fit_is_followed_by_the_whole(leader_and_follower):
+    """A host that refused a change would never learn the owners again."""
+    leader, follower = leader_and_follower
+    leader.beliefs.apply_assignment(assignment_of(2, "s2"), 12, "own")
+    follower.beliefs.apply_assignment_change(b"{}", 11, 12, "peer")
+    assert follower.beliefs.assignment_revision == 11
+    content = follower.ask(leader)
+    assert content.assignmentBase == 0
+    assert follower.beliefs.assignment == leader.beliefs.assignment
+    assert follower.beliefs.takes_changes
+
+
+def test_a_change_to_another_assignment_is_left_alone(leader_and_follower):
+    leader, follower = leader_and_follower
+    change = encode_change(leader.beliefs.assignment, Assignment(9, {}))
+    follower.beliefs.apply_assignment_change(change, 10, 12, "peer")
+    assert follower.beliefs.assignment == leader.beliefs.assignment
+
+
+def test_a_follower_takes_changes_of_servers(leader_and_follower):
+    leader, follower = leader_and_follower
+    for host in leader_and_follower:
+        host.beliefs.directory.put(backend("s1"), 0.0)
+        host.beliefs.directory.put(backend("s2"), 0.0)
+    leader.beliefs.directory.digest()
+    leader.beliefs.directory.put(backend("s1", draining=True, revision=4), 0.0)
+    content = follower.ask(leader)
+    assert [entry.server for entry in content.servers] == ["s1"]
+    assert listed(follower.beliefs.directory) == listed(leader.beliefs.directory)
+    leader.beliefs.directory.remove("s2", 5, 1.0)
+    assert list(follower.ask(leader).serversGone) == ["s2"]
+    assert listed(follower.beliefs.directory) == listed(leader.beliefs.directory)
