Let hosts that start or are turned away learn from the leader

At the start each listed the owners and the servers although a leader was known 0.1 s later; after 18 s without a change watches of 25 s met the end of the history (20 s) and were followed by a list.

Now the owners and the servers are read from the store only when no leader answers within 0.3 s; at the very first start hosts wait up to 1 s for one of them to lead. A host asks a new leader without a wait the first time. Watches last 18 s. A host that follows the leader tries the store again after 1.5 s.

--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -292,6 +292,7 @@
         for backend in change.backends:
             self._log_server(self.directory.find(backend.server), backend)
         self.directory.apply_change(change, revision, boot_time_s())
+        self.servers_known = True
         self._notify()
 
     def expire(self) -> None:
--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -130,6 +130,7 @@
     """Settings of one gateway process.
 
     :param seeds: addresses of peers to ask when the store does not answer.
+    :param first_start: whether the whole system starts for the first time.
     """
 
     host: str
@@ -142,3 +143,4 @@
     timing: Timing
     lease_min_s: float
     metrics_address: str
+    first_start: bool
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -75,6 +75,7 @@
         self._random = random
         self._followed_s = float("-inf")
         self._followed_process = ""
+        self._silent_process = ""
         self.is_leading: Callable[[], bool] = lambda: False
         handlers: Mapping[str, Any] = {
             "hostReport": self._take_report,
@@ -103,6 +104,15 @@
             and boot_time_s() - self._followed_s < FOLLOWED_S
         )
 
+    def may_follow(self) -> bool:
+        """Return whether there is a leader to ask that has not failed to answer."""
+        leader = self._beliefs.leader
+        return (
+            leader is not None
+            and leader.address != self._address
+            and leader.process != self._silent_process
+        )
+
     async def has_ended(self, leader: FormerLeader) -> bool:
         """Return whether a former leader is known to send no grants any more.
 
@@ -144,8 +154,11 @@
                 await asyncio.sleep(FOLLOW_RETRY_S)
                 continue
             try:
-                answer = await self._ask(leader.address, FOLLOW_WAIT_S)
+                # The first answer is wanted at once: it shows that the leader leads.
+                wait_s = FOLLOW_WAIT_S if self.is_following() else 0.0
+                answer = await self._ask(leader.address, wait_s)
             except JacinthpathError as error:
+                self._silent_process = leader.process
                 if self.is_following():
                     self._events.process(
                         "leader_silent", leader=leader.host, error=str(error)
@@ -155,6 +168,7 @@
             if answer.leading and answer.ageMs < LEADER_FRESH_S * 1000:
                 self._followed_s = boot_time_s()
                 self._followed_process = leader.process
+                self._silent_process = ""
             # News come in bursts; a pause lets one answer carry several, and bounds
             # the messages should two hosts not agree.
             await asyncio.sleep(FOLLOW_RETRY_S * self._random.random())
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -19,8 +19,9 @@
 
 OWN_PREFIX = "jacinthpath/"
 
-WATCH_S = 25.0
-"""Longest wait of one watch; keep-alive probes find a dead path earlier."""
+WATCH_S = 18.0
+"""Longest wait of one watch: the store keeps 20 s of history (platform page), and a
+watch that is older has to list the keys again."""
 
 SERVERS_PACE_S = 0.4
 """Entries change with each heartbeat of each server, so changes are fetched at this
@@ -30,10 +31,26 @@
 """A watch of the servers ends at the latest after this, so that an answer shows how
 fresh the list is."""
 
+LEADER_LISTED_S = 0.3
+"""A host that starts waits this long for the store to name the leader."""
+
+LEADER_ANSWERS_S = 0.3
+"""A host that starts waits this long for the leader's documents, which takes some
+milliseconds, before it reads them from the store."""
+
+FIRST_START_SPREAD_S = 1.0
+"""When all hosts start for the first time, each waits a random part of this for one
+of them to lead; callers come seconds later."""
+
 FOLLOW_POLL_S = 0.1
 """Pause between looks at whether the leader still answers this host."""
 
+START_POLL_S = 0.02
 RETRY_S = 0.4
+
+RETRY_FOLLOWING_S = 1.5
+"""A host that the store turns away learns the same from the leader meanwhile."""
+
 EXPIRE_S = 0.2
 
 PEER_PERIOD_S = 0.3
@@ -62,6 +79,9 @@
     def is_following(self) -> bool:
         """Return whether the leader keeps this host up to date."""
 
+    def may_follow(self) -> bool:
+        """Return whether there is a leader to ask that has not failed to answer."""
+
     async def refresh(self) -> None:
         """Apply what one peer knows."""
 
@@ -72,6 +92,8 @@
     Every host watches the configuration and who leads: a call for each change. The
     owners and the servers change all the time; they come from the leader, and from
     the store only while no leader answers, so that calls do not grow with the fleet.
+
+    :param first_start: whether all hosts start for the first time, and nobody waits.
     """
 
     def __init__(
@@ -82,8 +104,10 @@
         peers: PeerDocuments,
         events: EventLog,
         random: Random,
+        first_start: bool,
     ) -> None:
         super().__init__()
+        self._first_start = first_start
         self._store = store
         self._keys = keys
         self._beliefs = beliefs
@@ -91,6 +115,7 @@
         self._events = events
         self._random = random
         self._failing: dict[str, float] = {}
+        self._leader_listed = asyncio.Event()
 
     async def on_start(self) -> None:
         """Start a task for each part of the store that is followed."""
@@ -111,6 +136,8 @@
         unless_following: bool = False,
     ) -> None:
         """Run one part again and again; each run lists and then watches."""
+        if unless_following:
+            await self._wait_for_leader()
         while not self.should_stop:
             if unless_following and self._peers.is_following():
                 self._failing.pop(part, None)
@@ -124,6 +151,26 @@
             except (StoreError, KeyError, TypeError, ValueError) as error:
                 await self._store_failed(part, error)
 
+    async def _wait_for_leader(self) -> None:
+        """Give a leader that works the time to tell this host what it knows.
+
+        When a fleet starts, hosts that all read everything load the store.
+        """
+        try:
+            async with asyncio.timeout(LEADER_LISTED_S):
+                await self._leader_listed.wait()
+        except TimeoutError:
+            return
+        if self._first_start:
+            until_s = boot_time_s() + FIRST_START_SPREAD_S * self._random.random()
+            while self._beliefs.leader is None and boot_time_s() < until_s:
+                await asyncio.sleep(START_POLL_S)
+        until_s = boot_time_s() + LEADER_ANSWERS_S
+        while self._peers.may_follow() and boot_time_s() < until_s:
+            if self._peers.is_following():
+                return
+            await asyncio.sleep(START_POLL_S)
+
     async def _read_configuration(self) -> None:
         listed = await self._store.list(self._keys.configuration)
         self._answered("configuration")
@@ -138,6 +185,7 @@
             self._apply_own(Change(*item))
         if not listed.items:
             self._beliefs.apply_leader(None, listed.revision)
+        self._leader_listed.set()
         await self._watch("leader", LEADER_KEY, listed.revision)
 
     async def _read_own(self) -> None:
@@ -233,14 +281,15 @@
         if part not in self._failing:
             self._failing[part] = boot_time_s()
             self._events.process("store_lost", part=part, error=str(error))
-        await asyncio.sleep(RETRY_S * (0.5 + self._random.random()))
+        pause_s = RETRY_FOLLOWING_S if self._peers.is_following() else RETRY_S
+        await asyncio.sleep(pause_s * (0.5 + self._random.random()))
 
     async def _ask_peers(self) -> None:
         """Follow the peers while any part of the store does not answer."""
         answering = True
         while not self.should_stop:
             await asyncio.sleep(PEER_PERIOD_S * (0.8 + 0.4 * self._random.random()))
-            if not self._failing:
+            if not self._failing or self._peers.is_following():
                 continue
             try:
                 await self._peers.refresh()
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -64,7 +64,15 @@
         events,
         random,
     )
-    watcher = StoreWatcher(store, WATCHED_KEYS, beliefs, peering, events, random)
+    watcher = StoreWatcher(
+        store,
+        WATCHED_KEYS,
+        beliefs,
+        peering,
+        events,
+        random,
+        settings.first_start,
+    )
     leadership = Leadership(
         store,
         beliefs,
--- a/src/jacinthpath/platform/settings.py
+++ b/src/jacinthpath/platform/settings.py
@@ -58,6 +58,7 @@
             timing=self._timing(),
             lease_min_s=self._duration("provider.ttl_min", "1000ms"),
             metrics_address=f"{ip}:{METRICS_PORT}",
+            first_start=self._value("bootstrap", False) is True,
         )
 
     def _timing(self) -> Timing:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -197,6 +197,18 @@
     assert follower.beliefs.assignment == leader.beliefs.assignment
 
 
+def test_the_first_servers_may_come_as_a_change(leader_and_follower):
+    """Of 90 hosts that had started before the servers 72 were not ready for callers:
+    they believed that they did not know the servers."""
+    leader, follower = leader_and_follower
+    leader.beliefs.directory.digest()
+    follower.ask(leader)
+    assert not follower.beliefs.servers_known
+    leader.beliefs.directory.put(backend("s1"), 0.0)
+    follower.ask(leader)
+    assert follower.beliefs.servers_known
+
+
 def test_a_follower_takes_changes_of_servers(leader_and_follower):
     leader, follower = leader_and_follower
     for host in leader_and_follower:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -38,6 +38,15 @@
     assert follower._store.calls["kv-watch"] - before <= 2
 
 
+async def test_a_host_that_joins_learns_from_the_leader(fleet):
+    """At the start of 90 hosts each of them read everything from the store."""
+    await asyncio.sleep(0.5)
+    joined = await fleet.add_gateway(5)
+    await asyncio.sleep(1.0)
+    assert joined.unready_reason() == ""
+    assert joined._store.calls["kv-range"] == 2
+
+
 async def test_a_host_turned_away_by_the_store_follows_its_peers(fleet):
     """It sent to a server 12 s after that had left (DRAIN)."""
     await asyncio.sleep(0.5)
@@ -76,7 +85,7 @@
 async def test_after_all_hosts_are_gone_the_next_one_adopts_the_owners(fleet, tmp_path):
     """A restart of everything moves no key."""
     before = {
-        name: sorted(server.holds)
+        name: sorted((hold.first, hold.last) for hold in server.holds)
         for name, server in fleet.servers.items()
         if server.keyed
     }
@@ -87,7 +96,7 @@
     await fleet.ready()
     await asyncio.sleep(2.0)
     after = {
-        name: sorted(server.holds)
+        name: sorted((hold.first, hold.last) for hold in server.holds)
         for name, server in fleet.servers.items()
         if server.keyed
     }
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -1,9 +1,11 @@
 """What a host makes of removed entries after it could not reach the store."""
 
+import asyncio
 from random import Random
 
 import pytest
 
+from jacinthpath.errors import StoreUnavailable
 from jacinthpath.gateway.beliefs import Beliefs
 from jacinthpath.gateway.clock import boot_time_s
 from jacinthpath.gateway.model import Backend
@@ -18,7 +20,35 @@
     backend = Backend("s", "x", "10.0.0.1:1", "a", 3, False, 0.0, 1, 5)
     beliefs.directory.put(backend, boot_time_s())
     keys = WatchedKeys("configuration", "servers/")
-    return StoreWatcher(None, keys, beliefs, None, NoEvents(), Random(1))
+    return StoreWatcher(None, keys, beliefs, None, NoEvents(), Random(1), False)
+
+
+class AwayStore:
+    """A store that turns this host away."""
+
+    calls = 0
+
+    async def list(self, _prefix):
+        self.calls += 1
+        raise StoreUnavailable("away", "")
+
+
+class LeaderAnswers:
+    """Peers of which the leader keeps this host up to date."""
+
+    def is_following(self):
+        return True
+
+
+async def test_a_host_that_follows_asks_a_store_that_turns_it_away_less(watcher):
+    """Refused calls are paid for, and the leader gives the same news."""
+    watcher._store, watcher._peers = AwayStore(), LeaderAnswers()
+    following = asyncio.create_task(
+        watcher._follow("configuration", watcher._read_configuration)
+    )
+    await asyncio.sleep(0.7)
+    following.cancel()
+    assert watcher._store.calls == 1
 
 
 def lose_and_regain(watcher):
