Use a host's share of a server's connections only

A server resets connections above its limit, and orders on them end with an unknown outcome. A host now sends at most its share of `max_connections` (by the number of hosts) to a server at a time; beyond that an unkeyed request goes to another server and a keyed one is refused at once.

The server of the hot key accepts fewer connections while its queue is long, and hosts had at most four requests there. The bound is kept for what it states; its test fails without it.

--- a/src/jacinthpath/gateway/request_run.py
+++ b/src/jacinthpath/gateway/request_run.py
@@ -145,9 +145,12 @@
         if self._left_s() < MIN_SEND_S:
             return ServerChoice(None, "too-little-time")
         if self._service.keyed:
-            return await self._parts.owners.find(
+            choice = await self._parts.owners.find(
                 self._service.name, self._request.key, self._left_s
             )
+            if choice.backend is not None and self._is_full(choice.backend):
+                return ServerChoice(None, "connections-in-use", MOVED_RETRY_S)
+            return choice
         backend = self._other_server()
         if backend is None:
             return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
@@ -155,9 +158,22 @@
 
     def _other_server(self) -> Backend | None:
         """Return a server of a service without keys that was not tried yet."""
-        backends = self._parts.beliefs.directory.of_service(self._service.name)
+        backends = [
+            backend
+            for backend in self._parts.beliefs.directory.of_service(self._service.name)
+            if not self._is_full(backend)
+        ]
         return self._parts.pool.choose(backends, boot_time_s(), self._tried)
 
+    def _is_full(self, backend: Backend) -> bool:
+        """Return whether this host has its share of the server's connections in use.
+
+        A server resets connections above its limit, and with them what was sent.
+        """
+        hosts = max(1, len(self._parts.beliefs.hosts))
+        share = max(1, self._service.max_connections // hosts)
+        return self._parts.pool.in_flight(backend, boot_time_s()) >= share
+
     async def _attempt(self, backend: Backend) -> AttemptResult:
         """Send the request to a server and record what was seen."""
         parts = self._parts
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -64,7 +64,9 @@
     ]
 
 
-def configuration(version, routes, keyed=("keys",), services=("plain", "keys")):
+def configuration(
+    version, routes, keyed=("keys",), services=("plain", "keys"), max_connections=110
+):
     return json.dumps(
         {
             "version": f"r{version}",
@@ -72,7 +74,7 @@
             "services": {
                 "columns": ["name", "health_path", "max_connections", "sharded"],
                 "rows": [
-                    [name, "/health", 110, True if name in keyed else None]
+                    [name, "/health", max_connections, True if name in keyed else None]
                     for name in services
                 ],
             },
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -44,6 +44,24 @@
         assert status == 200
 
 
+@pytest.mark.parametrize(("path", "servers"), [("/keyed/x", 1), ("/read/x", 2)])
+async def test_a_host_opens_its_share_of_connections_only(system, path, servers):
+    """Servers reset what is over their limit: orders with an unknown outcome."""
+    system.store.put("op/config", configuration(4, ROUTES, max_connections=2))
+    await asyncio.sleep(0.2)
+    for server in system.servers.values():
+        server.fault = "silent"
+    sent = [
+        asyncio.create_task(system.send(path, f"c{number}", key=100))
+        for number in range(2 * servers)
+    ]
+    await asyncio.sleep(0.2)
+    status, headers, _ = await system.send(path, "over", key=100)
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    await asyncio.gather(*sent)
+
+
 async def test_no_route_is_answered_404(system):
     status, _, _ = await system.send("/other/x")
     assert status == 404
