Survive SIGHUP during the start of a gateway

Cause: a signal that tells of changed settings ended a process that had not yet installed its handler, which takes a third of a second of imports. The start now ignores the signal from its first line; the settings are read after that. The test fails without the line.

--- a/deploy/jacinthpath.py
+++ b/deploy/jacinthpath.py
@@ -5,9 +5,14 @@
 """
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+# The settings are read later in this start, so there is nothing to read again; by
+# default the signal would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 
 # The package folder itself must not be on the path: its ``platform`` folder would
--- /dev/null
+++ b/tests/test_gateway_start.py
@@ -0,0 +1,57 @@
+"""The program that the platform starts."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from .gateway_system import SETTINGS, free_port
+
+PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
+LIMIT_S = 20.0
+
+
+@pytest.fixture
+def settings(tmp_path):
+    path = tmp_path / "gateway.toml"
+    ports = {name: free_port() for name in ("peer_port", "front_port", "ready_port")}
+    path.write_text(
+        SETTINGS.format(name="g", ip="127.0.0.9", store="127.0.0.1:9", **ports)
+    )
+    return path
+
+
+def ignored_signals(pid):
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("SigIgn:")[2].split()[0], 16)
+
+
+def wait_for(condition):
+    until_s = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < until_s
+        time.sleep(0.002)
+
+
+def test_a_changed_settings_file_does_not_end_a_start(settings, tmp_path):
+    """The soak found hosts that ended by SIGHUP while they were starting."""
+    log = tmp_path / "log"
+    with log.open("wb") as output:
+        process = subprocess.Popen(
+            [sys.executable, str(PROGRAM)],
+            env={**os.environ, "JACINTHPATH_SETTINGS": str(settings)},
+            stdout=output,
+        )
+    try:
+        bit = 1 << (signal.SIGHUP - 1)
+        wait_for(lambda: ignored_signals(process.pid) & bit)
+        process.send_signal(signal.SIGHUP)
+        wait_for(lambda: b"event=listening" in log.read_bytes())
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
