Let the stand-in for a server keep fences and parts of holds

A release of a part ended whole holds, and older grants were taken. A server can also begin another life.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -11,9 +11,20 @@
 import time
 from typing import NamedTuple
 
+KEY_COUNT = 65_536
+
 REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request", 503: "Unavailable"}
 
 
+class Hold(NamedTuple):
+    """Keys that a server holds until a time on the monotonic clock."""
+
+    first: int
+    last: int
+    fence: int
+    until_s: float
+
+
 class _Request(NamedTuple):
     method: str
     target: str
@@ -39,8 +50,8 @@
         self.targets: list[tuple[str, str, bytes]] = []
         self.budgets_ms: list[int] = []
         self.dropped = 0
-        self.holds: dict[tuple[int, int], tuple[int, float]] = {}
-        self.fence = 0
+        self.holds: list[Hold] = []
+        self.fences = [0] * KEY_COUNT
         self.address = ""
         self.born_ms = int(time.time() * 1000)
         self._listener: asyncio.Server | None = None
@@ -75,12 +86,18 @@
 
     def holds_key(self, key: int) -> bool:
         """Return whether the server may run requests for a key."""
-        now = time.monotonic()
+        now_s = time.monotonic()
         return any(
-            first <= key <= last and until > now
-            for (first, last), (_, until) in self.holds.items()
+            hold.first <= key <= hold.last and hold.until_s > now_s
+            for hold in self.holds
         )
 
+    def restart(self) -> None:
+        """Begin another life under the same identity: it knows nothing of before."""
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
+        self.holds.clear()
+        self.fences = [0] * KEY_COUNT
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -159,20 +176,34 @@
 
     def _order(self, request: _Request) -> bytes:
         order = json.loads(request.body)
-        span = (order["from"], order["to"])
+        first, last, fence = order["from"], order["to"], order["fence"]
         if request.target == "/-/release":
-            self.fence = max(self.fence, order["fence"])
-            self.holds = {
-                other: hold
-                for other, hold in self.holds.items()
-                if other[1] < span[0] or span[1] < other[0]
-            }
+            self._release(first, last, fence)
             return _message(200, {"X-Handover": "handover"}, b"")
-        self.fence = max(self.fence, order["fence"])
+        if max(self.fences[first : last + 1]) > fence:
+            return _message(409, {}, b"")
         hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
-        self.holds[span] = (order["fence"], time.monotonic() + hold_s)
+        self._release(first, last, fence)
+        self.holds.append(Hold(first, last, fence, time.monotonic() + hold_s))
         return _message(200, {}, b"")
 
+    def _release(self, first: int, last: int, fence: int) -> None:
+        """Give keys up; what is held beside them stays."""
+        self.fences[first : last + 1] = [
+            max(fence, seen) for seen in self.fences[first : last + 1]
+        ]
+        kept = []
+        for hold in self.holds:
+            if hold.last < first or last < hold.first:
+                kept.append(hold)
+                continue
+            if hold.first < first:
+                kept.append(hold._replace(last=first - 1))
+            if last < hold.last:
+                kept.append(hold._replace(first=last + 1))
+        now_s = time.monotonic()
+        self.holds = [hold for hold in kept if hold.until_s > now_s]
+
 
 async def _read_request(reader: asyncio.StreamReader) -> _Request | None:
     try:
