--- a/src/jacinthpath/cli.py
+++ b/src/jacinthpath/cli.py
@@ -128,7 +128,7 @@
     """
     from .gateway.explain import explain as explained, read_lines
 
-    sources = logs or (click.get_text_stream("stdin", errors="replace"),)
+    sources = logs or (click.open_file("-", errors="replace"),)
     lines = (line for source in sources for line in source)
     for told in explained(request_id, read_lines(lines)):
         click.echo(told)
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -48,8 +48,9 @@
 START_POLL_S = 0.02
 RETRY_S = 0.4
 
-RETRY_FOLLOWING_S = 1.5
-"""A host that the store turns away learns the same from the leader meanwhile."""
+RETRY_FOLLOWING_S = 1.0
+"""Pause after repeated failures of a host that learns the same from the leader. Should
+the leader end meanwhile, a configuration still comes into force within two seconds."""
 
 EXPIRE_S = 0.2
 
@@ -278,10 +279,12 @@
         )
 
     async def _store_failed(self, part: str, error: Exception) -> None:
+        pause_s = RETRY_S
         if part not in self._failing:
             self._failing[part] = boot_time_s()
             self._events.process("store_lost", part=part, error=str(error))
-        pause_s = RETRY_FOLLOWING_S if self._peers.is_following() else RETRY_S
+        elif self._peers.is_following():
+            pause_s = RETRY_FOLLOWING_S
         await asyncio.sleep(pause_s * (0.5 + self._random.random()))
 
     async def _ask_peers(self) -> None:
