Send waiting watches again when the store is back

Ruled out: a document that could not be read, and the retry pause, which concerns hosts that follow a leader. When a part of the store answers again after a failure, the watches of the other parts are sent once more: two calls at most for a host that follows, after an outage. The test fails without the change.

A candidacy that is won while a host resigns moves nothing.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -92,6 +92,18 @@
         """Begin to act whenever this host leads."""
         self.add_future(self._run())
 
+    def shortest_hold_s(self) -> float:
+        """Return how long the grant is held that ends first, or 0 without grants."""
+        if self._reign is None:
+            return 0.0
+        now_s = self._clock()
+        holds_s = [
+            holding.held_until_s - now_s
+            for _, holding in self._reign.ownership.all_holdings()
+            if holding.granted and not holding.owned.target
+        ]
+        return max(0.0, min(holds_s, default=0.0))
+
     async def _run(self) -> None:
         while not self.should_stop:
             try:
--- a/src/jacinthpath/gateway/leadership.py
+++ b/src/jacinthpath/gateway/leadership.py
@@ -186,6 +186,8 @@
 
     async def _leave(self) -> None:
         """Take one step from resigning to the end of this leadership."""
+        # A candidacy that was under way may have been won after this host resigned.
+        self.authority.resigning = True
         leader = self._beliefs.leader
         if leader is not None and leader.revision > self.record_revision:
             self._lose("resigned")
--- a/src/jacinthpath/gateway/order_runner.py
+++ b/src/jacinthpath/gateway/order_runner.py
@@ -95,9 +95,10 @@
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=answer.result.value)
         if answer.result is OrderResult.DONE:
-            if not holding.granted:
-                self._log("keys_granted", service, holding, owned.fence, answer)
+            is_first = not holding.granted
             holding.grant_answered(now_s, hold_s)
+            if is_first:
+                self._log("keys_granted", service, holding, owned.fence, answer)
             return
         if answer.result is OrderResult.FENCED:
             self._fenced(authority)
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -254,3 +254,10 @@
             )
             for name, count in self._store.calls.items():
                 self._metrics.gauge("store_calls_total", count, call=name)
+            for failure, count in self._store.failures.items():
+                self._metrics.gauge(
+                    "store_call_failures_total", count, **failure._asdict()
+                )
+            self._metrics.gauge(
+                "shortest_hold_seconds", self._assigner.shortest_hold_s()
+            )
--- a/src/jacinthpath/gateway/store.py
+++ b/src/jacinthpath/gateway/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "CallFailure",
     "Change",
     "Changes",
     "Condition",
@@ -26,6 +27,16 @@
     """The changes after a revision are no longer available."""
 
 
+class CallFailure(NamedTuple):
+    """One way in which a call of the store fails.
+
+    :param outcome: ``unavailable`` when nothing was done, or ``outcome-unknown``.
+    """
+
+    call: str
+    outcome: str
+
+
 class LeaseEnded(StoreError):
     """The store knows no such lease."""
 
@@ -106,9 +117,11 @@
     have been done or may still be.
 
     :ivar calls: calls made, by name.
+    :ivar failures: how many of them failed, by name and outcome.
     """
 
     calls: Mapping[str, int]
+    failures: Mapping[CallFailure, int]
 
     async def read(self, key: str) -> Item | None:
         """Return a key, or ``None``."""
--- a/src/jacinthpath/gateway/watching.py
+++ b/src/jacinthpath/gateway/watching.py
@@ -15,7 +15,7 @@
 from .beliefs import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, Beliefs
 from .clock import boot_time_s
 from .events import EventLog
-from .store import Change, HistoryLost, Store
+from .store import Change, Changes, HistoryLost, Store
 
 OWN_PREFIX = "jacinthpath/"
 
@@ -117,6 +117,7 @@
         self._random = random
         self._failing: dict[str, float] = {}
         self._leader_listed = asyncio.Event()
+        self._regained = asyncio.Event()
 
     async def on_start(self) -> None:
         """Start a task for each part of the store that is followed."""
@@ -226,13 +227,15 @@
         followed = part in ("own", "servers")
         while not (followed and self._peers.is_following()) and not self.should_stop:
             try:
-                changes = await self._store.watch(prefix, revision, wait_s)
+                changes = await self._changes(prefix, revision, wait_s)
             except HistoryLost:
                 raise
             except StoreError as error:
                 # The missed changes are asked for again; a list is dearer.
                 await self._store_failed(part, error)
                 continue
+            if changes is None:
+                continue
             self._answered(part)
             revision = max(revision, changes.revision)
             for change in changes.changes:
@@ -240,6 +243,26 @@
             if pace_s:
                 await asyncio.sleep(pace_s * (0.9 + 0.2 * self._random.random()))
 
+    async def _changes(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> Changes | None:
+        """Wait for changes, or until another call shows that the store is back.
+
+        A watch that the store took while it was silent is never answered.
+
+        :return: ``None`` when the watch has to be sent again.
+        """
+        regained = asyncio.ensure_future(self._regained.wait())
+        watching = asyncio.ensure_future(self._store.watch(prefix, revision, wait_s))
+        try:
+            await asyncio.wait(
+                {regained, watching}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return watching.result() if watching.done() else None
+        finally:
+            regained.cancel()
+            watching.cancel()
+
     def _apply_configuration(self, change: Change) -> None:
         if change.key == self._keys.configuration and change.value is not None:
             self._beliefs.apply_configuration(change.value, change.revision, "store")
@@ -267,6 +290,8 @@
         since_s = self._failing.pop(part, None)
         if since_s is None:
             return
+        self._regained.set()
+        self._regained = asyncio.Event()
         now_s = boot_time_s()
         only_here = self._beliefs.peer_age_s() < PEER_FRESH_S
         if not only_here:
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -40,6 +40,12 @@
     "requests_in_flight": "Requests of callers that have not ended.",
     "requests_not_admitted_total": "Requests that no slot could take in time.",
     "requests_total": "Requests of callers, by outcome.",
+    "shortest_hold_seconds": (
+        "Time left of the grant that ends first, at the leader; 0 elsewhere."
+    ),
+    "store_call_failures_total": (
+        "Calls to the platform's store that failed, by name and outcome."
+    ),
     "store_calls_total": "Calls to the platform's store, by name.",
     "topic_version": "Version in force of the configuration and the slice tables.",
     "topics_refused_total": "Configurations and tables that could not be read.",
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -15,6 +15,7 @@
 from ..errors import StoreError, StoreOutcomeUnknown, StoreUnavailable
 from ..gateway.sockets import prompt_socket
 from ..gateway.store import (
+    CallFailure,
     Change,
     Changes,
     Condition,
@@ -54,6 +55,7 @@
 
     def __init__(self, address: str) -> None:
         self.calls: dict[str, int] = defaultdict(int)
+        self.failures: dict[CallFailure, int] = defaultdict(int)
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
 
@@ -163,12 +165,29 @@
         if self._session is None:
             raise StoreUnavailable("The store client is closed.", "Start it first.")
         name = path.partition("?")[0].split("/")[2]
+        self.calls[name] += 1
+        try:
+            return await self._exchange(method, name, path, body, extra_wait_s)
+        except StoreUnavailable:
+            self.failures[CallFailure(name, "unavailable")] += 1
+            raise
+        except StoreOutcomeUnknown:
+            self.failures[CallFailure(name, "outcome-unknown")] += 1
+            raise
+
+    async def _exchange(
+        self,
+        method: str,
+        name: str,
+        path: str,
+        body: dict[str, Any] | None,
+        extra_wait_s: float,
+    ) -> _Answer:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + extra_wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
         data = json.dumps(body).encode() if body is not None else None
         headers = {"Content-Type": "application/json"} if data else None
-        self.calls[name] += 1
         try:
             async with self._session.request(
                 method, self._base + path, data=data, headers=headers, timeout=timeout
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -27,6 +27,20 @@
         assert status == 200
 
 
+async def test_metrics_tell_of_holds_and_failed_calls(fleet):
+    """On-call engineers see keys that are about to be refused, and why."""
+    (leader,) = leaders(fleet)
+    fleet.store.mode = "busy"
+    await asyncio.sleep(1.3)
+    for gateway in fleet.gateways:
+        metrics = gateway._metrics
+        hold_s = metrics.value("shortest_hold_seconds")
+        assert (hold_s > 0.5) is (gateway is leader)
+    failed = {"call": "kv-keep", "outcome": "unavailable"}
+    assert leader._metrics.value("store_call_failures_total", **failed) > 0
+    fleet.store.mode = "up"
+
+
 async def test_followers_leave_the_servers_entries_to_the_leader(fleet):
     """Store calls must not grow with the fleet."""
     await asyncio.sleep(1.0)
--- a/tests/test_gateway_watching.py
+++ b/tests/test_gateway_watching.py
@@ -66,6 +66,29 @@
     watcher._answered("servers")
 
 
+class SilentStore:
+    """A store that answers no watch."""
+
+    def __init__(self):
+        self.watched = asyncio.Queue()
+
+    async def watch(self, prefix, _revision, _wait_s):
+        self.watched.put_nowait(prefix)
+        await asyncio.Event().wait()
+
+
+async def test_a_watch_is_sent_again_when_the_store_is_back(watcher):
+    """Soak seed 212: the leader lacked a configuration for seven seconds, since the
+    store had taken its watch while it was silent and never answered it."""
+    watcher._store, watcher._peers = SilentStore(), LeaderAnswers()
+    watching = asyncio.create_task(watcher._watch("configuration", "configuration", 5))
+    await watcher._store.watched.get()
+    lose_and_regain(watcher)
+    async with asyncio.timeout(5.0):
+        assert await watcher._store.watched.get() == "configuration"
+    watching.cancel()
+
+
 def test_a_cut_that_peers_did_not_share_raises_no_doubt(watcher):
     """The entry of a server that had left was kept for 2.5 s after the cut, longer
     than the time for which the server may still be sent to."""
