Take only answers of servers for a configuration in force in the soak

Its log shows a new process that answered 503 without a configuration, took version 9 from a peer and 12 from the store 25 ms later, and nothing older after that; the probe had taken the 503 for an answer under version 12. The check now counts 200 only, and leaves answers out during which the process was started again.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -113,14 +113,16 @@
             acked_s = self._system.version_acked_s
             process = gateway.process
             status = await self._status(gateway, f"{VERSION_PREFIX}{version}/x")
+            if gateway.process is not process:
+                continue
             if life is not process:
                 seen, life = 0, process
-            if status == 0:
-                continue
-            if status != 404:
+            # Other answers do not tell whether the version is in force: a host that
+            # has none yet answers 503.
+            if status == 200:
                 seen = version
-                continue
-            self._check_version(gateway, version, seen, asked_s, acked_s)
+            elif status == 404:
+                self._check_version(gateway, version, seen, asked_s, acked_s)
 
     def _check_version(
         self, gateway: Gateway, version: int, seen: int, asked_s: float, acked_s: float
