--- a/soak/faults.py
+++ b/soak/faults.py
@@ -70,12 +70,15 @@
 async def _leave(gateway: Gateway) -> None:
     """Stop a process as the platform does, and start it again."""
     process = gateway.process
+    begun_s = time.monotonic()
     gateway.send_signal(signal.SIGTERM)
     try:
         async with asyncio.timeout(GRACE_S):
             await process.wait()
     except TimeoutError:
-        gateway.killed_after_grace = gateway.process is process
+        # A process that another fault has paused cannot end in time.
+        was_paused = gateway.paused_until_s >= begun_s
+        gateway.killed_after_grace = gateway.process is process and not was_paused
         await gateway.end()
     await gateway.restart()
 
@@ -84,6 +87,7 @@
 async def _pause(system: System, length_s: float) -> None:
     gateway = _any_gateway(system)
     process = gateway.process
+    gateway.paused_until_s = time.monotonic() + length_s
     gateway.send_signal(signal.SIGSTOP)
     await asyncio.sleep(length_s)
     if gateway.process is process:
--- a/soak/system.py
+++ b/soak/system.py
@@ -38,6 +38,7 @@
         self.killed_after_grace = False
         self.disturbed_s = 0.0
         self.started_s = 0.0
+        self.paused_until_s = 0.0
         self._folder = folder
         self._starting = asyncio.Lock()
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -220,6 +220,8 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection by a reset; a plain close would end it in order."""
+    if writer.is_closing():
+        return
     opened = writer.get_extra_info("socket")
     linger = struct.pack("ii", 1, 0)
     opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
