--- a/soak/system.py
+++ b/soak/system.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from random import Random
 
+from standins.loopback import address_block
 from standins.platform_server import PlatformServerStandIn
 from standins.platform_store import PlatformStoreStandIn
 
@@ -166,15 +167,6 @@
         self.put_entry(name)
 
 
-def address_block() -> str:
-    """Return a part of the loopback network for this process.
-
-    Each gateway needs an address of its own, since the metrics port is fixed.
-    """
-    process = os.getpid()
-    return f"127.{64 + process // 250 % 128}.{process % 250}"
-
-
 def _free_ports(ip: str, count: int) -> list[int]:
     probes = [socket.socket() for _ in range(count)]
     for probe in probes:
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -9,6 +9,7 @@
 
 from jacinthpath.gateway import move_planning
 from jacinthpath.gateway_composition import build_gateway
+from standins.loopback import address_block
 from standins.platform_server import PlatformServerStandIn
 from standins.platform_store import PlatformStoreStandIn
 
@@ -137,7 +138,7 @@
         path.write_text(
             SETTINGS.format(
                 name=f"g{index}",
-                ip=f"127.0.0.{index + 2}",
+                ip=f"{address_block()}.{index + 1}",
                 peer_port=free_port(),
                 front_port=free_port(),
                 ready_port=free_port(),
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from standins.loopback import address_block
+
 from .gateway_system import SETTINGS, free_port
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
@@ -20,7 +22,9 @@
     path = tmp_path / "gateway.toml"
     ports = {name: free_port() for name in ("peer_port", "front_port", "ready_port")}
     path.write_text(
-        SETTINGS.format(name="g", ip="127.0.0.9", store="127.0.0.1:9", **ports)
+        SETTINGS.format(
+            name="g", ip=f"{address_block()}.200", store="127.0.0.1:9", **ports
+        )
     )
     return path
 
