Bound connections to a server within the choice of one

Cause: for each request without a key the bound built a list of all servers and began to keep evidence about each of them before the choice did its own filtering; and when all servers were at the bound the reason in the log was "no-server". Change: the pool takes the bound as a limit of the choice and counts without beginning to keep evidence; the reason is "connections-in-use" then. Result: the tests of the bound pass unchanged.

--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -7,7 +7,6 @@
     "read_report",
     "write_documents",
     "write_report",
-    "write_server",
 ]
 
 from typing import Any
@@ -71,7 +70,7 @@
         content.serversGone = list(change.removed)
     entries = content.init("servers", len(backends))
     for entry, backend in zip(entries, backends, strict=True):
-        write_server(entry, backend)
+        _write_server(entry, backend)
 
 
 def apply_documents(content: Any, beliefs: Beliefs, source: str) -> None:
@@ -100,7 +99,7 @@
 
 
 def _apply_servers(content: Any, beliefs: Beliefs) -> None:
-    backends = [read_server(entry) for entry in content.servers]
+    backends = [_read_server(entry) for entry in content.servers]
     if content.serversBase:
         change = ServerChange(tuple(backends), tuple(content.serversGone))
         beliefs.adopt_server_change(
@@ -110,8 +109,7 @@
         beliefs.adopt_servers(backends, content.serversRevision)
 
 
-def write_server(entry: Any, backend: Backend) -> None:
-    """Write a server into an entry of a frame."""
+def _write_server(entry: Any, backend: Backend) -> None:
     entry.server, entry.service = backend.server, backend.service
     entry.address, entry.zone = backend.address, backend.zone
     entry.slots, entry.draining = backend.slots, backend.draining
@@ -119,8 +117,7 @@
     entry.bornMs, entry.revision = backend.born_ms, backend.revision
 
 
-def read_server(entry: Any) -> Backend:
-    """Return the server in an entry of a frame."""
+def _read_server(entry: Any) -> Backend:
     return Backend(
         entry.server,
         entry.service,
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -75,10 +75,23 @@
         self._states: dict[str, _State] = {}
 
     def choose(
-        self, backends: Iterable[Backend], now_s: float, exclude: Collection[str] = ()
+        self,
+        backends: Iterable[Backend],
+        now_s: float,
+        exclude: Collection[str] = (),
+        most_in_flight: float = math.inf,
     ) -> Backend | None:
-        """Return the server for an attempt, or ``None`` when there is none."""
-        usable = [b for b in backends if not b.draining and b.server not in exclude]
+        """Return the server for an attempt, or ``None`` when there is none.
+
+        :param most_in_flight: requests that this host may have at a server.
+        """
+        usable = [
+            b
+            for b in backends
+            if not b.draining
+            and b.server not in exclude
+            and self.in_flight(b) < most_in_flight
+        ]
         sound = [b for b in usable if not self._is_ejected(b, now_s)]
         candidates = sound or usable
         if len(candidates) > CHOICES:
@@ -91,9 +104,12 @@
         latency_s = math.exp(state.log_latency)
         return latency_s * COLD_FACTOR if now_s < state.cold_until_s else latency_s
 
-    def in_flight(self, backend: Backend, now_s: float) -> int:
+    def in_flight(self, backend: Backend) -> int:
         """Return the requests that this host has at the server."""
-        return self._state(backend, now_s).in_flight
+        state = self._states.get(backend.server)
+        if state is None or state.born_ms != backend.born_ms:
+            return 0
+        return state.in_flight
 
     def is_unreachable(self, backend: Backend, now_s: float) -> bool:
         """Return whether the server has not been reached of late.
--- a/src/jacinthpath/gateway/request_run.py
+++ b/src/jacinthpath/gateway/request_run.py
@@ -145,34 +145,42 @@
         if self._left_s() < MIN_SEND_S:
             return ServerChoice(None, "too-little-time")
         if self._service.keyed:
-            choice = await self._parts.owners.find(
-                self._service.name, self._request.key, self._left_s
-            )
-            if choice.backend is not None and self._is_full(choice.backend):
-                return ServerChoice(None, "connections-in-use", MOVED_RETRY_S)
-            return choice
+            return await self._owner()
         backend = self._other_server()
+        if backend is not None:
+            return ServerChoice(backend)
+        backends = self._parts.beliefs.directory.of_service(self._service.name)
+        if any(not backend.draining for backend in backends):
+            return ServerChoice(None, "connections-in-use", MOVED_RETRY_S)
+        return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
+
+    async def _owner(self) -> ServerChoice:
+        """Return the owner of the key unless this host has its share there."""
+        choice = await self._parts.owners.find(
+            self._service.name, self._request.key, self._left_s
+        )
+        backend = choice.backend
         if backend is None:
-            return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
-        return ServerChoice(backend)
+            return choice
+        in_flight = self._parts.pool.in_flight(backend)
+        if in_flight >= self._connection_share():
+            return ServerChoice(None, "connections-in-use", MOVED_RETRY_S)
+        return choice
 
     def _other_server(self) -> Backend | None:
         """Return a server of a service without keys that was not tried yet."""
-        backends = [
-            backend
-            for backend in self._parts.beliefs.directory.of_service(self._service.name)
-            if not self._is_full(backend)
-        ]
-        return self._parts.pool.choose(backends, boot_time_s(), self._tried)
+        backends = self._parts.beliefs.directory.of_service(self._service.name)
+        return self._parts.pool.choose(
+            backends, boot_time_s(), self._tried, self._connection_share()
+        )
 
-    def _is_full(self, backend: Backend) -> bool:
-        """Return whether this host has its share of the server's connections in use.
+    def _connection_share(self) -> int:
+        """Return how many connections to a server this host may use.
 
         A server resets connections above its limit, and with them what was sent.
         """
         hosts = max(1, len(self._parts.beliefs.hosts))
-        share = max(1, self._service.max_connections // hosts)
-        return self._parts.pool.in_flight(backend, boot_time_s()) >= share
+        return max(1, self._service.max_connections // hosts)
 
     async def _attempt(self, backend: Backend) -> AttemptResult:
         """Send the request to a server and record what was seen."""
@@ -333,7 +341,7 @@
             took_ms=_ms(took_s),
             left_ms=_ms(left_s),
             expected_ms=_ms(parts.pool.latency_s(backend, now_s)),
-            in_flight=parts.pool.in_flight(backend, now_s),
+            in_flight=parts.pool.in_flight(backend),
             server_revision=backend.revision,
             assignment=(
                 parts.beliefs.assignment_revision if self._service.keyed else None
