Pass header fields on, and rule out repeats, in one place each

Cause: three functions chose the fields that are passed on (intake.py, endpoints.py, platform/http.py), and five places reached into the HTTP library to stop its repeats. The one in endpoints.py passed on what an answer named in Connection. Change: `passed_fields` in headers.py with the set to drop as an argument, `without_repeats` in http_sessions.py.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -18,6 +18,7 @@
 import aiohttp
 
 from jacinthpath.changes import ChangeClient
+from jacinthpath.http_sessions import without_repeats
 from jacinthpath.store import HttpKeyValueStore
 
 START_TIMEOUT_S = 20.0
@@ -130,11 +131,11 @@
 
     async def __aenter__(self) -> Fleet:
         self.directory.mkdir(parents=True, exist_ok=True)
-        self.session = aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=60),
         )
-        self.session._retry_connection = False
+        self.session = without_repeats(session)
         try:
             await self._start_all()
         except BaseException:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 
+from jacinthpath.http_sessions import without_repeats
+
 from .documents import HOST, VERSION_PREFIX
 from .promises import CALM_S, SCHEDULING_S, Answered, Promises
 from .system import Gateway, System
@@ -32,11 +34,11 @@
         self._promises = promises
         self._sent = 0
         self._tasks: list[asyncio.Task[None]] = []
-        self._session = aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(CALLER_TIMEOUT_S, sock_connect=CONNECT_S),
             connector=aiohttp.TCPConnector(limit=0),
         )
-        self._session._retry_connection = False
+        self._session = without_repeats(session)
 
     def start(self) -> None:
         """Begin to send."""
--- a/src/jacinthpath/endpoints.py
+++ b/src/jacinthpath/endpoints.py
@@ -13,7 +13,16 @@
 from yarl import URL
 
 from .exchange import Attempt, AttemptOutcome, Exchange
-from .headers import DEADLINE_MS, EPOCH, HOP_BY_HOP, NOT_RUN, SERVER, TRACEPARENT
+from .headers import (
+    DEADLINE_MS,
+    EPOCH,
+    HOP_BY_HOP,
+    NOT_RUN,
+    SERVER,
+    TRACEPARENT,
+    passed_fields,
+)
+from .http_sessions import without_repeats
 
 SHORT_BODY_BYTES = 65_536
 """Longest answer that is read whole before anything is sent to the caller, so that
@@ -39,7 +48,7 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -49,9 +58,7 @@
                 total=None, sock_connect=self._connect_timeout_s
             ),
         )
-        # The library repeats idempotent methods on a connection that breaks. Whether
-        # a request may be repeated is the template's decision, not the method's.
-        self._session._retry_connection = False
+        self._session = without_repeats(session)
 
     async def close(self) -> None:
         """Close the HTTP session."""
@@ -135,7 +142,7 @@
         if not _is_delimited(exchange.method, response):
             # The end of such a body cannot be told from a broken connection.
             return Attempt(AttemptOutcome.UNKNOWN, "answer-undelimited")
-        headers = _passed_headers(response)
+        headers = passed_fields(response.headers, HOP_BY_HOP)
         length = response.content_length
         if exchange.method == "HEAD" or status in BODILESS_STATUSES:
             body = b""
@@ -147,13 +154,6 @@
         return Attempt(AttemptOutcome.ANSWERED, "", status, headers, body)
 
 
-def _passed_headers(response: aiohttp.ClientResponse) -> CIMultiDict[str]:
-    headers = CIMultiDict(response.headers)
-    for name in HOP_BY_HOP:
-        headers.popall(name, None)
-    return headers
-
-
 def _is_delimited(method: str, response: aiohttp.ClientResponse) -> bool:
     if method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
--- a/src/jacinthpath/headers.py
+++ b/src/jacinthpath/headers.py
@@ -14,9 +14,13 @@
     "OUTCOME",
     "SERVER",
     "TRACEPARENT",
+    "passed_fields",
 ]
 
-from multidict import istr
+from collections.abc import Collection
+from typing import Any
+
+from multidict import CIMultiDict, istr
 
 ACCOUNT = istr("jacinthpath-account")
 DEADLINE_MS = istr("jacinthpath-deadline-ms")
@@ -44,3 +48,21 @@
     }
 )
 """Fields that belong to one connection and are not passed on."""
+
+
+def passed_fields(headers: Any, dropped: Collection[str]) -> CIMultiDict[str]:
+    """Return the header fields that are passed on to the next hop.
+
+    Fields that the sender names in ``Connection`` concern one connection only.
+
+    :param dropped: names to leave out, in lower case.
+    """
+    named = {
+        name.strip().lower()
+        for value in headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+    left_out = {*dropped, *named}
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in left_out
+    )
--- a/src/jacinthpath/intake.py
+++ b/src/jacinthpath/intake.py
@@ -8,7 +8,6 @@
 import re
 
 from aiohttp import web
-from multidict import CIMultiDict
 
 from .errors import NotRun, RequestError
 from .exchange import Exchange
@@ -20,6 +19,7 @@
     IDEMPOTENCY_KEY,
     KEY,
     TRACEPARENT,
+    passed_fields,
 )
 from .routing import RoutingState
 from .settings import EntryLimits
@@ -61,7 +61,7 @@
         self._read_route(request, exchange)
         self._read_deadline(request, exchange)
         await self._read_body(request, exchange)
-        exchange.headers = _passed_headers(request)
+        exchange.headers = passed_fields(request.headers, HOP_BY_HOP)
         return exchange
 
     def _read_route(self, request: web.BaseRequest, exchange: Exchange) -> None:
@@ -156,16 +156,6 @@
         yield chunk
 
 
-def _passed_headers(request: web.BaseRequest) -> CIMultiDict[str]:
-    headers = CIMultiDict(request.headers)
-    named = request.headers.get("connection", "")
-    for name in HOP_BY_HOP:
-        headers.popall(name, None)
-    for name in named.split(","):
-        headers.popall(name.strip(), None)
-    return headers
-
-
 def _field(request: web.BaseRequest, name: str) -> str:
     value = request.headers.get(name, "")
     if len(value) > MAX_FIELD_CHARACTERS:
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -12,12 +12,13 @@
 
 from ..gateway.exchange import CallerRequest, Reply, own_reply
 from ..gateway.model import KEY_COUNT, CallerLimits
+from ..headers import passed_fields
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, KEY
-from .http import passed_fields
+from .http import CONNECTION_FIELDS
 
 BACKLOG = 1024
 MAX_LINE_BYTES = 16_384
-DROPPED_FIELDS = frozenset({"expect", EXPECTED_SERVER.lower()})
+DROPPED_FIELDS = CONNECTION_FIELDS | {"expect", EXPECTED_SERVER.lower()}
 """Fields that the gateway answers or sets itself."""
 
 READY_PATH = "/-/ready"
--- a/src/jacinthpath/platform/http.py
+++ b/src/jacinthpath/platform/http.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["open_session", "passed_fields"]
+__all__ = ["CONNECTION_FIELDS", "open_session"]
 
-from collections.abc import Collection
 from typing import Any
 
 import aiohttp
-from multidict import CIMultiDict
+
+from ..http_sessions import without_repeats
 
 AUTOMATIC_FIELDS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
@@ -32,33 +32,14 @@
 ) -> aiohttp.ClientSession:
     """Return a session that adds no fields and repeats nothing by itself.
 
-    The library would repeat some methods on a connection that breaks. Whether a
-    request, an order or a write may be repeated is not its decision.
-
     :param connect_timeout_s: longest wait for a new connection.
     """
-    session = aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=AUTOMATIC_FIELDS,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
-        **options,
-    )
-    session._retry_connection = False
-    return session
-
-
-def passed_fields(headers: Any, dropped: Collection[str] = ()) -> CIMultiDict[str]:
-    """Return the header fields that are passed on to the next hop.
-
-    :param dropped: further names to leave out, in lower case.
-    """
-    named = {
-        name.strip().lower()
-        for value in headers.getall("Connection", ())
-        for name in value.split(",")
-    }
-    left_out = {*CONNECTION_FIELDS, *named, *dropped}
-    return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in left_out
+    return without_repeats(
+        aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=AUTOMATIC_FIELDS,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout_s),
+            **options,
+        )
     )
--- a/src/jacinthpath/store.py
+++ b/src/jacinthpath/store.py
@@ -17,6 +17,7 @@
 import aiohttp
 
 from .errors import StoreOutcomeUnknown, StoreUnavailable, VersionConflict
+from .http_sessions import without_repeats
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -96,11 +97,8 @@
 
     async def start(self) -> None:
         """Open the HTTP session."""
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=16, keepalive_timeout=60)
-        )
-        # A repeated write could take effect twice.
-        self._session._retry_connection = False
+        connector = aiohttp.TCPConnector(limit=16, keepalive_timeout=60)
+        self._session = without_repeats(aiohttp.ClientSession(connector=connector))
 
     async def close(self) -> None:
         """Close the HTTP session."""
