Write the platform's settings and configurations in one stand-in

Cause: the tests and the soak each had their own settings file, route rows and configuration document.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,10 +10,10 @@
 import aiohttp
 
 from jacinthpath.http_sessions import without_repeats
+from standins.platform_documents import HOST
 
-from .documents import HOST, VERSION_PREFIX
 from .promises import CALM_S, SCHEDULING_S, Answered, Promises
-from .system import Gateway, System
+from .system import VERSION_PREFIX, Gateway, System
 
 WORKERS = 3
 PAUSE_S = 0.03
--- a/soak/system.py
+++ b/soak/system.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Gateway", "System"]
+__all__ = ["GRACE_S", "VERSION_PREFIX", "Gateway", "System"]
 
 import asyncio
 import os
@@ -13,17 +13,25 @@
 from contextlib import suppress
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from standins.loopback import address_block
+from standins.platform_documents import (
+    CONFIGURATION_KEY,
+    SETTINGS,
+    configuration,
+    route,
+)
 from standins.platform_server import PlatformServerStandIn
 from standins.platform_store import PlatformStoreStandIn
 
-from .documents import ROUTES_KEY, configuration, settings
 from .proxy import Proxy
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
 SERVICES = {"plain": False, "keys": True}
 GRACE_S = 6.0
+VERSION_PREFIX = "/version-"
+ROUTE_TIMEOUT = "1500ms"
 
 
 class Gateway:
@@ -52,7 +60,7 @@
     async def start(self) -> None:
         """Start a process."""
         path = self._folder / f"{self.name}.toml"
-        path.write_text(settings(self))
+        path.write_text(self._settings())
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -65,6 +73,16 @@
         self.started_s = time.monotonic()
         self.disturbed()
 
+    def _settings(self) -> str:
+        return SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            front_port=self.front_port,
+            ready_port=self.ready_port,
+            peer_port=self.peer_port,
+            store=self.to_store.address,
+        )
+
     def disturbed(self) -> None:
         """Note a fault of this host, for promises that hold in calm only."""
         self.disturbed_s = time.monotonic()
@@ -139,7 +157,8 @@
     def configure(self) -> None:
         """Write the next configuration; each version adds a route of its own."""
         self.version += 1
-        self.store.put(ROUTES_KEY, configuration(self.version))
+        content = configuration(self.version, self._routes(), max_connections=200)
+        self.store.put(CONFIGURATION_KEY, content)
         self.version_acked_s = time.monotonic()
 
     def disturbed(self) -> None:
@@ -158,6 +177,19 @@
         else:
             self.draining_s.pop(name, None)
 
+    def _routes(self) -> list[list[Any]]:
+        """Return the routes, among them one of each version so far."""
+        rows = [
+            ("read", "/read/", "plain", "idempotent"),
+            ("order", "/order/", "plain", "non_idempotent"),
+            ("keyed", "/keyed/", "keys", "idempotent"),
+            *(
+                (f"v{number}", f"{VERSION_PREFIX}{number}/", "plain", "idempotent")
+                for number in range(2, self.version + 1)
+            ),
+        ]
+        return [route(*row, timeout=ROUTE_TIMEOUT) for row in rows]
+
     async def _add_server(self, name: str, service: str, keyed: bool) -> None:
         server = PlatformServerStandIn(name, service, keyed)
         await server.start()
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -1,7 +1,6 @@
 """A gateway in this process, between stand-ins of the platform."""
 
 import asyncio
-import json
 import socket
 
 import aiohttp
@@ -10,85 +9,15 @@
 from jacinthpath.gateway import move_planning
 from jacinthpath.gateway_composition import build_gateway
 from standins.loopback import address_block
+from standins.platform_documents import (
+    CONFIGURATION_KEY,
+    SETTINGS,
+    configuration,
+    route,
+)
 from standins.platform_server import PlatformServerStandIn
 from standins.platform_store import PlatformStoreStandIn
 
-SETTINGS = """
-node_name = "{name}"
-ip = "{ip}"
-zone = "a"
-internal_port_range = [{peer_port}, {peer_port}]
-seeds = []
-heartbeat = "500ms"
-[listen]
-front = "{ip}:{front_port}"
-ready = "{ip}:{ready_port}"
-[bounds]
-contact = "3000ms"
-drain = "2000ms"
-grace = "6s"
-retry_budget_ratio = 0.2
-retry_window = "10s"
-retry_budget_slack = 58
-hold_max = "10000ms"
-[provider]
-address = "{store}"
-ttl_min = "1000ms"
-"""
-
-ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "prefix",
-    "kind",
-    "timeout",
-    "target_latency",
-    "priority",
-    "traffic_split",
-    "max_attempts",
-    "service",
-]
-
-
-def route(name, prefix, service, kind="idempotent", timeout="800ms", split=None):
-    return [
-        name,
-        "h.example",
-        prefix,
-        kind,
-        timeout,
-        "300ms",
-        1,
-        split,
-        2,
-        None if split else service,
-    ]
-
-
-def configuration(
-    version, routes, keyed=("keys",), services=("plain", "keys"), max_connections=110
-):
-    return json.dumps(
-        {
-            "version": f"r{version}",
-            "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
-            "services": {
-                "columns": ["name", "health_path", "max_connections", "sharded"],
-                "rows": [
-                    [name, "/health", max_connections, True if name in keyed else None]
-                    for name in services
-                ],
-            },
-            "limits": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1000,
-                "header_timeout": "3000ms",
-                "idle_timeout": "15000ms",
-            },
-        }
-    ).encode()
-
-
 ROUTES = [
     route("read", "/read/", "plain"),
     route("order", "/order/", "plain", kind="non_idempotent"),
@@ -116,7 +45,7 @@
         # All servers are registered before the first gateway starts.
         move_planning.FOUND_DELAY_S = 0.1
         await self.store.start()
-        self.store.put("op/config", configuration(3, ROUTES))
+        self.store.put(CONFIGURATION_KEY, configuration(3, ROUTES))
         for index in range(plain):
             await self.add_server(f"p{index}", "plain")
         for index in range(keyed):
--- a/tests/test_gateway_decoding.py
+++ b/tests/test_gateway_decoding.py
@@ -14,8 +14,7 @@
 )
 from jacinthpath.gateway.route_index import RouteIndex
 from jacinthpath.platform import decode_backend, decode_route_table, load_settings
-
-from .gateway_system import SETTINGS, configuration, route
+from standins.platform_documents import SETTINGS, configuration, route
 
 FILE = SETTINGS.format(
     name="g", ip="10.0.0.1", peer_port=7, front_port=8, ready_port=9, store="10.0.0.2:1"
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from .gateway_system import ROUTES, GatewaySystem, configuration, route
+from standins.platform_documents import configuration, route
+
+from .gateway_system import ROUTES, GatewaySystem
 
 
 @pytest.fixture
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -10,8 +10,9 @@
 import pytest
 
 from standins.loopback import address_block
+from standins.platform_documents import SETTINGS
 
-from .gateway_system import SETTINGS, free_port
+from .gateway_system import free_port
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
 LIMIT_S = 20.0
