--- a/src/jacinthpath/gateway/beliefs.py
+++ b/src/jacinthpath/gateway/beliefs.py
@@ -52,6 +52,8 @@
 
     :param decode_routes: decoder of the operator's configuration.
     :param decode_server: decoder of a server's entry.
+    :ivar takes_changes: whether the next change to the assignment may come as such; a
+        change that did not fit is followed by the whole assignment.
     """
 
     def __init__(
