Bound responses, repeat downloads, and heed what servers say of themselves

Cause: a route of the kind "download" was decoded as one that may run only once, and every response was held whole: one body without end grew the process by 632 MB in three seconds (1,077 MB chunked), interim responses without end were read until the deadline. A late second copy of a refusal was taken for the response to the next request on its connection, or to the retry of the same attempt: on the plain version one order ran three times. Servers that say that they leave, or ask for a pause, were sent requests all the same.

Framing, interim responses and bytes without a request close a connection at once. A connection is not used twice for one attempt, and an error without an attempt id is accepted only as the first response of a connection. Splits with unknown services, negative weights or only zeros are refused; one zero takes a service out of a split, which operators do.

--- /dev/null
+++ b/src/jacinthpath/gateway/body_tracking.py
@@ -0,0 +1,42 @@
+"""Reports how the rest of a response's body ended."""
+
+from __future__ import annotations
+
+__all__ = ["TrackedBody"]
+
+from collections.abc import AsyncIterator, Callable
+
+from .exchange import BodyBroken, BodyStream
+
+
+class TrackedBody:
+    """See :class:`~jacinthpath.gateway.exchange.BodyStream`.
+
+    :param handle_end: called once at the end, with the reason if the body is broken and
+        an empty string otherwise.
+    """
+
+    def __init__(self, stream: BodyStream, handle_end: Callable[[str], None]) -> None:
+        self.length = stream.length
+        self._stream = stream
+        self._handle_end = handle_end
+        self._ended = False
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """See :meth:`BodyStream.__aiter__`."""
+        try:
+            async for part in self._stream:
+                yield part
+        except BodyBroken as error:
+            self._end(str(error))
+            raise
+
+    def close(self) -> None:
+        """See :meth:`BodyStream.close`."""
+        self._stream.close()
+        self._end("")
+
+    def _end(self, reason: str) -> None:
+        if not self._ended:
+            self._ended = True
+            self._handle_end(reason)
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -24,6 +24,7 @@
 from .directory import ServerDelta, ServerDirectory
 from .events import EventLog
 from .model import Backend, Documents, RouteTable
+from .revisions import era_of_revision
 from .route_index import RouteIndex
 from .store import Item
 
@@ -65,6 +66,7 @@
         self.routes: RouteIndex | None = None
         self.directory = ServerDirectory()
         self.servers_known = False
+        self._first_servers_era: int | None = None
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
         self.owners: dict[str, OwnerIndex] = {}
@@ -91,7 +93,9 @@
         return Documents(
             self._configuration,
             self._configuration_revision,
+            self.routes.table.version if self.routes else 0,
             self.assignment_revision,
+            self.assignment.fence,
         )
 
     def encoded_assignment(self) -> bytes:
@@ -117,16 +121,23 @@
         return boottime_s() - self.peer_store_contact_s
 
     def apply_configuration(self, content: bytes, revision: int, source: str) -> None:
-        """Put a configuration in force unless a newer one already is."""
-        if revision <= self._configuration_revision:
+        """Put a configuration in force unless a newer one already is.
+
+        Versions of the operator decide, since a restored store may give an older
+        version a higher revision.
+        """
+        if content == self._configuration:
+            self._configuration_revision = max(self._configuration_revision, revision)
             return
         try:
             table = self._decode_routes(content)
         except JacinthpathError as error:
             self._log_refused("configuration", revision, error)
             return
-        if self.routes is not None and table.version < self.routes.table.version:
-            return
+        if self.routes is not None:
+            known = self.routes.table.version, self._configuration_revision
+            if (table.version, revision) <= known:
+                return
         self.routes = RouteIndex(table)
         self._configuration, self._configuration_revision = content, revision
         self._events.log_state_change(
@@ -139,14 +150,22 @@
         self._notify()
 
     def apply_assignment(self, content: bytes, revision: int, source: str) -> None:
-        """Apply an assignment unless a newer one is known."""
-        if revision <= self.assignment_revision:
+        """Apply an assignment unless a newer one is known.
+
+        After a restore of the store, an older one may have a higher revision, but its
+        fence is lower.
+        """
+        known_revision = self.assignment_revision
+        same_era = era_of_revision(revision) == era_of_revision(known_revision)
+        if same_era and revision <= known_revision:
             return
         try:
             assignment = decode_assignment(content)
         except JacinthpathError as error:
             self._log_refused("assignment", revision, error)
             return
+        if (assignment.fence, revision) <= (self.assignment.fence, known_revision):
+            return
         self.accepts_deltas = True
         self._set_assignment(assignment, content, revision, source)
 
@@ -200,6 +219,14 @@
         if previous is None or previous.draining != backend.draining:
             self._notify()
 
+    def record_leaving(self, server: str, started_ms: int) -> None:
+        """Record that an incarnation of a server has said that it is leaving."""
+        if self.directory.mark_leaving(server, started_ms, boottime_s()):
+            self._events.log_state_change(
+                "server_leaving", server=server, born_ms=started_ms
+            )
+            self._notify()
+
     def remove_server(self, server: str, revision: int) -> None:
         """Apply the removal of a server's entry."""
         version = self.directory.version
@@ -223,8 +250,7 @@
                 self._log_server_change(self.directory.find(server), backend)
                 backends.append(backend)
         self.directory.replace_all(backends, revision, boottime_s())
-        self.servers_known = True
-        self._notify()
+        self._record_servers_known()
 
     def apply_leader(self, content: bytes | None, revision: int) -> None:
         """Apply the leader's record, or its removal, unless a newer one is known."""
@@ -284,8 +310,7 @@
         self.directory.replace_all(
             backends, revision, boottime_s(), may_be_outage=False
         )
-        self.servers_known = True
-        self._notify()
+        self._record_servers_known()
 
     def apply_peer_server_delta(
         self, delta: ServerDelta, base: int, revision: int
@@ -299,8 +324,13 @@
         for backend in delta.backends:
             self._log_server_change(self.directory.find(backend.server), backend)
         self.directory.apply_delta(delta, revision, boottime_s())
-        self.servers_known = True
-        self._notify()
+        self._record_servers_known()
+
+    def saw_earlier_era(self) -> bool:
+        """Return whether this host had a list of servers before the last restore."""
+        first_era = self._first_servers_era
+        current_era = era_of_revision(self.directory.revision)
+        return first_era is not None and first_era < current_era
 
     def expire_servers(self) -> None:
         """Drop the servers whose pending removal is due."""
@@ -310,14 +340,21 @@
             self._events.log_state_change("servers_gone_after_outage", version=version)
             self._notify()
 
+    def _record_servers_known(self) -> None:
+        self.servers_known = True
+        if self._first_servers_era is None:
+            self._first_servers_era = era_of_revision(self.directory.revision)
+        self._notify()
+
     def _try_decode_server(
         self, server: str, content: bytes, revision: int
     ) -> Backend | None:
         try:
-            return self._decode_server(server, content, revision)
+            backend = self._decode_server(server, content, revision)
         except JacinthpathError as error:
             self._log_refused(f"server {server}", revision, error)
             return None
+        return self.directory.keep_leaving(backend)
 
     def _log_refused(self, document: str, revision: int, error: Exception) -> None:
         """Log an unreadable document, once per revision."""
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -4,11 +4,12 @@
 
 __all__ = ["ServerDelta", "ServerDirectory"]
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import xxhash
 
 from .model import Backend
+from .revisions import era_of_revision
 
 REMOVAL_DELAY_S = 2.5
 """Entries that expire during an outage of the store are back about two seconds after it
@@ -23,10 +24,20 @@
 MASS_REMOVAL_WINDOW_S = 1.0
 
 
+MAX_DEPARTED = 2_000
+"""Servers that are remembered after they left, so that an outdated entry does not bring
+them back."""
+
+REMOVED_MAY_SERVE_S = 30.0
+"""Time after the removal of its entry for which a server may still hold keys."""
+
 KEPT_SNAPSHOTS = 8
 """Hosts ask several times a second, so they are at most a few changes behind."""
 
 
+Value = TypeVar("Value")
+
+
 class ServerDelta(NamedTuple):
     """Difference between two lists of servers.
 
@@ -43,6 +54,11 @@
     due_s: float
 
 
+class _RemovedServer(NamedTuple):
+    backend: Backend
+    removed_s: float
+
+
 class ServerDirectory:
     """Tracks servers' entries across outages of the store.
 
@@ -56,6 +72,10 @@
         self._recent_removals_s: list[float] = []
         self._deferred_until_s = float("-inf")
         self.draining_since_s: dict[str, float] = {}
+        self._leaving: dict[str, int] = {}
+        self._observed_leaving: set[str] = set()
+        self._removed: dict[str, _RemovedServer] = {}
+        self._outdated_revisions: dict[str, int] = {}
         self.version = 0
         self.revision = 0
         self._digest = 0
@@ -82,7 +102,10 @@
         current = self._present.get(backend.server)
         if current is not None and current.revision > backend.revision:
             return
+        if self._outdated_revisions.get(backend.server) == backend.revision:
+            return
         self._pending_removals.pop(backend.server, None)
+        backend = self.keep_leaving(backend)
         if backend.draining:
             self.draining_since_s.setdefault(backend.server, now_s)
         else:
@@ -97,6 +120,41 @@
         ):
             self.version += 1
 
+    def mark_leaving(self, server: str, started_ms: int, now_s: float) -> bool:
+        """Record that an incarnation of a server has said that it is leaving.
+
+        :return: whether its entry was not draining yet.
+        """
+        current = self._present.get(server)
+        if current is None or current.started_ms != started_ms:
+            return False
+        self._observed_leaving.add(server)
+        if current.draining:
+            return False
+        _remember(self._leaving, server, started_ms)
+        self.put(current._replace(draining=True), now_s)
+        return True
+
+    def keep_leaving(self, backend: Backend) -> Backend:
+        """Keep an incarnation draining that was draining before.
+
+        An entry that says otherwise is outdated: from a copy of the store, or from a
+        peer that has not learned of the drain. Incarnations without a start time cannot
+        be told apart.
+        """
+        if not backend.started_ms:
+            return backend
+        if backend.draining:
+            _remember(self._leaving, backend.server, backend.started_ms)
+        elif self._leaving.get(backend.server) == backend.started_ms:
+            return backend._replace(draining=True)
+        return backend
+
+    def observed_leaving(self) -> list[Backend]:
+        """Return the servers that are listed and have said that they are leaving."""
+        self._observed_leaving &= self._present.keys()
+        return [self._present[server] for server in self._observed_leaving]
+
     def remove(self, server: str, revision: int, now_s: float) -> None:
         """Record the removal of an entry, immediate unless removals are deferred."""
         self.revision = max(self.revision, revision)
@@ -132,6 +190,8 @@
         :param may_be_outage: whether the removals may be due to an outage of the store;
             a peer that sends its list has already ruled that out.
         """
+        if self.revision and era_of_revision(revision) > era_of_revision(self.revision):
+            self._prepare_for_restored(backends, now_s)
         self.revision = max(self.revision, revision)
         listed = {backend.server for backend in backends}
         for backend in backends:
@@ -191,6 +251,8 @@
         for server, pending in [*self._pending_removals.items()]:
             if now_s >= pending.due_s:
                 del self._pending_removals[server]
+                removed = _RemovedServer(self._present[server], now_s)
+                _remember(self._removed, server, removed)
                 self._delete(server)
                 self.draining_since_s.pop(server, None)
                 self.version += 1
@@ -208,10 +270,42 @@
         """Return the servers of a service, including draining ones."""
         return [*self._by_service.get(service, {}).values()]
 
+    def listed_or_removed(self, now_s: float) -> list[Backend]:
+        """Return all servers that are listed or were removed lately.
+
+        A server whose entry expired while it was cut off from the store may still serve
+        its keys.
+        """
+        removed = [
+            one.backend
+            for one in self._removed.values()
+            if one.backend.server not in self._present
+            and now_s - one.removed_s < REMOVED_MAY_SERVE_S
+        ]
+        return [*self._present.values(), *removed]
+
     def all(self) -> dict[str, Backend]:
         """Return all servers by id."""
         return self._present
 
+    def _prepare_for_restored(self, backends: list[Backend], now_s: float) -> None:
+        """Prepare for the first list of a store that came back from an older copy.
+
+        Servers that registered since the copy was made register again. Entries of
+        servers that were removed since then are outdated until they change.
+        """
+        self.defer_removals(now_s)
+        self._outdated_revisions = {
+            backend.server: backend.revision
+            for backend in backends
+            if backend.server not in self._present and self._was_removed(backend)
+        }
+
+    def _was_removed(self, backend: Backend) -> bool:
+        """Return whether this incarnation of the server was listed and removed."""
+        removed = self._removed.get(backend.server)
+        return removed is not None and removed.backend.started_ms == backend.started_ms
+
     def _schedule_removal(self, server: str, revision: int, now_s: float) -> None:
         """Remove an entry at the next expiry unless it is newer than its removal."""
         current = self._present[server]
@@ -236,6 +330,14 @@
             del self._by_service[current.service][server]
 
 
+def _remember(memory: dict[str, Value], server: str, value: Value) -> None:
+    """Set an entry of a bounded memory; the oldest one is dropped."""
+    memory.pop(server, None)
+    memory[server] = value
+    if len(memory) > MAX_DEPARTED:
+        del memory[next(iter(memory))]
+
+
 def _digest_fields(backend: Backend) -> tuple[str, str, int, bool]:
     """Return the fields of an entry whose changes followers have to receive."""
     return backend.server, backend.address, backend.started_ms, backend.draining
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -3,19 +3,25 @@
 from __future__ import annotations
 
 __all__ = [
+    "NO_NOTICE",
     "AttemptResult",
     "BackendClient",
+    "BodyBroken",
+    "BodyStream",
     "CallerRequest",
     "Outcome",
     "Response",
+    "ServerNotice",
     "local_response",
 ]
 
 import enum
+from collections.abc import AsyncIterator
 from typing import NamedTuple, Protocol
 
 from multidict import CIMultiDict
 
+from ..errors import JacinthpathError
 from .model import Backend
 
 
@@ -68,28 +74,72 @@
 """Outcomes after which the request certainly was not executed."""
 
 
+class BodyBroken(JacinthpathError):
+    """A response's body ended early, or did not end before the deadline."""
+
+
+class BodyStream(Protocol):
+    """The rest of a response's body, which is still arriving from the server.
+
+    :ivar length: length of the whole body in bytes, ``None`` if it is not known.
+    """
+
+    length: int | None
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the parts.
+
+        :raises BodyBroken: the body is incomplete; the caller must not take what was
+            forwarded for the whole.
+        """
+
+    def close(self) -> None:
+        """Close the connection to the server unless the whole body was read."""
+
+
 class Response(NamedTuple):
     """A response to a caller.
 
+    :param body: the whole body, or its beginning if there is a ``rest``.
     :param reason: why the gateway responds itself; empty for a server's response.
+    :param rest: rest of a body that is too large to hold in memory.
     """
 
     status: int
     headers: CIMultiDict[str]
     body: bytes
     reason: str = ""
+    rest: BodyStream | None = None
+
+
+class ServerNotice(NamedTuple):
+    """What a server says about itself in a response.
+
+    :param leaving: whether it is about to end and wants no more requests.
+    :param pause_s: time for which it wants no requests from this host.
+    :param malformed: fields of the notice that could not be read, for the log.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+    malformed: str = ""
+
+
+NO_NOTICE = ServerNotice()
 
 
 class AttemptResult(NamedTuple):
     """Result of sending a request to one server.
 
     :param detail: status or error, for the log.
-    :param response: the server's response if it is complete and for this request.
+    :param response: the server's response if it is for this request and complete, or
+        is complete but for the rest of a large body.
     """
 
     outcome: Outcome
     detail: str
     response: Response | None = None
+    notice: ServerNotice = NO_NOTICE
 
 
 class BackendClient(Protocol):
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "HostReport",
+    "LeavingServer",
     "LoadAggregator",
     "LoadRecorder",
     "ServerEvidence",
@@ -72,12 +73,24 @@
     servers: tuple[ServerEvidence, ...]
 
 
+class LeavingServer(NamedTuple):
+    """An incarnation of a server that has said that it is leaving."""
+
+    server: str
+    started_ms: int
+
+
 class HostReport(NamedTuple):
-    """Report of one host; ``span_s`` is the period that it covers."""
+    """Report of one host.
+
+    :param span_s: period that the loads cover.
+    :param leaving: servers that told this host that they are leaving.
+    """
 
     host: str
     span_s: float
     services: tuple[ServiceReport, ...]
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 class LoadRecorder:
--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -109,12 +109,16 @@
     """The newest documents that a host knows.
 
     :param configuration: the operator's document as stored, with its revision.
+    :param configuration_version: the operator's number of it, 0 if there is none.
     :param assignment_revision: revision of the assignment of keys to servers.
+    :param assignment_fence: its highest fencing token.
     """
 
     configuration: bytes
     configuration_revision: int
+    configuration_version: int
     assignment_revision: int
+    assignment_fence: int
 
 
 class Timing(NamedTuple):
--- a/src/jacinthpath/gateway/owner_lookup.py
+++ b/src/jacinthpath/gateway/owner_lookup.py
@@ -93,6 +93,9 @@
         since_s = directory.draining_since_s.get(owned.server)
         if since_s is not None and now_s - since_s > DRAIN_USE_RATIO * self._drain_s:
             return ServerChoice(None, "owner-draining", MOVING_RETRY_S)
+        pause_s = self._pool.pause_left_s(backend, now_s)
+        if pause_s:
+            return ServerChoice(None, "owner-paused", pause_s)
         if self._pool.is_unreachable(backend, now_s):
             return ServerChoice(None, "owner-unreachable", NO_OWNER_RETRY_S)
         return ServerChoice(backend)
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -4,6 +4,8 @@
 
 __all__ = [
     "apply_documents",
+    "has_newer_assignment",
+    "has_newer_configuration",
     "read_report",
     "write_documents",
     "write_report",
@@ -14,8 +16,8 @@
 from ..errors import FrameError
 from .cluster_view import ClusterView
 from .directory import ServerDelta
-from .loads import HostReport, ServerEvidence, ServiceReport
-from .model import KEY_COUNT, Backend
+from .loads import HostReport, LeavingServer, ServerEvidence, ServiceReport
+from .model import KEY_COUNT, Backend, Documents
 
 MAX_REPORTED_KEYS = 4_096
 
@@ -31,10 +33,10 @@
     still known and it accepts deltas, and whole otherwise.
     """
     newest = view.newest_documents()
-    if newest.configuration_revision > wanted.configurationRevision:
+    if has_newer_configuration(newest, wanted):
         content.configuration = newest.configuration
         content.configurationRevision = newest.configuration_revision
-    if newest.assignment_revision > wanted.assignmentRevision:
+    if has_newer_assignment(newest, wanted):
         _write_assignment(content, wanted, view)
     if view.directory.digest() != wanted.serversDigest:
         _write_servers(content, wanted, view)
@@ -46,6 +48,30 @@
             entry.host, entry.address = host, address
 
 
+def has_newer_configuration(newest: Documents, wanted: Any) -> bool:
+    """Return whether this host has a newer configuration than the requester.
+
+    A requester of an earlier build does not send the version.
+    """
+    newer_revision = newest.configuration_revision > wanted.configurationRevision
+    if not wanted.configurationVersion:
+        return newer_revision
+    if newest.configuration_version != wanted.configurationVersion:
+        return newest.configuration_version > wanted.configurationVersion
+    return newer_revision
+
+
+def has_newer_assignment(newest: Documents, wanted: Any) -> bool:
+    """Return whether this host has a newer assignment than the requester.
+
+    A requester of an earlier build does not send the fence.
+    """
+    newer_revision = newest.assignment_revision > wanted.assignmentRevision
+    if not wanted.assignmentFence or newest.assignment_fence == wanted.assignmentFence:
+        return newer_revision
+    return newest.assignment_fence > wanted.assignmentFence
+
+
 def _write_assignment(content: Any, wanted: Any, view: ClusterView) -> None:
     content.assignmentRevision = view.assignment_revision
     delta = None
@@ -150,6 +176,9 @@
         for row, evidence in zip(servers, service.servers, strict=True):
             row.server, row.answered = evidence.server, evidence.answered
             row.logLatencySum, row.latencySumS = evidence[2:]
+    leaving = content.init("leaving", len(report.leaving))
+    for row, server in zip(leaving, report.leaving, strict=True):
+        row.server, row.bornMs = server
 
 
 def read_report(content: Any) -> HostReport:
@@ -169,4 +198,5 @@
             for row in entry.servers
         )
         services.append(ServiceReport(entry.service, keys, servers))
-    return HostReport(content.host, content.spanMs / 1000, tuple(services))
+    leaving = tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
+    return HostReport(content.host, content.spanMs / 1000, tuple(services), leaving)
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -20,9 +20,11 @@
 from .clock import boottime_s
 from .cluster_view import ClusterView
 from .events import EventLog
-from .loads import HostReport, LoadAggregator, LoadRecorder
+from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .peer_messages import (
     apply_documents,
+    has_newer_assignment,
+    has_newer_configuration,
     read_report,
     write_documents,
     write_report,
@@ -189,6 +191,8 @@
         frame = new_frame()
         wanted = frame.body.init("documentsWanted")
         wanted.configurationRevision = newest.configuration_revision
+        wanted.configurationVersion = newest.configuration_version
+        wanted.assignmentFence = newest.assignment_fence
         wanted.assignmentRevision = newest.assignment_revision
         wanted.serversDigest = view.directory.digest()
         wanted.hosts = len(view.peer_addresses)
@@ -216,8 +220,8 @@
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
-            newest.configuration_revision > wanted.configurationRevision
-            or newest.assignment_revision > wanted.assignmentRevision
+            has_newer_configuration(newest, wanted)
+            or has_newer_assignment(newest, wanted)
             or self._view.directory.digest() != wanted.serversDigest
         )
 
@@ -240,9 +244,20 @@
                 self._identity.host, now_s - last_report_s
             )
             last_report_s = now_s
-            if report.services:
+            report = report._replace(leaving=self._leaving_servers())
+            if report.services or report.leaving:
                 await self._send_report(report)
 
+    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
+        """Return the servers that said so, until their entries are gone.
+
+        They are reported again each time, since the leader may change.
+        """
+        return tuple(
+            LeavingServer(backend.server, backend.started_ms)
+            for backend in self._view.directory.observed_leaving()
+        )
+
     async def _send_report(self, report: HostReport) -> None:
         leader = self._view.leader
         if leader is None:
@@ -262,4 +277,7 @@
             )
 
     async def _handle_report(self, _connection: Any, frame: Any) -> None:
-        self._load_aggregator.add(read_report(frame.body.hostReport))
+        report = read_report(frame.body.hostReport)
+        self._load_aggregator.add(report)
+        for server, started_ms in report.leaving:
+            self._view.record_leaving(server, started_ms)
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -47,6 +47,8 @@
         "failures",
         "in_flight",
         "log_latency",
+        "malformed_notices",
+        "paused_until_s",
         "samples",
         "unreachable_until_s",
     )
@@ -62,6 +64,8 @@
         self.ejections = 0
         self.ejected_until_s = float("-inf")
         self.unreachable_until_s = float("-inf")
+        self.paused_until_s = float("-inf")
+        self.malformed_notices = 0
 
 
 class ServerPool:
@@ -92,6 +96,7 @@
             if not b.draining
             and b.server not in exclude
             and self.in_flight(b) < max_in_flight
+            and not self.pause_left_s(b, now_s)
         ]
         healthy = [b for b in usable if not self._is_ejected(b, now_s)]
         candidates = healthy or usable
@@ -121,6 +126,24 @@
         stats = self._stats_by_server.get(backend.server)
         return stats is not None and now_s < stats.unreachable_until_s
 
+    def pause_left_s(self, backend: Backend, now_s: float) -> float:
+        """Return for how much longer the server wants no requests from this host."""
+        stats = self._stats_by_server.get(backend.server)
+        if stats is None or stats.started_ms != backend.started_ms:
+            return 0.0
+        return max(0.0, stats.paused_until_s - now_s)
+
+    def record_pause(self, backend: Backend, pause_s: float, now_s: float) -> None:
+        """Record that the server wants no requests for a time."""
+        stats = self._stats_of(backend, now_s)
+        stats.paused_until_s = max(stats.paused_until_s, now_s + pause_s)
+
+    def is_first_malformed(self, backend: Backend, now_s: float) -> bool:
+        """Count a notice that could not be read; return whether it is the first."""
+        stats = self._stats_of(backend, now_s)
+        stats.malformed_notices += 1
+        return stats.malformed_notices == 1
+
     def record_start(self, backend: Backend, now_s: float) -> None:
         """Record that a request was sent."""
         self._stats_of(backend, now_s).in_flight += 1
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -10,6 +10,7 @@
 
 from ..metrics import Metrics
 from .attempts import Step, StepKind, jittered_retry_after_s, next_step
+from .body_tracking import TrackedBody
 from .clock import boottime_s
 from .cluster_view import ClusterView
 from .events import EventLog
@@ -20,6 +21,7 @@
     CallerRequest,
     Outcome,
     Response,
+    ServerNotice,
     local_response,
 )
 from .loads import LoadRecorder
@@ -135,6 +137,8 @@
                 return self._respond_without_server(choice)
             result = await self._attempt(choice.backend)
             step = await self._decide_next_step(result)
+            if step.kind is not StepKind.RESPOND:
+                _close_rest(result)
             if step.kind is not StepKind.RETRY:
                 return self._respond(step)
             self._retry_budget.record_retry(self._loop.time())
@@ -152,10 +156,25 @@
         backend = self._choose_untried_server()
         if backend is not None:
             return ServerChoice(backend)
-        backends = self._dependencies.view.directory.servers_of(self._service.name)
-        if any(not backend.draining for backend in backends):
-            return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
-        return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
+        return self._explain_no_server()
+
+    def _explain_no_server(self) -> ServerChoice:
+        """Return why no server of an unkeyed service may be used, and until when."""
+        backends = [
+            backend
+            for backend in self._dependencies.view.directory.servers_of(
+                self._service.name
+            )
+            if not backend.draining
+        ]
+        if not backends:
+            return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
+        now_s = boottime_s()
+        pool = self._dependencies.pool
+        pause_s = min(pool.pause_left_s(backend, now_s) for backend in backends)
+        if pause_s:
+            return ServerChoice(None, "servers-paused", pause_s)
+        return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
 
     async def _find_owner(self) -> ServerChoice:
         """Return the key's owner unless this host is at its connection limit there."""
@@ -205,6 +224,7 @@
             )
             raise
         elapsed_s = self._loop.time() - started_s
+        result = self._track_rest(backend, result)
         self._tried.append(backend.server)
         self._results.append(result)
         dependencies.metrics.count("attempts_total", outcome=result.outcome.value)
@@ -212,8 +232,50 @@
             self._record_load(backend, result.outcome, elapsed_s)
         self._record_server_result(backend, result, elapsed_s)
         self._log_attempt(backend, result, elapsed_s, remaining_s)
+        self._record_notice(backend, result.notice)
         return result
 
+    def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
+        """Stop sending to a server that leaves or has asked for a pause."""
+        dependencies = self._dependencies
+        if notice.leaving:
+            dependencies.view.record_leaving(backend.server, backend.started_ms)
+        if notice.pause_s:
+            dependencies.pool.record_pause(backend, notice.pause_s, boottime_s())
+        if notice.malformed:
+            dependencies.metrics.count("malformed_notices_total")
+            if dependencies.pool.is_first_malformed(backend, boottime_s()):
+                dependencies.events.log_state_change(
+                    "server_notice_refused",
+                    server=backend.server,
+                    detail=notice.malformed,
+                )
+
+    def _track_rest(self, backend: Backend, result: AttemptResult) -> AttemptResult:
+        """Count the connection as in use until the rest of the body has ended."""
+        response = result.response
+        if response is None or response.rest is None:
+            return result
+        dependencies = self._dependencies
+        dependencies.pool.record_start(backend, boottime_s())
+
+        def handle_end(reason: str) -> None:
+            now_s = boottime_s()
+            if not reason:
+                dependencies.pool.record_inconclusive(backend, now_s)
+                return
+            dependencies.pool.record_failure(backend, now_s, no_response=False)
+            dependencies.metrics.count("bodies_broken_total")
+            dependencies.events.log_failure(
+                "body_broken",
+                id=self._request.request_id,
+                server=backend.server,
+                detail=reason,
+            )
+
+        tracked = TrackedBody(response.rest, handle_end)
+        return result._replace(response=response._replace(rest=tracked))
+
     def _record_load(
         self, backend: Backend, outcome: Outcome, elapsed_s: float
     ) -> None:
@@ -310,6 +372,9 @@
         if owned is None:
             return len(set(self._tried)), 0.0, False
         servers = len({*self._tried, owned.server})
+        backend = self._dependencies.view.directory.find(owned.server)
+        if backend and self._dependencies.pool.pause_left_s(backend, boottime_s()):
+            return servers, 0.0, False
         moved = bool(owned.target) or owned.server != self._tried[-1]
         return servers, 0.0, moved or result.outcome is not Outcome.TIMED_OUT
 
@@ -333,7 +398,7 @@
     def _respond(self, step: Step) -> Response:
         """Return the response for the final step."""
         if step.kind is StepKind.REFUSE:
-            return self._respond_unavailable(step.reason, MOVING_RETRY_S)
+            return self._respond_unavailable(step.reason, self._refusal_wait_s())
         if step.kind is StepKind.TIME_OUT:
             return self._respond_locally(step.reason, 504)
         if step.kind is StepKind.GIVE_UP:
@@ -345,6 +410,12 @@
         metrics.observe("request_duration_seconds", elapsed_s)
         return last.response
 
+    def _refusal_wait_s(self) -> float:
+        """Return when a caller may come back whose request no server accepted."""
+        if self._service.keyed:
+            return max(self._results[-1].notice.pause_s, MOVING_RETRY_S)
+        return self._explain_no_server().wait_s
+
     def _respond_locally(self, reason: str, status: int) -> Response:
         return self._dependencies.respond_locally(
             self._request, self._service.name, reason, status
@@ -391,5 +462,11 @@
         )
 
 
+def _close_rest(result: AttemptResult) -> None:
+    """Close the connection of a response that is not returned to the caller."""
+    if result.response is not None and result.response.rest is not None:
+        result.response.rest.close()
+
+
 def _ms(duration_s: float) -> int:
     return round(duration_s * 1000)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -9,6 +9,7 @@
 
 from .gateway.assigner import Assigner
 from .gateway.assignment import LeaderProcess
+from .gateway.body_memory import BodyMemory
 from .gateway.cluster_view import ClusterView
 from .gateway.events import EventLog
 from .gateway.forwarder import Forwarder
@@ -46,7 +47,8 @@
     events.capture_library_logs()
     store = PlatformStore(settings.store_address)
     commands = CommandClient()
-    servers = ServerClient()
+    memory = BodyMemory()
+    servers = ServerClient(memory)
     keys = SharedKey()
     view = ClusterView(events, decode_route_table, decode_backend)
     load_recorder = LoadRecorder()
@@ -115,6 +117,7 @@
         metrics,
         events,
         lambda: load_settings(path),
+        random,
     )
     gateway.listener = CallerServer(
         settings.callers_address,
@@ -123,6 +126,7 @@
         gateway.unready_reason,
         lambda: _limits(view),
         lambda: gateway.draining,
+        memory,
     )
     return gateway
 
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -270,10 +270,16 @@
   servers @2 :List(ServerEvidence);
 }
 
+struct LeavingServer {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+}
+
 struct HostReport {
   host @0 :Text;
   spanMs @1 :UInt32;
   services @2 :List(ServiceReport);
+  leaving @3 :List(LeavingServer);    # Servers that told this host that they leave.
 }
 
 struct DocumentsWanted {
@@ -283,6 +289,8 @@
   waitMs @3 :UInt32;                  # How long the response may wait for a change.
   hosts @4 :UInt32;                   # How many hosts the sender knows.
   takesChanges @5 :Bool;              # Whether the response may contain deltas.
+  configurationVersion @6 :UInt64;    # Of the operator; 0 when the sender has none.
+  assignmentFence @7 :UInt64;         # Of the assignment; 0 when the sender has none.
 }
 
 struct ServerEntry {
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -7,10 +7,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import HttpProcessingError
 
-from ..gateway.exchange import CallerRequest, Response, local_response
+from ..gateway.body_memory import BodyMemory
+from ..gateway.exchange import BodyBroken, CallerRequest, Response, local_response
 from ..gateway.model import KEY_COUNT, CallerLimits
 from ..headers import forwarded_fields
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, SHARD_KEY
@@ -23,6 +24,15 @@
 
 READY_PATH = "/-/ready"
 
+DIRECT_BODY_BYTES = 64 * 1024
+"""A body up to this size fits into the buffer of its connection."""
+
+DEFAULT_BODY_TIMEOUT_S = 30.0
+"""Longest wait for the body of a request whose caller set no deadline."""
+
+CALLER_STALL_TIMEOUT_S = 5.0
+"""A caller that takes no bytes of a response for this long has its connection reset."""
+
 HandleRequest = Callable[[CallerRequest], Awaitable[Response]]
 
 
@@ -32,6 +42,7 @@
     :param unready_reason: returns why the gateway is not ready; empty when it is.
     :param limits: returns the limits in force.
     :param draining: returns whether responses should close their connections.
+    :param memory: counts the bodies that this host holds.
     """
 
     def __init__(
@@ -42,6 +53,7 @@
         unready_reason: Callable[[], str],
         limits: Callable[[], CallerLimits],
         draining: Callable[[], bool],
+        memory: BodyMemory,
     ) -> None:
         self._callers_address = callers_address
         self._ready_address = ready_address
@@ -49,6 +61,7 @@
         self._unready_reason = unready_reason
         self._limits = limits
         self._draining = draining
+        self._memory = memory
         self._callers_runner: web.ServerRunner | None = None
         self._callers_site: web.TCPSite | None = None
         self._readiness_runner: web.ServerRunner | None = None
@@ -103,31 +116,80 @@
         reason = self._unready_reason()
         return web.Response(status=503 if reason else 200, text=reason or "ready")
 
-    async def _handle_caller(self, request: web.BaseRequest) -> web.Response:
+    async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = asyncio.get_running_loop().time()
         parsed = await self._read_request(request, received_s)
         result = parsed if isinstance(parsed, Response) else await self._handle(parsed)
+        if isinstance(parsed, CallerRequest) and result.reason:
+            result.headers[ATTEMPT_ID] = parsed.request_id
+        if result.rest is not None or len(result.body) > DIRECT_BODY_BYTES:
+            return await self._forward_large_body(request, result)
         response = web.Response(
             status=result.status, headers=result.headers, body=result.body
         )
-        if isinstance(parsed, CallerRequest) and result.reason:
-            response.headers[ATTEMPT_ID] = parsed.request_id
         if self._draining():
             response.force_close()
         return response
 
+    async def _forward_large_body(
+        self, request: web.BaseRequest, result: Response
+    ) -> web.StreamResponse:
+        """Send a body no faster than the caller takes it.
+
+        A body that breaks off is ended by a reset, so that the caller cannot take what
+        was sent for the whole.
+        """
+        response = web.StreamResponse(status=result.status, headers=result.headers)
+        rest = result.rest
+        length = len(result.body) if rest is None else rest.length
+        if length is not None:
+            response.content_length = length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        if self._draining():
+            response.force_close()
+        self._memory.add(len(result.body))
+        try:
+            await self._write_body(request, response, result)
+        except (BodyBroken, TimeoutError, OSError):
+            if request.transport is not None:
+                request.transport.abort()
+        finally:
+            self._memory.release(len(result.body))
+            if rest is not None:
+                rest.close()
+        return response
+
+    async def _write_body(
+        self, request: web.BaseRequest, response: web.StreamResponse, result: Response
+    ) -> None:
+        """Write a body.
+
+        :raises TimeoutError: the caller takes no bytes.
+        """
+        await response.prepare(request)
+        await _write_in_time(response.write(result.body))
+        if result.rest is not None:
+            async for part in result.rest:
+                await _write_in_time(response.write(part))
+        await _write_in_time(response.write_eof())
+
     async def _read_request(
         self, request: web.BaseRequest, received_s: float
     ) -> CallerRequest | Response:
         """Return the request, or the response to one that cannot be read."""
-        body = await _read_body(request, self._limits().max_body_bytes)
-        if body is None:
-            return local_response(413, "body-too-large")
         try:
             timeout_s = _parse_timeout_s(request)
             key = _parse_key(request)
         except ValueError as error:
             return local_response(400, f"malformed-field: {error}")
+        try:
+            async with asyncio.timeout(timeout_s or DEFAULT_BODY_TIMEOUT_S):
+                body = await _read_body(request, self._limits().max_body_bytes)
+        except TimeoutError:
+            return local_response(408, "body-timeout")
+        if body is None:
+            return local_response(413, "body-too-large")
         return CallerRequest(
             request_id=request.headers.get(ATTEMPT_ID, ""),
             method=request.method,
@@ -161,6 +223,11 @@
     return b"".join(parts)
 
 
+async def _write_in_time(writing: Awaitable[None]) -> None:
+    async with asyncio.timeout(CALLER_STALL_TIMEOUT_S):
+        await writing
+
+
 def _parse_timeout_s(request: web.BaseRequest) -> float | None:
     value = request.headers.get(DEADLINE_MS)
     if value is None:
--- a/src/jacinthpath/platform/documents.py
+++ b/src/jacinthpath/platform/documents.py
@@ -5,7 +5,8 @@
 __all__ = ["decode_backend", "decode_route_table"]
 
 import json
-from collections.abc import Iterator
+import math
+from collections.abc import Collection, Iterator
 from typing import Any
 
 from ..gateway.model import (
@@ -19,6 +20,10 @@
 from .values import MalformedValue, parse_duration_s, parse_version
 
 SERVER_STATES = frozenset({"ready", "draining"})
+IDEMPOTENT_KINDS = frozenset({"idempotent", "download"})
+"""Kinds of requests that may run more than once. A download is an idempotent request
+with a large response."""
+
 DEFAULT_TIMEOUT_S = 30.0
 MAX_SLOTS = 10_000
 
@@ -34,7 +39,9 @@
             row["name"]: _decode_service(row)
             for row in _iter_rows(document["services"])
         }
-        routes = tuple(_decode_route(row) for row in _iter_rows(document["routes"]))
+        routes = tuple(
+            _decode_route(row, services) for row in _iter_rows(document["routes"])
+        )
         return RouteTable(
             parse_version(document["version"]),
             routes,
@@ -96,12 +103,10 @@
     )
 
 
-def _decode_route(row: dict[str, Any]) -> Route:
+def _decode_route(row: dict[str, Any], services: Collection[str]) -> Route:
     traffic_split = row.get("traffic_split")
     if traffic_split:
-        weighted_services = tuple(
-            WeightedService(p["service"], float(p["weight"])) for p in traffic_split
-        )
+        weighted_services = _decode_split(traffic_split, services)
     else:
         weighted_services = (WeightedService(row["service"], 1.0),)
     timeout_s = (
@@ -112,7 +117,7 @@
         name=row["name"],
         host=row["host"],
         prefix=row["prefix"],
-        idempotent=row["kind"] == "idempotent",
+        idempotent=row["kind"] in IDEMPOTENT_KINDS,
         timeout_s=timeout_s,
         target_latency_s=parse_duration_s(target_latency)
         if target_latency
@@ -123,6 +128,21 @@
     )
 
 
+def _decode_split(
+    parts: list[dict[str, Any]], services: Collection[str]
+) -> tuple[WeightedService, ...]:
+    """Return the services of a split; a weight of 0 takes one out of it."""
+    split = tuple(WeightedService(p["service"], float(p["weight"])) for p in parts)
+    for service, weight in split:
+        if service not in services:
+            raise ValueError(f"the traffic split names the unknown service {service!r}")
+        if not (math.isfinite(weight) and weight >= 0):
+            raise ValueError(f"the weight of {service!r} in a split is {weight}")
+    if not any(weight for _, weight in split):
+        raise ValueError("all weights of a traffic split are 0")
+    return split
+
+
 def _decode_limits(limits: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     header_timeout, idle_timeout = (
--- a/src/jacinthpath/platform/headers.py
+++ b/src/jacinthpath/platform/headers.py
@@ -8,9 +8,12 @@
     "EXPECTED_SERVER",
     "HANDOVER",
     "NOT_EXECUTED",
+    "RETRY_AFTER",
     "SERVER_ID",
+    "SERVER_LEAVING",
     "SHARD_KEY",
     "SIGNATURE",
+    "STORE_ERA",
 ]
 
 from multidict import istr
@@ -26,5 +29,12 @@
 HANDOVER = istr("X-Handover")
 SHARD_KEY = istr("X-Shard-Key")
 NOT_EXECUTED = istr("X-Not-Executed")
+RETRY_AFTER = istr("Retry-After")
 SERVER_ID = istr("X-Instance-Id")
+SERVER_LEAVING = istr("Server-Leaving")
+"""With the value ``1`` in all responses of a server that leaves."""
+
+STORE_ERA = istr("Store-Era")
+"""How often the store came back from an older copy; in all of its responses."""
+
 SIGNATURE = istr("X-Server-Signature")
--- /dev/null
+++ b/src/jacinthpath/platform/server_connections.py
@@ -0,0 +1,144 @@
+"""Connections to servers, which may send more than the response that is due."""
+
+from __future__ import annotations
+
+__all__ = ["ServerConnector"]
+
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from .headers import ATTEMPT_ID
+
+MAX_INTERIM_RESPONSES = 8
+"""Interim (1xx) responses that are skipped before a final one."""
+
+MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 16
+"""Bytes of a response outside of its body, such as chunk headers and trailers, are
+limited to the sum of :data:`MAX_FRAMING_BYTES` and this multiple of its body."""
+
+
+class ServerConnector(aiohttp.TCPConnector):
+    """Reuses only connections on which nothing unexpected can still arrive."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(_ServerProtocol, loop=self._loop)
+
+    async def connect(self, request: Any, *args: Any, **options: Any) -> Any:
+        """Return a connection for a request that was not used for the same attempt.
+
+        A late second copy of the first response would be taken for the response to
+        the retry.
+        """
+        attempt_id = request.headers.get(ATTEMPT_ID, "")
+        self._close_unusable(request.connection_key, attempt_id)
+        connection = await super().connect(request, *args, **options)
+        connection.protocol.begin_exchange(attempt_id)
+        return connection
+
+    def _close_unusable(self, key: Any, attempt_id: str) -> None:
+        idle = self._conns.get(key)
+        for entry in [*idle] if idle else ():
+            protocol = entry[0]
+            if protocol.should_close or protocol.was_used_for(attempt_id):
+                idle.remove(entry)
+                protocol.close()
+
+    def _release(self, key: Any, protocol: Any, **options: Any) -> None:
+        protocol.end_exchange()
+        super()._release(key, protocol, **options)
+
+
+class _ServerProtocol(ResponseHandler):
+    """Checks that the bytes received belong to the response that is due.
+
+    It also tells a reset from the end of a response without a length: aiohttp takes any
+    loss of the connection as the end of such a response.
+    """
+
+    def __init__(self, loop: Any) -> None:
+        super().__init__(loop)
+        self._attempt_id = ""
+        self._attempt_ids: set[str] = set()
+        self._exchanging = False
+        self._interim_responses = 0
+        self._received_bytes = 0
+
+    def was_used_for(self, attempt_id: str) -> bool:
+        """Return whether an earlier request on this connection had this attempt id."""
+        return attempt_id in self._attempt_ids
+
+    def begin_exchange(self, attempt_id: str) -> None:
+        """Expect the response to a request with this attempt id."""
+        self._attempt_id = attempt_id
+        self._exchanging = True
+        self._interim_responses = 0
+        self._received_bytes = 0
+
+    def end_exchange(self) -> None:
+        """Expect no more bytes until the next request."""
+        self._attempt_ids.add(self._attempt_id)
+        self._exchanging = False
+
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes to the parser unless they are not due or exceed the framing."""
+        if not self._exchanging:
+            self._break("bytes without a request")
+            return
+        self._received_bytes += len(data)
+        super().data_received(data)
+        payload = self._payload
+        body_bytes = payload.total_bytes if payload is not None else 0
+        limit = MAX_FRAMING_BYTES + FRAMING_BYTES_PER_BODY_BYTE * body_bytes
+        if self._received_bytes - body_bytes > limit:
+            self._break("framing without end")
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of a response if it is a response to the request."""
+        head = data[0]
+        if 100 <= head.code < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                self._break("interim responses without end")
+                return
+        elif not self._is_due(head):
+            self._break("response to another request")
+            return
+        super().feed_data(data, size)
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """Break a response that was reset before its end."""
+        payload = self._payload
+        if error is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError("The connection was reset.")
+            )
+        super().connection_lost(error)
+
+    def _is_due(self, head: Any) -> bool:
+        """Return whether a response belongs to the request.
+
+        An error may lack the attempt id, but then it may also be a late second copy of
+        an error on a connection that is in use again.
+        """
+        if not self._exchanging:
+            return False
+        attempt_id = head.headers.get(ATTEMPT_ID)
+        if attempt_id is not None:
+            return attempt_id == self._attempt_id
+        if not self._attempt_id:
+            return True
+        return head.code >= 300 and not self._attempt_ids
+
+    def _break(self, detail: str) -> None:
+        """Close the connection at once; a response in progress is broken."""
+        error = aiohttp.ClientPayloadError(detail)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 KEY_COUNT = 65_536
+LARGE_BODY = bytes(range(256)) * 8_192
 
 REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request", 503: "Unavailable"}
 
@@ -45,6 +46,13 @@
     - ``truncated``: truncates the body and closes the connection.
     - ``no-response``: executes the request, then closes the connection.
     - ``silent`` and ``slow``: respond after 30 s and 0.5 s.
+    - ``large`` and ``large-truncated``: send :data:`LARGE_BODY`, or half of it.
+    - ``endless-body``, ``endless-chunks``, ``endless-interim``, ``endless-trailer``:
+      send a body without a length, a chunked body, interim responses, or a chunk header
+      without end.
+    - ``refused-twice``: refuses with 503, and again when the next request arrives.
+    - ``error-twice``: like ``refused-twice``, without the attempt id.
+    - ``paused``: refuses with 503 and a Retry-After of ``pause``.
     """
 
     def __init__(self, server: str, service: str, keyed: bool = False) -> None:
@@ -52,6 +60,12 @@
         self.service = service
         self.keyed = keyed
         self.fault = ""
+        self.pause = "1.5"
+        self.leaving = False
+        self.sent_bytes = 0
+        self.refused_attempts: list[str] = []
+        self._refusal: bytes | None = None
+        self._refused_writer: asyncio.StreamWriter | None = None
         self.executed_attempts: list[str] = []
         self.executed_requests: list[tuple[str, str, bytes]] = []
         self.received_deadlines_ms: list[int] = []
@@ -152,14 +166,55 @@
         if self.fault == "overloaded":
             writer.write(_message(503, {"X-Not-Executed": "1"}, b""))
             return True
+        refused = self._refuse(attempt, writer)
+        if refused:
+            writer.write(refused)
+            return True
         self.executed_attempts.append(attempt)
         self.executed_requests.append((request.method, request.target, request.body))
         self.received_deadlines_ms.append(int(request.headers["x-request-deadline-ms"]))
         return await self._respond(attempt, writer)
 
+    def _refuse(self, attempt: str, writer: asyncio.StreamWriter) -> bytes:
+        """Return the refusal of a request, empty if the server accepts it."""
+        fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+        if self.fault == "paused":
+            self.refused_attempts.append(attempt)
+            return _message(503, {**fields, "Retry-After": self.pause}, b"")
+        if self.fault not in ("refused-twice", "error-twice"):
+            return b""
+        if self._refusal is None:
+            self.refused_attempts.append(attempt)
+            if self.fault == "error-twice":
+                del fields["X-Attempt-Id"]
+            self._refusal = _message(503, fields, b"")
+            self._refused_writer = writer
+            return self._refusal
+        if writer is not self._refused_writer:
+            return b""
+        # The second copy of the refusal arrives although this request is executed.
+        self.executed_attempts.append(attempt)
+        return self._refusal
+
+    async def _send_without_end(
+        self, head: bytes, part: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(head)
+        while not writer.is_closing():
+            writer.write(part)
+            await writer.drain()
+            self.sent_bytes += len(part)
+
     async def _respond(self, attempt: str, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {attempt}".encode()
         fields = {"X-Attempt-Id": attempt, "X-Server-Signature": f"sig.{self.server}"}
+        if self.leaving:
+            fields["Server-Leaving"] = "1"
+        if self.fault.startswith("endless"):
+            await self._send_without_end(*_endless_parts(self.fault, fields), writer)
+            return False
+        if self.fault.startswith("large"):
+            body = LARGE_BODY
         message = _message(200, fields, body)
         if self.fault == "slow":
             await asyncio.sleep(0.5)
@@ -170,6 +225,10 @@
         if self.fault == "truncated":
             writer.write(message[:-4])
             return False
+        if self.fault == "large-truncated":
+            writer.write(message[: len(message) // 2])
+            await writer.drain()
+            return False
         if self.fault == "foreign-response":
             other = {**fields, "X-Attempt-Id": "another"}
             writer.write(_message(200, other, b"not yours"))
@@ -248,6 +307,20 @@
         await asyncio.sleep(0.01)
 
 
+def _endless_parts(fault: str, fields: dict[str, str]) -> tuple[bytes, bytes]:
+    """Return the beginning and the repeated part of a response without end."""
+    part = b"x" * 65_536
+    if fault == "endless-interim":
+        return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000
+    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in fields.items())]
+    if fault == "endless-body":
+        return "\r\n".join([*lines, "", ""]).encode(), part
+    head = "\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode()
+    if fault == "endless-trailer":
+        return head + b"1;", part
+    return head, b"10000\r\n" + part + b"\r\n"
+
+
 def _message(status: int, fields: dict[str, str], body: bytes) -> bytes:
     lines = [f"HTTP/1.1 {status} {REASONS[status]}"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -13,13 +13,17 @@
     "attempts",
     "authority",
     "balance",
-    "retry_budget",
+    "body_memory",
+    "body_tracking",
     "directory",
     "exchange",
+    "fence_sweep",
     "loads",
     "model",
     "ownership",
     "pool",
+    "retry_budget",
+    "revisions",
     "route_index",
 ]
 
@@ -32,6 +36,8 @@
     "X-Attempt-Id",
     "X-Shard-Key",
     "traffic_split",
+    "Store-Era",
+    "Server-Leaving",
 ]
 
 
