Order documents by era, and fence off owners that a restored store forgot

Cause: every guard against going back compared bare revisions. After a restore from an older copy all newer documents were dropped as old until the revisions had caught up, a revision or lease id that was given out again could satisfy a condition by accident, fences could be given out twice, and a restored assignment could name an earlier owner.

Change: the store client combines the era of each response with its revisions and lease ids, so that one comparison orders them; calls with those of an earlier era fail. A leader that finds an assignment of an earlier era asks the previous leaders for newer documents, then has every server release, at a fence of the new era, all keys not recorded as its own, before it grants or moves any. Hosts write their records and the key of the peers again.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -11,19 +11,25 @@
 
 from ..errors import StoreError
 from ..metrics import Metrics
-from .assignment import LeaderProcess
+from .assignment import Assignment, LeaderProcess
 from .assignment_record import AssignmentRecord
-from .authority import LeaderAuthority, last_expiry_if_running_s
+from .authority import (
+    LeaderAuthority,
+    last_expiry_if_running_s,
+    last_expiry_if_stopped_s,
+)
 from .clock import boottime_s
 from .cluster_view import ClusterView
 from .command_runner import CommandRunner
 from .events import EventLog
+from .fence_sweep import FenceSweep
 from .leader_election import LeaderElection
 from .loads import LoadAggregator
 from .model import Timing
 from .move_planning import MovePlanner
 from .ownership import Ownership, RangeState, adopt_assignment
 from .previous_leaders import PreviousLeaders
+from .revisions import era_of_revision, minimum_fence
 from .server_commands import CommandSender
 from .store import ConflictingWrite, Store
 
@@ -33,7 +39,10 @@
 
 
 class _LeaderState:
-    """State of one leadership of this host, from its start to its end."""
+    """State of one leadership of this host, from its start to its end.
+
+    :ivar sweep: sweep in progress after a restore of the store.
+    """
 
     def __init__(
         self,
@@ -42,12 +51,14 @@
         record: AssignmentRecord,
         planner: MovePlanner,
         previous_leaders: PreviousLeaders,
+        sweep: FenceSweep | None,
     ) -> None:
         self.authority = authority
         self.ownership = ownership
         self.record = record
         self.planner = planner
         self.previous_leaders = previous_leaders
+        self.sweep = sweep
         self.has_unwritten_changes = False
         self.last_planned_s = float("-inf")
 
@@ -136,6 +147,9 @@
             self._election.step_down("a successor has written the assignment")
             return
         self._check_previous_leaders(leader_state)
+        if leader_state.sweep is not None:
+            self._continue_sweep(leader_state, leader_state.sweep)
+            return
         if authority.may_move_keys(self._clock()):
             await self._update_owners(leader_state)
         if authority.may_renew_grants(self._clock()):
@@ -146,47 +160,91 @@
 
     async def _adopt_assignment(self, authority: LeaderAuthority) -> _LeaderState:
         """Adopt the stored owners and moves with a higher fence; no move begins."""
+        era = self._era()
         record = AssignmentRecord(
             self._store, self._view, self._election.record_revision
         )
         stored = await record.read()
         now_s = self._clock()
         if stored is None:
-            initial = self._view.assignment._replace(leaders=(self._own_process,))
+            initial = Assignment(minimum_fence(era), {}, (self._own_process,), era)
             ownership = Ownership(initial, now_s, {})
-            return self._make_leader_state(authority, ownership, record, now_s)
+            return self._make_leader_state(authority, ownership, record, now_s, None)
+        if stored.confirmed_era < era:
+            stored = await self._ask_previous_leaders(stored)
         previous_expiry_s = last_expiry_if_running_s(now_s, authority.ttl_s)
         ownership = Ownership(
-            adopt_assignment(stored, self._own_process),
+            adopt_assignment(stored, self._own_process, minimum_fence(era)),
             previous_expiry_s,
             self._view.moving_since_s,
         )
         await record.write(ownership.to_assignment())
+        sweep = None
+        if stored.confirmed_era < era:
+            knows_servers = self._view.saw_earlier_era()
+            sweep = FenceSweep(stored.ranges, now_s, knows_servers, previous_expiry_s)
         leader_state = self._make_leader_state(
-            authority, ownership, record, previous_expiry_s
+            authority, ownership, record, previous_expiry_s, sweep
         )
         if leader_state.previous_leaders.have_all_stopped():
             # Only this process led before, and it sends no grants of its earlier
             # leadership any more.
-            ownership.record_previous_leaders_stopped(self._clock())
+            self._record_previous_leaders_stopped(leader_state)
         self._events.log_state_change(
-            "assignment_adopted", revision=record.revision, fence=ownership.fence
+            "assignment_adopted",
+            revision=record.revision,
+            fence=ownership.fence,
+            sweeping=sweep is not None,
         )
         return leader_state
 
+    async def _ask_previous_leaders(self, stored: Assignment) -> Assignment:
+        """Return the newest assignment that the previous leaders still know.
+
+        Their response contains what a restored store has lost.
+        """
+        for leader in stored.leaders:
+            if leader != self._own_process:
+                await self._has_stopped_leading(leader)
+        known = self._view.assignment
+        return known if known.fence > stored.fence else stored
+
+    def _era(self) -> int:
+        """Return the era in which this host became leader."""
+        return era_of_revision(self._election.record_revision)
+
+    def _continue_sweep(self, leader_state: _LeaderState, sweep: FenceSweep) -> None:
+        """Send the releases of a sweep, and end it once nothing is left to release."""
+        now_s = self._clock()
+        backends = self._view.directory.listed_or_removed(now_s)
+        if sweep.is_complete(backends, now_s):
+            leader_state.sweep = None
+            leader_state.ownership.confirmed_era = self._era()
+            leader_state.has_unwritten_changes = True
+            self._events.log_state_change(
+                "sweep_ended", fence=leader_state.ownership.fence
+            )
+            return
+        self._command_runner.send_due_sweep_releases(
+            sweep, backends, leader_state.ownership.fence
+        )
+
     def _make_leader_state(
         self,
         authority: LeaderAuthority,
         ownership: Ownership,
         record: AssignmentRecord,
         previous_expiry_s: float,
+        sweep: FenceSweep | None,
     ) -> _LeaderState:
         others = [leader for leader in ownership.leaders if leader != self._own_process]
         previous_leaders = PreviousLeaders(
             others, previous_expiry_s, self._has_stopped_leading
         )
         planner = MovePlanner(ownership, self._view, self._loads)
-        return _LeaderState(authority, ownership, record, planner, previous_leaders)
+        return _LeaderState(
+            authority, ownership, record, planner, previous_leaders, sweep
+        )
 
     def _check_previous_leaders(self, leader_state: _LeaderState) -> None:
         """Check whether previous leaders have stopped, until their grants expire."""
@@ -204,11 +262,18 @@
     ) -> None:
         await leader_state.previous_leaders.check(now_s)
         if leader_state.previous_leaders.have_all_stopped():
-            leader_state.ownership.record_previous_leaders_stopped(self._clock())
+            self._record_previous_leaders_stopped(leader_state)
             self._events.log_state_change(
                 "former_leaders_ended", fence=leader_state.ownership.fence
             )
 
+    def _record_previous_leaders_stopped(self, leader_state: _LeaderState) -> None:
+        now_s = self._clock()
+        leader_state.ownership.record_previous_leaders_stopped(now_s)
+        if leader_state.sweep is not None:
+            expiry_s = last_expiry_if_stopped_s(now_s)
+            leader_state.sweep.record_previous_leaders_stopped(now_s, expiry_s)
+
     async def _update_owners(self, leader_state: _LeaderState) -> None:
         """Write the changes of owners that are due, then release moving ranges."""
         now_s = self._clock()
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -76,11 +76,14 @@
     :param fence: the highest fence assigned so far.
     :param leaders: the previous leaders whose grants may still be valid, then the
         leader that wrote this assignment.
+    :param confirmed_era: era of the store in which no other server can hold the keys
+        of a range; in a later one, lost writes may have given them to another.
     """
 
     fence: int
     ranges: dict[str, tuple[OwnedRange, ...]]
     leaders: tuple[LeaderProcess, ...] = ()
+    confirmed_era: int = 0
 
 
 EMPTY_ASSIGNMENT = Assignment(0, {})
@@ -122,6 +125,7 @@
     document = {
         "fence": assignment.fence,
         "leaders": assignment.leaders,
+        "era": assignment.confirmed_era,
         "lives": incarnations,
         "ranges": rows,
     }
@@ -161,7 +165,9 @@
         document = json.loads(content)
         ranges = decode_ranges(document["lives"], document["ranges"])
         leaders = tuple(LeaderProcess(*row) for row in document["leaders"])
-        assignment = Assignment(int(document["fence"]), ranges, leaders)
+        assignment = Assignment(
+            int(document["fence"]), ranges, leaders, int(document.get("era", 0))
+        )
         for owned in ranges.values():
             check_order(owned)
     except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
--- a/src/jacinthpath/gateway/assignment_delta.py
+++ b/src/jacinthpath/gateway/assignment_delta.py
@@ -69,6 +69,7 @@
     document = {
         "fence": newer.fence,
         "leaders": newer.leaders,
+        "era": newer.confirmed_era,
         "lives": incarnations,
         "removed": removed,
         "ranges": rows,
@@ -91,13 +92,14 @@
             ranges[service] = merged
         leaders = tuple(LeaderProcess(*row) for row in document["leaders"])
         fence = int(document["fence"])
+        confirmed_era = int(document.get("era", 0))
     except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise JacinthpathError(
             f"The assignment delta cannot be applied: {error!r}.",
             "The whole assignment is requested next.",
         ) from error
     non_empty = {service: owned for service, owned in ranges.items() if owned}
-    return Assignment(fence, non_empty, leaders)
+    return Assignment(fence, non_empty, leaders, confirmed_era)
 
 
 def _merge_ranges(
--- a/src/jacinthpath/gateway/assignment_record.py
+++ b/src/jacinthpath/gateway/assignment_record.py
@@ -4,10 +4,10 @@
 
 __all__ = ["AssignmentRecord"]
 
-from ..errors import StoreError, StoreOutcomeUnknown
-from .assignment import Assignment, encode_assignment
+from ..errors import JacinthpathError, StoreError, StoreOutcomeUnknown
+from .assignment import Assignment, decode_assignment, encode_assignment
 from .cluster_view import ASSIGNMENT_KEY, LEADER_KEY, ClusterView
-from .store import Condition, ConflictingWrite, Store, Write
+from .store import Condition, ConflictingWrite, Item, Store, Write
 
 
 class AssignmentRecord:
@@ -24,21 +24,35 @@
         self._leader_revision = leader_revision
 
     async def read(self) -> Assignment | None:
-        """Return the stored assignment, or ``None`` if there is none yet.
+        """Return the stored assignment, or ``None`` if there never was one.
+
+        A store that came back from an older copy may lack writes that this host has
+        seen. The newest known assignment is returned then.
 
         :raises StoreError: it cannot be read or decoded.
         """
         item = await self._store.read(ASSIGNMENT_KEY)
+        known = self._view.assignment if self._view.assignment_revision else None
         if item is None:
-            return None
+            return known
         self._view.apply_assignment(item.value, item.revision, "store")
-        if self._view.assignment_revision != item.revision:
+        self.revision = item.revision
+        if self._view.assignment_revision == item.revision:
+            return self._view.assignment
+        if known is None or not self._is_older(item):
             raise StoreError(
                 "The stored assignment cannot be decoded.",
                 "See the event document_refused.",
             )
-        self.revision = item.revision
-        return self._view.assignment
+        return known
+
+    def _is_older(self, item: Item) -> bool:
+        """Return whether the stored assignment is older than the known one."""
+        try:
+            stored = decode_assignment(item.value)
+        except JacinthpathError:
+            return False
+        return stored.fence <= self._view.assignment.fence
 
     async def write(self, assignment: Assignment) -> None:
         """Write the assignment.
--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -5,13 +5,15 @@
 __all__ = ["CommandRunner"]
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 from ..metrics import Metrics
 from .authority import GRANT_INTERVAL_S, GRANT_TIMEOUT_S, LeaderAuthority
 from .cluster_view import ClusterView
 from .events import EventLog
+from .fence_sweep import FenceSweep, SweepRelease
+from .model import Backend
 from .ownership import Ownership, RangeState
 from .server_commands import (
     CommandResponse,
@@ -76,6 +78,13 @@
                 state.release_sent_s = now_s
                 self._start(state, self._release(service, state, ownership.fence))
 
+    def send_due_sweep_releases(
+        self, sweep: FenceSweep, backends: Iterable[Backend], fence: int
+    ) -> None:
+        """Send the releases of a sweep that are due."""
+        for release in sweep.due_releases(backends, self._clock()):
+            self.start_task(self._release_in_sweep(sweep, release, fence))
+
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a task beside the commands."""
         task = asyncio.create_task(coroutine)
@@ -133,6 +142,26 @@
         event = "keys_released" if done else "release_not_confirmed"
         self._log(event, service, state, fence, response)
 
+    async def _release_in_sweep(
+        self, sweep: FenceSweep, release: SweepRelease, fence: int
+    ) -> None:
+        server = release.recipient.server
+        command = ReleaseCommand(release.first, release.last, fence)
+        response = await self._commands.release(
+            server, release.recipient.address, command, RELEASE_TIMEOUT_S
+        )
+        if response.result is CommandResult.DONE:
+            sweep.record_release(release)
+            return
+        self._events.log_state_change(
+            "sweep_release_not_confirmed",
+            server=server,
+            first=release.first,
+            last=release.last,
+            fence=fence,
+            detail=response.detail,
+        )
+
     def _address(self, state: RangeState) -> str:
         """Return the holder's address for commands, from its entry or as written."""
         backend = self._view.directory.find(state.owned.server)
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -114,6 +114,7 @@
     ) -> None:
         self.fence = assignment.fence
         self.leaders = assignment.leaders
+        self.confirmed_era = assignment.confirmed_era
         self.range_states: dict[str, list[RangeState]] = {
             service: [RangeState(owned, previous_expiry_s) for owned in ranges]
             for service, ranges in assignment.ranges.items()
@@ -135,7 +136,7 @@
             service: tuple(state.owned for state in range_states)
             for service, range_states in self.range_states.items()
         }
-        return Assignment(self.fence, ranges, self.leaders)
+        return Assignment(self.fence, ranges, self.leaders, self.confirmed_era)
 
     def record_previous_leaders_stopped(self, now_s: float) -> None:
         """Record that all previous leaders have stopped sending grants."""
@@ -255,20 +256,23 @@
         return changed
 
 
-def adopt_assignment(assignment: Assignment, leader: LeaderProcess) -> Assignment:
+def adopt_assignment(
+    assignment: Assignment, leader: LeaderProcess, min_fence: int = 0
+) -> Assignment:
     """Return the assignment that a successor writes, with a higher fence.
 
     Owners and moves in progress stay; moving ranges keep their fences.
 
     :param leader: the successor.
+    :param min_fence: lower bound of the fence.
     """
-    fence = assignment.fence + 1
+    fence = max(assignment.fence, min_fence) + 1
     ranges = {
         service: set_fence_and_merge(owned, fence)
         for service, owned in assignment.ranges.items()
     }
     others = tuple(one for one in assignment.leaders if one != leader)
-    return Assignment(fence, ranges, (*others, leader))
+    return Assignment(fence, ranges, (*others, leader), assignment.confirmed_era)
 
 
 def _split(state: RangeState, first: int, last: int) -> list[RangeState]:
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -8,6 +8,7 @@
 import os
 import secrets
 from collections.abc import Callable
+from random import Random
 from typing import Any, Protocol
 
 from mode import Service
@@ -29,6 +30,9 @@
 PEER_KEY = "jacinthpath/peer-key"
 PEER_KEY_BYTES = 32
 JOIN_RETRY_S = 0.5
+REJOIN_JITTER_S = 3.0
+"""Hosts check their records in a restored store spread over this time."""
+
 
 LEAVE_ROTATION_S = 2.6
 """Two failed readiness checks, a second apart, take a host out of the rotation
@@ -82,6 +86,7 @@
         metrics: Metrics,
         events: EventLog,
         read_settings: Callable[[], GatewaySettings],
+        random: Random,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -100,6 +105,8 @@
         self._events = events
         self._read_settings = read_settings
         self._was_ready = False
+        self._peer_secret = b""
+        self._random = random
         self._admin = AdminServer(
             settings.metrics_address, metrics, self.unready_reason, self.status
         )
@@ -220,25 +227,40 @@
         )
 
     async def _register(self) -> None:
-        """Get the shared key of the peers and publish this host's peer address."""
-        joined = False
-        while not joined and not self.should_stop:
+        """Join the peers, and again whenever the store came back from an older copy."""
+        joined_era: int | None = None
+        while not self.should_stop:
+            if joined_era == self._store.era:
+                await asyncio.sleep(JOIN_RETRY_S)
+                continue
+            if joined_era is not None:
+                await asyncio.sleep(REJOIN_JITTER_S * self._random.random())
             try:
-                await self._fetch_peer_key()
-                name = HOSTS_PREFIX + self.settings.host
-                address = self.settings.peer_address.encode()
-                await self._store.write((), (Write(name, address),))
-                joined = True
+                joined_era = await self._join(again=joined_era is not None)
             except StoreError as error:
                 self._events.log_process_event("not_joined", error=str(error))
                 await asyncio.sleep(JOIN_RETRY_S)
-        self._events.log_process_event("joined")
+
+    async def _join(self, again: bool) -> int:
+        """Get the shared key of the peers and publish this host's peer address.
+
+        :param again: whether the record of this host may still be there.
+        :return: era of the store in which the host has joined.
+        """
+        await self._fetch_peer_key()
+        era = self._store.era
+        name = HOSTS_PREFIX + self.settings.host
+        if not again or await self._store.read(name) is None:
+            address = self.settings.peer_address.encode()
+            await self._store.write((), (Write(name, address),))
+        self._events.log_process_event("joined", era=era)
+        return era
 
     async def _fetch_peer_key(self) -> None:
         item = await self._store.read(PEER_KEY)
         if item is None:
             try:
-                secret = secrets.token_bytes(PEER_KEY_BYTES)
+                secret = self._peer_secret or secrets.token_bytes(PEER_KEY_BYTES)
                 await self._store.write(
                     (Condition(PEER_KEY, 0),), (Write(PEER_KEY, secret),)
                 )
@@ -246,6 +268,7 @@
                 pass
             item = await self._store.read(PEER_KEY)
         if item is not None:
+            self._peer_secret = item.value
             self._keys.set_secret(item.value)
 
     async def _flush_logs(self) -> None:
@@ -259,6 +282,9 @@
             await asyncio.sleep(1.0)
             self._metrics.gauge("belief_age_seconds", self._view.store_age_s())
             self._metrics.gauge("requests_in_flight", self._forwarder.in_flight)
+            self._metrics.gauge(
+                "store_malformed_eras_total", self._store.malformed_eras
+            )
             self._metrics.gauge("leading", float(self._election.authority is not None))
             for name, count in self._store.calls.items():
                 self._metrics.gauge("store_calls_total", count, call=name)
--- a/src/jacinthpath/gateway/store.py
+++ b/src/jacinthpath/gateway/store.py
@@ -118,10 +118,16 @@
     was done, and :class:`~jacinthpath.errors.StoreOutcomeUnknown` when a write may
     have been done or may still be.
 
+    Revisions and lease ids contain the era, see :mod:`jacinthpath.gateway.revisions`.
+
+    :ivar era: highest era that a response of the store had.
+    :ivar malformed_eras: responses whose era could not be read.
     :ivar calls: calls made, by name.
     :ivar failures: how many of them failed, by name and outcome.
     """
 
+    era: int
+    malformed_eras: int
     calls: Mapping[str, int]
     failures: Mapping[CallFailure, int]
 
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -13,6 +13,12 @@
 import aiohttp
 
 from ..errors import StoreError, StoreOutcomeUnknown, StoreUnavailable
+from ..gateway.revisions import (
+    MAX_ERA,
+    era_of_revision,
+    make_revision,
+    store_revision_of,
+)
 from ..gateway.sockets import open_keepalive_socket
 from ..gateway.store import (
     CallFailure,
@@ -28,6 +34,7 @@
     Write,
 )
 from ..gateway.store_watcher import WatchedKeys
+from .headers import STORE_ERA
 from .http import open_session
 from .values import format_duration, parse_duration_s
 
@@ -39,21 +46,47 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 16
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""A page holds about 1 MB, and a single value 1 MB before its encoding."""
+
 KEEPALIVE_TIMEOUT_S = 30.0
 
 
 class _StoreResponse(NamedTuple):
+    """A response of the store.
+
+    :param era: era that its revisions and leases belong to.
+    """
+
     status: int
     body: dict[str, Any]
+    era: int
+
+    def revision(self, field: str) -> int:
+        """Return a revision in the body, with the era."""
+        return make_revision(self.era, self.body[field])
+
+    def items(self) -> list[Item]:
+        """Return the items in the body; a missing item has no value."""
+        return [
+            _decode_item(item, self.era)
+            for item in self.body["items"]
+            if "value" in item
+        ]
 
 
 class PlatformStore:
     """See :class:`jacinthpath.gateway.store.Store`.
 
+    Revisions and lease ids are combined with the era of the response that they come
+    from; a call with one of another era fails like a call with an outdated one.
+
     :param address: ``IP:port`` of the store.
     """
 
     def __init__(self, address: str) -> None:
+        self.era = 0
+        self.malformed_eras = 0
         self.calls: dict[str, int] = defaultdict(int)
         self.failures: dict[CallFailure, int] = defaultdict(int)
         self._base = f"http://{address}"
@@ -79,7 +112,9 @@
     async def read(self, key: str) -> Item | None:
         """See :meth:`Store.read`."""
         response = await self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
-        return None if response.status == 404 else _decode_item(response.body)
+        if response.status == 404:
+            return None
+        return _decode_item(response.body, response.era)
 
     async def list(self, prefix: str) -> Listing:
         """See :meth:`Store.list`."""
@@ -89,10 +124,12 @@
         cursor = ""
         while True:
             page = await self._call("GET", path + cursor)
-            page_items = [_decode_item(item) for item in page.body["items"]]
+            page_items = page.items()
             # Later pages may hold newer items. A watch from the revision of the first
             # page delivers these changes again.
-            revision = revision or page.body["current_rev"]
+            revision = revision or page.revision("current_rev")
+            if page.era != era_of_revision(revision):
+                raise _unavailable_error("kv-range", "the store was restored")
             items.extend(page_items)
             if not page.body.get("has_more") or not page_items:
                 return Listing(tuple(items), revision)
@@ -100,58 +137,73 @@
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> ChangeBatch:
         """See :meth:`Store.watch`."""
+        era = era_of_revision(after)
+        if era != self.era:
+            raise _history_lost_error(after)
         path = (
             f"/-/kv-watch?prefix={quote(prefix, safe='')}"
-            f"&after={after}&wait_ms={int(wait_s * 1000)}"
+            f"&after={store_revision_of(after)}&wait_ms={int(wait_s * 1000)}"
         )
         response = await self._call("GET", path, extra_wait_s=wait_s)
-        if response.status == 410:
-            raise HistoryLost(
-                f"The store no longer has the history after revision {after}.",
-                "List the keys again.",
-            )
-        changes = tuple(_decode_change(event) for event in response.body["events"])
-        return ChangeBatch(changes, response.body["current_rev"])
+        # In another era the same number stands for another change.
+        if response.status == 410 or response.era != era:
+            raise _history_lost_error(after)
+        changes = tuple(_decode_change(event, era) for event in response.body["events"])
+        return ChangeBatch(changes, response.revision("current_rev"))
 
     async def write(
         self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
     ) -> int:
         """See :meth:`Store.write`."""
+        if any(
+            revision and era_of_revision(revision) != self.era
+            for _, revision in conditions
+        ):
+            raise ConflictingWrite(())
+        if any(
+            write.lease_id and era_of_revision(write.lease_id) != self.era
+            for write in writes
+        ):
+            raise _lease_ended_error()
         body = {
             # "expected_revision" is a list of objects with a key and its revision.
             "expected_revision": [
-                {"key": key, "revision": revision} for key, revision in conditions
+                {"key": key, "revision": store_revision_of(revision)}
+                for key, revision in conditions
             ],
             "puts": [_encode_write(write) for write in writes],
             "deletes": [],
         }
         response = await self._call("POST", "/-/kv-txn", body)
         if response.status == 412:
-            current_items = tuple(
-                _decode_item(item) for item in response.body["items"] if "value" in item
-            )
-            raise ConflictingWrite(current_items)
+            raise ConflictingWrite(tuple(response.items()))
         if response.status == 404:
-            raise LeaseEnded("The lease of the write has ended.", "Create another one.")
-        return response.body["revision"]
+            raise _lease_ended_error()
+        return response.revision("revision")
 
     async def create_lease(self, ttl_s: float) -> Lease:
         """See :meth:`Store.create_lease`."""
         body = {"ttl_time": format_duration(ttl_s)}
         response = await self._call("POST", "/-/kv-lease", body)
         return Lease(
-            response.body["lease"], parse_duration_s(response.body["ttl_time"])
+            response.revision("lease"), parse_duration_s(response.body["ttl_time"])
         )
 
     async def renew_lease(self, lease_id: int) -> None:
         """See :meth:`Store.renew_lease`."""
-        response = await self._call("POST", f"/-/kv-keep/{lease_id}")
-        if response.status == 404:
-            raise LeaseEnded(f"Lease {lease_id} has ended.", "Create another one.")
+        era = era_of_revision(lease_id)
+        if era == self.era:
+            number = store_revision_of(lease_id)
+            response = await self._call("POST", f"/-/kv-keep/{number}")
+            if response.status != 404 and response.era == era:
+                return
+        raise _lease_ended_error()
 
     async def revoke_lease(self, lease_id: int) -> None:
         """See :meth:`Store.revoke_lease`."""
-        await self._call("DELETE", f"/-/kv-lease-end/{lease_id}")
+        if era_of_revision(lease_id) == self.era:
+            number = store_revision_of(lease_id)
+            await self._call("DELETE", f"/-/kv-lease-end/{number}")
 
     async def _call(
         self,
@@ -197,16 +249,44 @@
             async with self._session.request(
                 method, self._base + path, data=data, headers=headers, timeout=timeout
             ) as response:
-                content = await response.read()
+                content = await _read_content(response)
+                era = self._read_era(response.headers.get(STORE_ERA))
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _unavailable_error(name, repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise _unknown_outcome_error(method, name, error) from error
-        return _check_response(method, name, response.status, content)
+        return _check_response(method, name, response.status, content, era)
+
+    def _read_era(self, value: str | None) -> int:
+        """Return the era of a response, and remember the highest.
+
+        A late response of an earlier era keeps its own. One whose era cannot be read is
+        taken as a response of the current one.
+        """
+        if value is None:
+            return self.era
+        if not (value.isascii() and value.isdigit() and int(value) <= MAX_ERA):
+            self.malformed_eras += 1
+            return self.era
+        self.era = max(self.era, int(value))
+        return int(value)
+
+
+async def _read_content(response: aiohttp.ClientResponse) -> bytes:
+    """Return the body of a response.
+
+    :raises aiohttp.ClientPayloadError: it is longer than any body of the store.
+    """
+    content = bytearray()
+    async for part in response.content.iter_any():
+        content += part
+        if len(content) > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError("The response is too long.")
+    return bytes(content)
 
 
 def _check_response(
-    method: str, name: str, status: int, content: bytes
+    method: str, name: str, status: int, content: bytes, era: int
 ) -> _StoreResponse:
     if status in (429, 503):
         raise _unavailable_error(name, f"status {status}")
@@ -220,7 +300,7 @@
         body = json.loads(content) if content else {}
     except ValueError as error:
         raise _unknown_outcome_error(method, name, error) from error
-    return _StoreResponse(status, body)
+    return _StoreResponse(status, body, era)
 
 
 def _unavailable_error(name: str, cause: object) -> StoreUnavailable:
@@ -230,6 +310,17 @@
     )
 
 
+def _lease_ended_error() -> LeaseEnded:
+    return LeaseEnded("The lease has ended.", "Create another one.")
+
+
+def _history_lost_error(after: int) -> HistoryLost:
+    return HistoryLost(
+        f"The store no longer has the history after revision {after}.",
+        "List the keys again.",
+    )
+
+
 def _unknown_outcome_error(method: str, name: str, cause: object) -> StoreError:
     if method == "GET":
         return _unavailable_error(name, cause)
@@ -239,19 +330,19 @@
     )
 
 
-def _decode_item(item: dict[str, Any]) -> Item:
+def _decode_item(item: dict[str, Any], era: int) -> Item:
     value = base64.b64decode(item.get("value") or "")
-    return Item(item["key"], value, item["revision"])
+    return Item(item["key"], value, make_revision(era, item["revision"]))
 
 
-def _decode_change(event: dict[str, Any]) -> Change:
+def _decode_change(event: dict[str, Any], era: int) -> Change:
     value = None if event.get("removed") else base64.b64decode(event["value"])
-    return Change(event["key"], value, event["revision"])
+    return Change(event["key"], value, make_revision(era, event["revision"]))
 
 
 def _encode_write(write: Write) -> dict[str, Any]:
     value = base64.b64encode(write.value).decode()
     put: dict[str, Any] = {"key": write.key, "value": value}
     if write.lease_id:
-        put["lease"] = write.lease_id
+        put["lease"] = store_revision_of(write.lease_id)
     return put
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,24 +7,35 @@
 import asyncio
 import base64
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import web
 
 MAX_PAGE_ITEMS = 500
 
 
+class StoreCopy(NamedTuple):
+    """Content of the store at one moment."""
+
+    revision: int
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    next_lease_id: int
+
+
 class PlatformStoreStandIn:
     """A linearizable store with leases and watches, kept in memory.
 
     ``mode`` is ``up``, ``busy`` (every call gets a 503), ``silent`` (calls are
     delayed by 60 s) or ``lossy`` (POST calls take effect, but the connection is closed
-    without a response). Leases expire in the mode ``up`` only.
+    without a response). Leases expire in the mode ``up`` only. ``era`` is sent in all
+    responses unless it is 0.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.mode = "up"
+        self.era = 0
         self.revision = 10
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
@@ -76,6 +87,24 @@
         item = self.items.get(key)
         return base64.b64decode(item["value"]) if item else None
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content, for :meth:`restore`."""
+        return StoreCopy(
+            self.revision, dict(self.items), dict(self.leases), self._next_lease_id
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: all that was written since is lost."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.leases = {
+            lease: (time.monotonic() + ttl_s, ttl_s)
+            for lease, (_, ttl_s) in copy.leases.items()
+        }
+        self._next_lease_id = copy.next_lease_id
+        self.forget_history()
+
     def forget_history(self) -> None:
         """Drop all events, so that watches from earlier revisions get a 410."""
         self.compacted_revision = self.revision
@@ -102,6 +131,8 @@
         if self.mode == "silent":
             await asyncio.sleep(60)
         response = await handler(request)
+        if self.era:
+            response.headers["Store-Era"] = str(self.era)
         if self.mode == "lossy" and request.method == "POST":
             request.transport.close()
         return response
@@ -130,7 +161,7 @@
         after = int(request.query["after"])
         deadline_s = time.monotonic() + int(request.query["wait_ms"]) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return web.json_response({}, status=410)
             matching_events = [
                 event
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -12,11 +12,20 @@
 
 from jacinthpath.errors import StoreOutcomeUnknown, StoreUnavailable
 from jacinthpath.gateway.assigner import Assigner
-from jacinthpath.gateway.assignment import LeaderProcess, range_move_id
+from jacinthpath.gateway.assignment import (
+    LeaderProcess,
+    encode_assignment,
+    range_move_id,
+)
 from jacinthpath.gateway.authority import LeaderAuthority
 from jacinthpath.gateway.cluster_view import ASSIGNMENT_KEY, LEADER_KEY
 from jacinthpath.gateway.loads import LoadAggregator
 from jacinthpath.gateway.model import KEY_COUNT, Backend, RouteTable, Service, Timing
+from jacinthpath.gateway.revisions import (
+    era_of_revision,
+    make_revision,
+    store_revision_of,
+)
 from jacinthpath.gateway.route_index import RouteIndex
 from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
 from jacinthpath.gateway.store import ConflictingWrite, Item
@@ -35,27 +44,50 @@
 
 
 class SimulatedStore:
-    """The platform's store, with conditional writes."""
+    """The platform's store, with conditional writes and restores from older copies."""
 
     def __init__(self, simulation):
         self.simulation = simulation
+        self.era = 0
         self.revision = 10
         self.items = {}
+        self.copies = []
+
+    def keep_copy(self):
+        """Keep a copy of the content, and the copies of the last seconds."""
+        self.copies.append((self.revision, dict(self.items)))
+        del self.copies[:-40]
+
+    def restore(self, age_steps):
+        """Come back from the copy made ``age_steps`` steps ago."""
+        copy = self.copies[-min(age_steps, len(self.copies))]
+        self.era += 1
+        number, items = copy
+        self.revision = store_revision_of(number)
+        self.items = {
+            key: item._replace(
+                revision=make_revision(self.era, store_revision_of(item.revision))
+            )
+            for key, item in items.items()
+        }
 
     def put(self, key, value):
         self.revision += 1
-        self.items[key] = Item(key, value, self.revision)
-        return self.revision
+        revision = make_revision(self.era, self.revision)
+        self.items[key] = Item(key, value, revision)
+        return revision
 
     def write(self, conditions, writes):
         for key, revision in conditions:
             found = self.items.get(key)
+            if revision and era_of_revision(revision) != self.era:
+                raise ConflictingWrite(())
             if (found.revision if found else 0) != revision:
                 current = [self.items[k] for k, _ in conditions if k in self.items]
                 raise ConflictingWrite(tuple(current))
         for write in writes:
             self.put(write.key, write.value)
-        return self.revision
+        return make_revision(self.era, self.revision)
 
 
 class LeaderStore:
@@ -187,11 +219,20 @@
     def servers_of(self, _service):
         return [*self.all().values()]
 
+    def listed_or_removed(self, _now_s):
+        """Return all servers: those of the last seconds are remembered."""
+        listed_servers = self.simulation.listed_servers
+        self.simulation.listed_servers = {*self.simulation.servers}
+        try:
+            return [*self.all().values()]
+        finally:
+            self.simulation.listed_servers = listed_servers
+
 
 class LeaderView:
     """View of one leader, with the real decoding of the stored assignment."""
 
-    def __init__(self, simulation):
+    def __init__(self, simulation, first_era):
         from jacinthpath.gateway.assignment import EMPTY_ASSIGNMENT
 
         service = Service(SERVICE, True, 100, "/health", 3.0)
@@ -201,12 +242,18 @@
         self.assignment_revision = 0
         self.moving_since_s = {}
         self.simulation = simulation
+        self.first_era = first_era
+
+    def saw_earlier_era(self):
+        return self.first_era < self.simulation.store.era
 
     def apply_assignment(self, content, revision, _source):
         from jacinthpath.gateway.assignment import decode_assignment
 
-        if revision > self.assignment_revision:
-            self.assignment = decode_assignment(content)
+        assignment = decode_assignment(content)
+        known = self.assignment.fence, self.assignment_revision
+        if (assignment.fence, revision) > known:
+            self.assignment = assignment
             self.assignment_revision = revision
             self.moving_since_s = {
                 key: self.moving_since_s.get(key, self.simulation.now_s)
@@ -228,14 +275,19 @@
 
 
 class Leader:
-    def __init__(self, simulation, name):
+    """One process that may lead.
+
+    :param first_era: era of the store in which it first had a list of servers.
+    """
+
+    def __init__(self, simulation, name, first_era=0):
         self.simulation, self.name = simulation, name
         self.cut_off = False
         self.silent = False
         self.lease_until_s = 0.0
         self.process_end_s = 0.0
         self.election = SimulatedElection()
-        self.view = LeaderView(simulation)
+        self.view = LeaderView(simulation, first_era)
         self.assigner = Assigner(
             LeaderStore(simulation, self),
             self.view,
@@ -253,10 +305,18 @@
     async def has_stopped_leading(self, leader):
         """Check another leader, as by a request to the peer."""
         other = next(
-            one for one in self.simulation.leaders if one.name == leader.address
+            (one for one in self.simulation.leaders if one.name == leader.address), None
         )
+        if other is None:
+            # Another process runs at the address.
+            return True
         if (self.name, other.name) in self.simulation.blocked_paths or other.silent:
             return False
+        self.view.apply_assignment(
+            encode_assignment(other.view.assignment),
+            other.view.assignment_revision,
+            "peer",
+        )
         return other.election.authority is None
 
 
@@ -277,6 +337,7 @@
         self.latest_grants = {}
         self.violations = []
         self.started_ms = 1
+        self.restored_s = float("-inf")
         for index in range(4):
             self.start_server(f"s{index}")
         self.leaders = [Leader(self, f"l{index}") for index in range(3)]
@@ -310,6 +371,7 @@
     async def advance(self, duration_s=0.1):
         """Advance the clock and run every leader once."""
         self.now_s += duration_s
+        self.store.keep_copy()
         self._deliver_late_commands()
         self._run_leases()
         self.check_owners()
@@ -352,6 +414,10 @@
                 continue
             record = self.store.items.get(LEADER_KEY)
             owns_record = record and record.revision == leader.election.record_revision
+            if not leader.cut_off and self._is_of_earlier_era(leader):
+                # The lease ids of an earlier era are not valid any more.
+                leader.election.authority = None
+                continue
             if not leader.cut_off and owns_record:
                 leader.lease_until_s = self.now_s + TTL_S
                 authority.record_lease_renewal(self.now_s)
@@ -359,6 +425,7 @@
                 leader.election.authority = None
             if owns_record and self.now_s >= leader.lease_until_s:
                 del self.store.items[LEADER_KEY]
+        self._expire_record_of_earlier_era()
         record = self.store.items.get(LEADER_KEY)
         for leader in self.leaders:
             # The lease of a leader that stepped down expires.
@@ -374,6 +441,29 @@
             if candidates:
                 self._elect(self.random.choice(candidates))
 
+    def _is_of_earlier_era(self, leader):
+        return era_of_revision(leader.election.record_revision) < self.store.era
+
+    def _expire_record_of_earlier_era(self):
+        """Remove a restored leader record once its lease has run out."""
+        record = self.store.items.get(LEADER_KEY)
+        owned = record and any(
+            record.revision == leader.election.record_revision
+            for leader in self.leaders
+        )
+        if record and not owned and self.now_s >= self.restored_s + TTL_S:
+            del self.store.items[LEADER_KEY]
+
+    def restore_store(self, age_steps):
+        """Restore the store from the copy made ``age_steps`` steps ago."""
+        self.store.restore(age_steps)
+        self.restored_s = self.now_s
+
+    def restart_leader(self, leader):
+        """Replace a leader's process by one that first sees the store restored."""
+        index = self.leaders.index(leader)
+        self.leaders[index] = Leader(self, f"{leader.name}'", self.store.era + 1)
+
     def resign(self, leader, grace_s=5.5):
         """Resign the leadership; the process ends after ``grace_s``."""
         if leader.election.authority is not None:
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -3,6 +3,7 @@
 import pytest
 
 from jacinthpath.gateway import assigner, command_runner, move_planning, ownership
+from jacinthpath.gateway.fence_sweep import FenceSweep
 
 from .gateway_simulation import LeaderCommands, Simulation
 
@@ -189,6 +190,66 @@
     assert simulation.violations == []
 
 
+async def run_with_restores(simulation, rounds=6):
+    """Advance with random faults, and restore the store after each round.
+
+    Before it, none, one or all of the leaders' processes restart.
+    """
+    random = simulation.random
+    for _ in range(rounds):
+        await run_with_faults(simulation, random.uniform(1.0, 9.0))
+        for leader in random.sample(simulation.leaders, random.choice([0, 1, 3])):
+            simulation.restart_leader(leader)
+        simulation.restore_store(random.randint(1, 40))
+
+
+@pytest.mark.parametrize("seed", range(24))
+async def test_one_owner_when_the_store_comes_back_from_an_older_copy(seed):
+    """A restored store names earlier owners, forgets the leader and gives revisions out
+    again; two servers must not own a key, and no fence is given out twice."""
+    simulation = Simulation(seed, late_command_rate=0.1, lost_write_rate=0.1)
+    await run_for(simulation)
+    await run_with_restores(simulation)
+    assert simulation.violations == []
+
+
+@pytest.mark.parametrize("age_steps", [1, 10, 40])
+async def test_keys_stay_served_when_the_store_is_restored(age_steps):
+    """Guards against keys without an owner while a fleet ignores the restored store."""
+    simulation = Simulation(7)
+    await run_for(simulation)
+    for _ in range(3):
+        simulation.restore_store(age_steps)
+        for _ in range(60):
+            await simulation.advance()
+            assert all(simulation.holder(key) for key in simulation.sampled_keys)
+    assert simulation.violations == []
+
+
+async def find_violations_with_restores(seeds=range(60)):
+    violations = []
+    for seed in seeds:
+        simulation = Simulation(seed, late_command_rate=0.1, lost_write_rate=0.1)
+        await run_for(simulation)
+        await run_with_restores(simulation)
+        violations += simulation.violations
+    return violations
+
+
+async def test_check_fails_if_a_restored_assignment_is_adopted_as_it_is(monkeypatch):
+    """Guards against a simulation that cannot fail: without the sweep, a restored
+    assignment gives a key to two servers."""
+    monkeypatch.setattr(FenceSweep, "is_complete", lambda *_args: True)
+    assert await find_violations_with_restores()
+
+
+async def test_check_fails_if_fences_are_given_out_twice(monkeypatch):
+    """Guards against a simulation that cannot fail: if fences do not rise with the era,
+    the highest ones are lost in a restore and given out again."""
+    monkeypatch.setattr(assigner, "minimum_fence", lambda _era: 0)
+    assert await find_violations_with_restores()
+
+
 async def test_check_fails_without_waiting_for_grants_to_expire(monkeypatch):
     """Guards against a simulation that cannot fail: without the wait for grants to
     expire, it must report two owners of a key."""
