Use connections to servers again after their responses

Change: only bytes count; a test counts connections. New metrics described. Result: the test fails without the change and passes with it.

--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -23,6 +23,7 @@
     "belief_age_seconds": (
         "Time since the last contact with the store, direct or through peers."
     ),
+    "bodies_broken_total": "Large bodies that broke off while they were forwarded.",
     "configuration_confirmed_age_seconds": "Age of the newest confirmation that "
     "the configuration is current.",
     "configuration_damaged_total": "Stored configurations that could not be read.",
@@ -40,6 +41,8 @@
     "log_lines_left_out_total": (
         "Log lines dropped because of the rate limit of their kind or a full buffer."
     ),
+    "malformed_notices_total": "Responses with a notice of the server that cannot be "
+    "read.",
     "orders_total": "Grants and releases sent to servers, by result.",
     "own_answers_total": (
         "Requests that the gateway answered without a server, by reason."
@@ -59,6 +62,7 @@
         "Calls to the platform's store that failed, by name and outcome."
     ),
     "store_calls_total": "Calls to the platform's store, by name.",
+    "store_malformed_eras_total": "Responses of the store whose era cannot be read.",
     "topic_version": "Version of the configuration and of each slice table in force.",
     "topics_refused_total": (
         "Topics that were refused: unreadable, conflicting or beyond a limit."
--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -86,7 +86,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser unless they are not due or exceed the framing."""
-        if not self._exchanging:
+        # aiohttp passes no bytes to make the parser resume.
+        if data and not self._exchanging:
             self._break("bytes without a request")
             return
         self._received_bytes += len(data)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -63,6 +63,7 @@
         self.pause = "1.5"
         self.leaving = False
         self.sent_bytes = 0
+        self.accepted_connections = 0
         self.refused_attempts: list[str] = []
         self._refusal: bytes | None = None
         self._refused_writer: asyncio.StreamWriter | None = None
@@ -122,6 +123,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(writer)
+        self.accepted_connections += 1
         try:
             while True:
                 request = await _read_request(reader)
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -147,6 +147,13 @@
     assert sent_bytes < 32 * 1024 * 1024
 
 
+async def test_connections_are_used_again(system):
+    """Servers limit their connections; a new one for each request would exceed it."""
+    for number in range(20):
+        assert (await system.send("/read/x", f"n{number}"))[0] == 200
+    assert sum(server.accepted_connections for server in plain_servers(system)) <= 2
+
+
 @pytest.mark.parametrize("fault", ["endless-interim", "endless-trailer"])
 async def test_framing_without_end_is_cut_at_once(system, fault):
     """Interim responses without end were read until the deadline."""
