Read documents from the leader only, unless it is lost

A response of the leader counts as fresh only while its lease is confirmed: a leader that is cut off from the store keeps no follower for longer than its lease.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -17,8 +17,9 @@
 from ..metrics import Metrics
 from ..peers import PeerIdentity, PeerPool, PeerServer
 from .assignment import LeaderProcess
+from .authority import LeaderAuthority
 from .clock import boottime_s
-from .cluster_view import ClusterView
+from .cluster_view import ClusterView, LeaderRecord
 from .events import EventLog
 from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .peer_messages import (
@@ -43,6 +44,10 @@
 """A response is fresh if the leader's list of servers is younger than this."""
 
 FOLLOW_PAUSE_S = 0.15
+UNCONFIRMED_PAUSE_S = 0.8
+"""Longest additional pause after a response of a leader whose lease is not confirmed:
+it responds at once, and all hosts ask it during an outage of the store."""
+
 MAX_PEERS_TRIED = 3
 MAX_ENCODED_AGE_S = 4_000_000.0
 """Largest age that fits into a message; also sent when the age is not known."""
@@ -54,7 +59,9 @@
     :param identity: identity of this process.
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
-    :ivar is_leading: returns whether this host leads.
+    :ivar is_seed: whether this host is one of those that others ask first.
+    :ivar authority: returns what this host may do as the leader, ``None`` if it does
+        not lead.
     """
 
     def __init__(
@@ -82,7 +89,8 @@
         self._followed_at_s = float("-inf")
         self._followed_process_id = ""
         self._unresponsive_process_id = ""
-        self.is_leading: Callable[[], bool] = lambda: False
+        self.is_seed = address in seeds
+        self.authority: Callable[[], LeaderAuthority | None] = lambda: None
         handlers: Mapping[str, Any] = {
             "hostReport": self._handle_report,
             "documentsWanted": self._handle_documents_wanted,
@@ -176,14 +184,23 @@
                     )
                 await asyncio.sleep(FOLLOW_PAUSE_S)
                 continue
-            if response.leading and response.ageMs < MAX_LEADER_AGE_S * 1000:
-                self._followed_at_s = boottime_s()
-                self._followed_process_id = leader.process_id
-                self._unresponsive_process_id = ""
+            self._record_leader_response(leader, response)
+            if not response.confirmed:
+                await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             # Updates come in bursts. The pause lets one response carry several, and
             # bounds the message rate if the documents of two hosts never converge.
             await asyncio.sleep(FOLLOW_PAUSE_S * self._random.random())
 
+    def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
+        if response.confirmed and response.ageMs < MAX_LEADER_AGE_S * 1000:
+            self._followed_at_s = boottime_s()
+            self._followed_process_id = leader.process_id
+            self._unresponsive_process_id = ""
+        elif not response.confirmed:
+            # Another host may lead already, which only the store tells.
+            self._followed_at_s = float("-inf")
+            self._unresponsive_process_id = leader.process_id
+
     async def _fetch_documents(self, address: str, wait_s: float) -> Any:
         """Fetch newer documents from one peer, apply them and return its response."""
         view = self._view
@@ -208,7 +225,11 @@
         wanted = frame.body.documentsWanted
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
-        while not self._has_updates(wanted) and loop.time() < deadline_s:
+        while (
+            not self._has_updates(wanted)
+            and self._is_confirmed()
+            and loop.time() < deadline_s
+        ):
             changed = self._view.changed
             try:
                 async with asyncio.timeout_at(deadline_s):
@@ -217,6 +238,11 @@
                 break
         return self._make_documents_frame(wanted)
 
+    def _is_confirmed(self) -> bool:
+        """Return whether this host leads and no other host can lead."""
+        authority = self.authority()
+        return authority is not None and authority.may_move_keys(boottime_s())
+
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
@@ -230,7 +256,8 @@
         response = new_frame()
         content = response.body.init("documents")
         content.ageMs = int(min(MAX_ENCODED_AGE_S, view.servers_age_s()) * 1000)
-        content.leading = self.is_leading()
+        content.leading = self.authority() is not None
+        content.confirmed = self._is_confirmed()
         write_documents(content, wanted, view)
         return response
 
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -85,7 +85,7 @@
         process_id,
         settings.lease_min_s,
     )
-    peering.is_leading = lambda: election.authority is not None
+    peering.authority = lambda: election.authority
     assigner = Assigner(
         store,
         view,
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -314,11 +314,13 @@
                                       # those that differ from serversBase.
   ageMs @5 :UInt32;                   # Age of the responding host's view of the servers.
   hosts @6 :List(HostAddress);        # All, or none when the sender knows as many.
-  leading @7 :Bool;                   # Whether the responding host is the leader.
+  leading @7 :Bool;                   # Whether the responding host may renew grants.
   serversRevision @8 :UInt64;         # Newest revision of an entry that was seen.
   assignmentBase @9 :UInt64;          # 0 when the assignment is whole.
   serversBase @10 :UInt64;            # Digest of the base of a delta of servers, or 0.
   serversGone @11 :List(Text);        # With serversBase: servers to remove.
+  confirmed @12 :Bool;                # Whether the leader's lease is confirmed, so that
+                                      # no other host can lead.
 }
 
 struct HostAddress {
