Choose unkeyed servers mostly in the own data centre

Cause: two servers drawn from all data centres were mostly remote (five in six with six data centres), so responses crossed between them, which is paid for, and a host seldom met a server again while a connection was open. Servers without a response yet were taken to be faster than all known ones and drew the requests. Change: two servers of the own data centre are compared with one of the others, whose score keeps its penalty; an unknown server is expected to be like the mean of its service.

--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -11,8 +11,13 @@
 from .model import Backend
 
 CHOICE_COUNT = 2
-"""Servers compared for each choice. With two, servers of unequal speed get about their
-share of the load; with more, all hosts pick the same few fast servers."""
+"""Servers of the own data centre compared for each choice. With two, servers of unequal
+speed get about their share of the load; with more, all hosts pick the same few fast
+servers."""
+
+REMOTE_CHOICE_COUNT = 1
+"""Servers of other data centres compared with them, which take what is too much for the
+own one."""
 
 OTHER_DATA_CENTRE_FACTOR = 1.4
 """A server in another data centre is scored as this much slower, because traffic
@@ -24,6 +29,8 @@
 
 LATENCY_SMOOTHING = 0.15
 INITIAL_LATENCY_S = 0.05
+"""Latency assumed of all servers of a service that has not responded yet."""
+
 FAILURES_TO_EJECT = 2
 """Consecutive failures after which a server is ejected from the choice."""
 
@@ -57,7 +64,7 @@
         self.started_ms = backend.started_ms
         self.warmup_until_s = now_s + backend.warmup_left_s
         self.in_flight = 0
-        self.log_latency = math.log(INITIAL_LATENCY_S)
+        self.log_latency = 0.0
         self.samples = 0
         self.failures = 0
         self.failure_rate = 0.0
@@ -78,6 +85,7 @@
         self._data_centre = data_centre
         self._random = random
         self._stats_by_server: dict[str, _ServerStats] = {}
+        self._log_latency_by_service: dict[str, float] = {}
 
     def choose(
         self,
@@ -99,15 +107,13 @@
             and not self.pause_left_s(b, now_s)
         ]
         healthy = [b for b in usable if not self._is_ejected(b, now_s)]
-        candidates = healthy or usable
-        if len(candidates) > CHOICE_COUNT:
-            candidates = self._random.sample(candidates, CHOICE_COUNT)
+        candidates = self._sample(healthy or usable)
         return min(candidates, key=lambda b: self._score(b, now_s), default=None)
 
     def latency_s(self, backend: Backend, now_s: float) -> float:
         """Return the expected latency of the server."""
         stats = self._stats_of(backend, now_s)
-        latency_s = math.exp(stats.log_latency)
+        latency_s = math.exp(self._log_latency(backend, stats))
         return latency_s * WARMUP_FACTOR if now_s < stats.warmup_until_s else latency_s
 
     def in_flight(self, backend: Backend) -> int:
@@ -168,6 +174,9 @@
         smoothing = max(LATENCY_SMOOTHING, 1 / (stats.samples + 1))
         stats.log_latency += smoothing * (log_latency - stats.log_latency)
         stats.samples += 1
+        mean = self._log_latency_by_service.setdefault(backend.service, log_latency)
+        mean += LATENCY_SMOOTHING * (log_latency - mean)
+        self._log_latency_by_service[backend.service] = mean
 
     def record_rejection(self, backend: Backend, now_s: float) -> None:
         """Record a rejected request; the server is up, so it is not ejected."""
@@ -202,19 +211,46 @@
             if server not in known:
                 del self._stats_by_server[server]
 
+    def _sample(self, backends: list[Backend]) -> list[Backend]:
+        """Return the servers to compare, mostly of the own data centre.
+
+        A host meets the same few servers again while their connections are open.
+        """
+        local = [b for b in backends if b.data_centre == self._data_centre]
+        remote = [b for b in backends if b.data_centre != self._data_centre]
+        local_count = min(len(local), CHOICE_COUNT)
+        remote_count = min(
+            len(remote), max(REMOTE_CHOICE_COUNT, CHOICE_COUNT - local_count)
+        )
+        return [
+            *self._random.sample(local, local_count),
+            *self._random.sample(remote, remote_count),
+        ]
+
     def _stats_of(self, backend: Backend, now_s: float) -> _ServerStats:
         stats = self._stats_by_server.get(backend.server)
         if stats is None or stats.started_ms != backend.started_ms:
             stats = self._stats_by_server[backend.server] = _ServerStats(backend, now_s)
         return stats
 
+    def _log_latency(self, backend: Backend, stats: _ServerStats) -> float:
+        """Return the logarithm of the expected latency in seconds.
+
+        A server that has not responded yet is expected to be like the others of its
+        service: a lower latency would draw all requests to unknown servers.
+        """
+        if stats.samples:
+            return stats.log_latency
+        initial = math.log(INITIAL_LATENCY_S)
+        return self._log_latency_by_service.get(backend.service, initial)
+
     def _is_ejected(self, backend: Backend, now_s: float) -> bool:
         stats = self._stats_by_server.get(backend.server)
         return stats is not None and now_s < stats.ejected_until_s
 
     def _score(self, backend: Backend, now_s: float) -> float:
         stats = self._stats_of(backend, now_s)
-        score = (stats.in_flight + 1) * math.exp(stats.log_latency)
+        score = (stats.in_flight + 1) * math.exp(self._log_latency(backend, stats))
         score *= 1 + FAILURE_PENALTY * stats.failure_rate
         if now_s < stats.warmup_until_s:
             score *= WARMUP_FACTOR
