Limit each host's requests to a server that resets connections

Change: a reset halves the requests that a host may have in flight at the server, and the limit grows by about one each time that it was used up. A keyed request waits before it is sent to such an owner again. The parts of a large body are handed on without a copy, 64 KiB at a time, and all bodies together hold 4 MiB.

--- a/src/jacinthpath/gateway/body_memory.py
+++ b/src/jacinthpath/gateway/body_memory.py
@@ -12,7 +12,7 @@
 MAX_HELD_BYTES = 256 * 1024
 """Longest body that is held whole."""
 
-MAX_HOST_BYTES = 8 * 1024 * 1024
+MAX_HOST_BYTES = 4 * 1024 * 1024
 """Sum of the bodies that a host holds at a time; the smallest hosts have 200 MB."""
 
 
--- a/src/jacinthpath/gateway/body_tracking.py
+++ b/src/jacinthpath/gateway/body_tracking.py
@@ -1,4 +1,4 @@
-"""Reports how the rest of a response's body ended."""
+"""Reports how a response's body ended that was forwarded while it arrived."""
 
 from __future__ import annotations
 
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -79,7 +79,7 @@
 
 
 class BodyStream(Protocol):
-    """The rest of a response's body, which is still arriving from the server.
+    """A response's body that is still arriving from the server.
 
     :ivar length: length of the whole body in bytes, ``None`` if it is not known.
     """
@@ -100,16 +100,16 @@
 class Response(NamedTuple):
     """A response to a caller.
 
-    :param body: the whole body, or its beginning if there is a ``rest``.
+    :param body: the whole body; empty if there is a ``stream``.
     :param reason: why the gateway responds itself; empty for a server's response.
-    :param rest: rest of a body that is too large to hold in memory.
+    :param stream: a body that is too large to hold in memory.
     """
 
     status: int
     headers: CIMultiDict[str]
     body: bytes
     reason: str = ""
-    rest: BodyStream | None = None
+    stream: BodyStream | None = None
 
 
 class ServerNotice(NamedTuple):
@@ -133,13 +133,16 @@
 
     :param detail: status or error, for the log.
     :param response: the server's response if it is for this request and complete, or
-        is complete but for the rest of a large body.
+        is complete but for a large body that is still arriving.
+    :param connection_reset: whether the connection was reset before any response, as
+        servers do that have too many.
     """
 
     outcome: Outcome
     detail: str
     response: Response | None = None
     notice: ServerNotice = NO_NOTICE
+    connection_reset: bool = False
 
 
 class BackendClient(Protocol):
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -36,6 +36,9 @@
 
 INITIAL_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
+WINDOW_DECREASE = 0.5
+"""Factor on the requests in flight at a server after it reset a connection."""
+
 FAILURE_SMOOTHING = 0.1
 FAILURE_PENALTY = 4.0
 """The score is multiplied by one plus this times the failure rate, so that a server
@@ -58,6 +61,7 @@
         "paused_until_s",
         "samples",
         "unreachable_until_s",
+        "window",
     )
 
     def __init__(self, backend: Backend, now_s: float) -> None:
@@ -73,6 +77,7 @@
         self.unreachable_until_s = float("-inf")
         self.paused_until_s = float("-inf")
         self.malformed_notices = 0
+        self.window = math.inf
 
 
 class ServerPool:
@@ -103,7 +108,7 @@
             for b in backends
             if not b.draining
             and b.server not in exclude
-            and self.in_flight(b) < max_in_flight
+            and self.in_flight(b) < min(max_in_flight, self.window(b))
             and not self.pause_left_s(b, now_s)
         ]
         healthy = [b for b in usable if not self._is_ejected(b, now_s)]
@@ -132,6 +137,22 @@
         stats = self._stats_by_server.get(backend.server)
         return stats is not None and now_s < stats.unreachable_until_s
 
+    def window(self, backend: Backend) -> float:
+        """Return how many requests this host may have in flight at the server.
+
+        It is halved when the server resets a connection, since all hosts together have
+        too many, and grows by about one each time that it was used up.
+        """
+        stats = self._stats_by_server.get(backend.server)
+        if stats is None or stats.started_ms != backend.started_ms:
+            return math.inf
+        return stats.window
+
+    def record_reset(self, backend: Backend, now_s: float) -> None:
+        """Record that the server reset a connection instead of responding."""
+        stats = self._stats_of(backend, now_s)
+        stats.window = max(1.0, min(stats.window, stats.in_flight) * WINDOW_DECREASE)
+
     def pause_left_s(self, backend: Backend, now_s: float) -> float:
         """Return for how much longer the server wants no requests from this host."""
         stats = self._stats_by_server.get(backend.server)
@@ -169,6 +190,7 @@
         stats.failures = 0
         stats.ejections = 0
         stats.unreachable_until_s = float("-inf")
+        stats.window += 1 / stats.window
         stats.failure_rate *= 1 - FAILURE_SMOOTHING
         log_latency = math.log(max(latency_s, 1e-4))
         smoothing = max(LATENCY_SMOOTHING, 1 / (stats.samples + 1))
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -138,7 +138,7 @@
             result = await self._attempt(choice.backend)
             step = await self._decide_next_step(result)
             if step.kind is not StepKind.RESPOND:
-                _close_rest(result)
+                _close_stream(result)
             if step.kind is not StepKind.RETRY:
                 return self._respond(step)
             self._retry_budget.record_retry(self._loop.time())
@@ -184,8 +184,11 @@
         backend = choice.backend
         if backend is None:
             return choice
-        in_flight = self._dependencies.pool.in_flight(backend)
-        if in_flight >= self._connection_limit():
+        pool = self._dependencies.pool
+        limit = self._connection_limit()
+        if not self._results:
+            limit = min(limit, pool.window(backend))
+        if pool.in_flight(backend) >= limit:
             return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
         return choice
 
@@ -224,7 +227,7 @@
             )
             raise
         elapsed_s = self._loop.time() - started_s
-        result = self._track_rest(backend, result)
+        result = self._track_stream(backend, result)
         self._tried.append(backend.server)
         self._results.append(result)
         dependencies.metrics.count("attempts_total", outcome=result.outcome.value)
@@ -251,10 +254,10 @@
                     detail=notice.malformed,
                 )
 
-    def _track_rest(self, backend: Backend, result: AttemptResult) -> AttemptResult:
-        """Count the connection as in use until the rest of the body has ended."""
+    def _track_stream(self, backend: Backend, result: AttemptResult) -> AttemptResult:
+        """Count the connection as in use until the body has ended."""
         response = result.response
-        if response is None or response.rest is None:
+        if response is None or response.stream is None:
             return result
         dependencies = self._dependencies
         dependencies.pool.record_start(backend, boottime_s())
@@ -273,8 +276,8 @@
                 detail=reason,
             )
 
-        tracked = TrackedBody(response.rest, handle_end)
-        return result._replace(response=response._replace(rest=tracked))
+        tracked = TrackedBody(response.stream, handle_end)
+        return result._replace(response=response._replace(stream=tracked))
 
     def _record_load(
         self, backend: Backend, outcome: Outcome, elapsed_s: float
@@ -293,6 +296,8 @@
         pool = self._dependencies.pool
         now_s = boottime_s()
         outcome = result.outcome
+        if result.connection_reset:
+            pool.record_reset(backend, now_s)
         if outcome is Outcome.ANSWERED:
             pool.record_response(backend, elapsed_s, now_s)
             self._dependencies.metrics.observe("attempt_duration_seconds", elapsed_s)
@@ -379,8 +384,9 @@
         return servers, 0.0, moved or result.outcome is not Outcome.TIMED_OUT
 
     async def _back_off(self, result: AttemptResult) -> None:
-        """Wait before a refused keyed request is sent to the owner again."""
-        if not self._service.keyed or result.outcome is not Outcome.REFUSED:
+        """Wait before a keyed request is sent again to an owner that is full."""
+        full = result.outcome is Outcome.REFUSED or result.connection_reset
+        if not self._service.keyed or not full:
             return
         backoff_s = INITIAL_BACKOFF_S * 2 ** (len(self._results) - 1)
         backoff_s *= 0.5 + self._dependencies.random.random()
@@ -462,10 +468,10 @@
         )
 
 
-def _close_rest(result: AttemptResult) -> None:
+def _close_stream(result: AttemptResult) -> None:
     """Close the connection of a response that is not returned to the caller."""
-    if result.response is not None and result.response.rest is not None:
-        result.response.rest.close()
+    if result.response is not None and result.response.stream is not None:
+        result.response.stream.close()
 
 
 def _ms(duration_s: float) -> int:
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -122,7 +122,7 @@
         result = parsed if isinstance(parsed, Response) else await self._handle(parsed)
         if isinstance(parsed, CallerRequest) and result.reason:
             result.headers[ATTEMPT_ID] = parsed.request_id
-        if result.rest is not None or len(result.body) > DIRECT_BODY_BYTES:
+        if result.stream is not None or len(result.body) > DIRECT_BODY_BYTES:
             return await self._forward_large_body(request, result)
         response = web.Response(
             status=result.status, headers=result.headers, body=result.body
@@ -140,8 +140,8 @@
         was sent for the whole.
         """
         response = web.StreamResponse(status=result.status, headers=result.headers)
-        rest = result.rest
-        length = len(result.body) if rest is None else rest.length
+        stream = result.stream
+        length = len(result.body) if stream is None else stream.length
         if length is not None:
             response.content_length = length
         elif request.version >= HttpVersion11:
@@ -156,8 +156,8 @@
                 request.transport.abort()
         finally:
             self._memory.release(len(result.body))
-            if rest is not None:
-                rest.close()
+            if stream is not None:
+                stream.close()
         return response
 
     async def _write_body(
@@ -168,9 +168,10 @@
         :raises TimeoutError: the caller takes no bytes.
         """
         await response.prepare(request)
-        await _write_in_time(response.write(result.body))
-        if result.rest is not None:
-            async for part in result.rest:
+        if result.stream is None:
+            await _write_in_time(response.write(result.body))
+        else:
+            async for part in result.stream:
                 await _write_in_time(response.write(part))
         await _write_in_time(response.write_eof())
 
--- a/src/jacinthpath/platform/response_body.py
+++ b/src/jacinthpath/platform/response_body.py
@@ -5,6 +5,7 @@
 __all__ = ["ServerBodyStream", "read_body"]
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -20,7 +21,7 @@
     :param is_whole: whether nothing follows it.
     """
 
-    content: bytes
+    parts: list[bytes]
     is_whole: bool
 
 
@@ -39,8 +40,8 @@
             memory.add(len(part))
             held_bytes += len(part)
             if not may_hold:
-                return HeldBody(b"".join(parts), response.content.at_eof())
-        return HeldBody(b"".join(parts), True)
+                return HeldBody(parts, response.content.at_eof())
+        return HeldBody(parts, True)
     finally:
         memory.release(held_bytes)
 
@@ -48,16 +49,25 @@
 class ServerBodyStream:
     """See :class:`jacinthpath.gateway.exchange.BodyStream`.
 
+    :param read_parts: parts that have been read already.
     :param deadline_s: loop time at which a body that has not ended is given up.
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, deadline_s: float) -> None:
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        read_parts: list[bytes],
+        deadline_s: float,
+    ) -> None:
         self.length = response.content_length
         self._response = response
+        self._read_parts = deque(read_parts)
         self._deadline_s = deadline_s
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """See :meth:`BodyStream.__aiter__`."""
+        while self._read_parts:
+            yield self._read_parts.popleft()
         content = self._response.content
         loop = asyncio.get_running_loop()
         try:
--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -15,6 +15,9 @@
 MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses that are skipped before a final one."""
 
+READ_BYTES = 64 * 1024
+"""Bytes read from a connection at a time; asyncio's default is 256 KiB."""
+
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
 """Bytes of a response outside of its body, such as chunk headers and trailers, are
@@ -68,6 +71,11 @@
         self._interim_responses = 0
         self._received_bytes = 0
 
+    def connection_made(self, transport: Any) -> None:
+        """Limit what is read at a time: many large responses may arrive at once."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def was_used_for(self, attempt_id: str) -> bool:
         """Return whether an earlier request on this connection had this attempt id."""
         return attempt_id in self._attempt_ids
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -93,7 +93,11 @@
         except aiohttp.ClientPayloadError as error:
             return AttemptResult(Outcome.BROKEN, str(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return AttemptResult(Outcome.BROKEN, type(error).__name__)
+            return AttemptResult(
+                Outcome.BROKEN,
+                type(error).__name__,
+                connection_reset=response is None and isinstance(error, OSError),
+            )
         finally:
             if response is not None and not _is_streaming(result):
                 response.close()
@@ -110,13 +114,12 @@
         if not executed:
             outcome = Outcome.NOT_OWNER if status == 421 else Outcome.REFUSED
             return AttemptResult(outcome, f"status {status} not run", notice=notice)
-        rest = None if body.is_whole else ServerBodyStream(response, deadline_s)
-        forwarded = Response(
-            status,
-            forwarded_fields(response.headers, HOP_BY_HOP_FIELDS),
-            body.content,
-            rest=rest,
-        )
+        headers = forwarded_fields(response.headers, HOP_BY_HOP_FIELDS)
+        if body.is_whole:
+            forwarded = Response(status, headers, b"".join(body.parts))
+        else:
+            stream = ServerBodyStream(response, body.parts, deadline_s)
+            forwarded = Response(status, headers, b"", stream=stream)
         outcome = Outcome.FAILED if status >= 500 else Outcome.ANSWERED
         return AttemptResult(outcome, f"status {status}", forwarded, notice)
 
@@ -126,5 +129,5 @@
     return (
         result is not None
         and result.response is not None
-        and result.response.rest is not None
+        and result.response.stream is not None
     )
