Keep just-accepted connections of a stopping host, and restore the store in the soak

Cause: after the rotation a stopping host closed every connection that waited for a request, also one accepted a moment before, whose request was on its way. The soak did not play restores, leaving servers, pauses, responses without end or second copies of refusals. Change: a connection is closed once it has been idle for 0.3 s. Result: a request 0.15 s after the listener closed gets its response.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,10 +25,17 @@
     "truncated",
     "no-response",
     "slow",
+    "endless-body",
+    "endless-chunks",
+    "endless-interim",
+    "refused-twice",
+    "error-twice",
+    "paused",
 ]
 PROXY_MODES = ["delay", "reset", "silent", "one-way"]
 STORE_MODES = ["busy", "silent", "lossy"]
 RESTART_DELAY_S = 0.5
+MAX_COPY_AGE_S = 3.0
 INTERPRETER_START_S = 0.2
 
 
@@ -137,6 +144,28 @@
     system.store.forget_history()
 
 
+@fault("store-restored")
+async def _restore_store(system: System, duration_s: float) -> None:
+    copy = system.store.copy()
+    await asyncio.sleep(min(duration_s, MAX_COPY_AGE_S))
+    system.record_disturbance()
+    system.store.restore(copy)
+    await asyncio.sleep(system.random.uniform(0.1, 1.5))
+    system.write_again()
+    system.record_disturbance()
+
+
+@fault("server-leaving")
+async def _let_server_leave(system: System, duration_s: float) -> None:
+    """A server says in its responses alone that it is leaving."""
+    name = system.random.choice([*system.servers])
+    system.servers[name].leaving = True
+    await asyncio.sleep(max(4.0, duration_s))
+    system.servers[name].leaving = False
+    system.servers[name].restart()
+    system.put_entry(name)
+
+
 @fault("server-path")
 async def _disturb_server_path(system: System, duration_s: float) -> None:
     proxy = system.random.choice([*system.proxies.values()])
@@ -193,7 +222,8 @@
         proxy.mode = "pass"
     for name, server in system.servers.items():
         server.fault = ""
-        if name in system.draining_since_s:
+        if name in system.draining_since_s or server.leaving:
+            server.leaving = False
             server.restart()
             system.put_entry(name)
     for gateway in system.gateways:
--- a/soak/system.py
+++ b/soak/system.py
@@ -161,9 +161,20 @@
     def configure(self) -> None:
         """Write the next version of the configuration; each version adds a route."""
         self.version += 1
+        self._put_configuration()
+        self.version_written_s = time.monotonic()
+
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote to a restored store."""
+        self._put_configuration()
+        for name in self.servers:
+            self._put_state(
+                name, "draining" if name in self.draining_since_s else "ready"
+            )
+
+    def _put_configuration(self) -> None:
         content = configuration(self.version, self._route_rows(), max_connections=200)
         self.store.put(CONFIGURATION_KEY, content)
-        self.version_written_s = time.monotonic()
 
     def record_disturbance(self) -> None:
         """Record a fault that concerns all hosts."""
@@ -171,15 +182,18 @@
 
     def put_entry(self, name: str, state: str = "ready") -> None:
         """Write a server's entry to the store, with the address of its proxy."""
+        self._put_state(name, state)
+        if state == "draining":
+            self.draining_since_s[name] = time.monotonic()
+        else:
+            self.draining_since_s.pop(name, None)
+
+    def _put_state(self, name: str, state: str) -> None:
         server = self.servers[name]
         direct_address = server.address
         server.address = self.proxies[name].address
         self.store.put(f"servers/{name}", server.entry(state))
         server.address = direct_address
-        if state == "draining":
-            self.draining_since_s[name] = time.monotonic()
-        else:
-            self.draining_since_s.pop(name, None)
 
     def _route_rows(self) -> list[list[Any]]:
         """Return the rows of the routes, with one route for each version so far."""
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import HttpProcessingError
@@ -30,6 +31,10 @@
 DEFAULT_BODY_TIMEOUT_S = 30.0
 """Longest wait for the body of a request whose caller set no deadline."""
 
+IDLE_CLOSE_DELAY_S = 0.3
+"""Time for which a connection has to be idle before a stopping host closes it: the
+request on one that was just accepted may still be on its way."""
+
 CALLER_STALL_TIMEOUT_S = 5.0
 """A caller that takes no bytes of a response for this long has its connection reset."""
 
@@ -65,6 +70,7 @@
         self._callers_runner: web.ServerRunner | None = None
         self._callers_site: web.TCPSite | None = None
         self._readiness_runner: web.ServerRunner | None = None
+        self._idle_since_s: dict[Any, float] = {}
 
     async def start(self) -> None:
         """Listen for readiness probes, then for callers."""
@@ -98,15 +104,23 @@
                 await runner.cleanup()
 
     def close_idle_connections(self) -> int:
-        """Close the connections that wait for a request; return how many are open."""
+        """Close the connections that wait for a request; return how many are open.
+
+        Has to be called repeatedly: a connection is closed once it has been idle for
+        :data:`IDLE_CLOSE_DELAY_S`.
+        """
         if self._callers_runner is None or self._callers_runner.server is None:
             return 0
-        for connection in [*self._callers_runner.server.connections]:
-            # Only a connection whose handler waits for the next request is idle. The
-            # current request is no sign of that: it is not set yet when a request has
-            # just been taken from the queue.
-            request_waiter = connection._waiter
-            if request_waiter is not None and not request_waiter.done():
+        now_s = asyncio.get_running_loop().time()
+        open_connections = [*self._callers_runner.server.connections]
+        idle_since_s = {
+            connection: self._idle_since_s.get(connection, now_s)
+            for connection in open_connections
+            if _is_idle(connection)
+        }
+        self._idle_since_s = idle_since_s
+        for connection, since_s in idle_since_s.items():
+            if now_s - since_s >= IDLE_CLOSE_DELAY_S:
                 connection.force_close()
         return len(self._callers_runner.server.connections)
 
@@ -205,6 +219,16 @@
         )
 
 
+def _is_idle(connection: Any) -> bool:
+    """Return whether the handler of a connection waits for the next request.
+
+    The current request is no sign of that: it is not set yet when a request has just
+    been taken from the queue.
+    """
+    request_waiter = connection._waiter
+    return request_waiter is not None and not request_waiter.done()
+
+
 async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
     """Return the body, or ``None`` when it exceeds the limit or is malformed."""
     if not request.body_exists:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from jacinthpath.gateway.service import LEAVE_ROTATION_S
 from standins.platform_documents import configuration, route
 
 from .gateway_system import ROUTES, GatewaySystem
@@ -261,3 +262,23 @@
     assert (await sending)[0] == 200
     assert system.gateways[0].unready_reason() == "leaving"
     assert await draining == 0
+
+
+async def test_connection_accepted_at_the_end_of_the_rotation_gets_its_response(system):
+    """A planned stop closed connections that had just been accepted, before their
+    requests had arrived."""
+    gateway = system.gateways[0]
+    draining = asyncio.create_task(gateway.drain())
+    await asyncio.sleep(LEAVE_ROTATION_S - 0.1)
+    reader, writer = await asyncio.open_connection(
+        *gateway.settings.callers_address.split(":")
+    )
+    await asyncio.sleep(0.25)
+    writer.write(
+        b"POST /order/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: last\r\n"
+        b"X-Request-Deadline-Ms: 800\r\nContent-Length: 0\r\n\r\n"
+    )
+    assert (await reader.read()).startswith(b"HTTP/1.1 200")
+    writer.close()
+    assert await draining == 0
+    assert executed_ids(system) == ["last"]
