--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -34,6 +34,9 @@
 from .store import ConflictingWrite, Store
 
 TICK_S = 0.1
+IDLE_TICK_S = 0.3
+"""Interval at which a host that does not lead checks whether it does."""
+
 PLANNING_INTERVAL_S = 0.3
 """Interval at which moves are planned by load."""
 
@@ -125,7 +128,8 @@
                 self._events.log_process_event(
                     "assignment_not_written", error=str(error)
                 )
-            await asyncio.sleep(TICK_S)
+            leads = self._election.authority is not None
+            await asyncio.sleep(TICK_S if leads else IDLE_TICK_S)
 
     async def run_once(self) -> None:
         """Do everything that is due now.
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -20,6 +20,7 @@
 import json
 from bisect import bisect_right
 from collections.abc import Iterable, Mapping
+from operator import le, lt
 from typing import NamedTuple
 
 from ..errors import JacinthpathError
@@ -229,8 +230,12 @@
 
     :raises ValueError: they are not, or a range is empty or exceeds the key space.
     """
-    previous_last = -1
-    for owned in ranges:
-        if not previous_last < owned.first <= owned.last < KEY_COUNT:
-            raise ValueError(f"range {owned.first} to {owned.last} is out of order")
-        previous_last = owned.last
+    firsts = [owned.first for owned in ranges]
+    lasts = [owned.last for owned in ranges]
+    in_order = (
+        all(map(le, firsts, lasts))
+        and all(map(lt, lasts, firsts[1:]))
+        and (not ranges or (firsts[0] >= 0 and lasts[-1] < KEY_COUNT))
+    )
+    if not in_order:
+        raise ValueError("the ranges overlap or are out of order")
--- a/src/jacinthpath/gateway/assignment_delta.py
+++ b/src/jacinthpath/gateway/assignment_delta.py
@@ -109,4 +109,5 @@
 ) -> tuple[OwnedRange, ...]:
     removed = set(removed_firsts)
     kept = [owned for owned in old_ranges if owned.first not in removed]
-    return tuple(sorted([*kept, *added], key=lambda owned: owned.first))
+    # Ranges sort by their first key.
+    return tuple(sorted([*kept, *added]))
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -77,6 +77,7 @@
         self.peer_store_contact_s = float("-inf")
         self.servers_contact_s = float("-inf")
         self.changed = asyncio.Event()
+        self.leader_changed = asyncio.Event()
         self._events = events
         self._decode_routes = decode_routes
         self._decode_server = decode_server
@@ -277,6 +278,8 @@
                 leader=self.leader.host if self.leader else previous.host,
                 revision=revision,
             )
+        self.leader_changed.set()
+        self.leader_changed = asyncio.Event()
         self._notify()
 
     def apply_peer_address(self, name: str, content: bytes | None) -> None:
@@ -387,14 +390,14 @@
     def _track_moves(self, assignment: Assignment) -> None:
         """Record when this host first saw each move that is in progress."""
         now_s = boottime_s()
+        moves = [
+            range_move_id(service, owned)
+            for service, ranges in assignment.ranges.items()
+            for owned in ranges
+            if owned.target
+        ]
         self.moving_since_s = {
-            move_id: self.moving_since_s.get(move_id, now_s)
-            for move_id in (
-                range_move_id(service, owned)
-                for service, ranges in assignment.ranges.items()
-                for owned in ranges
-                if owned.target
-            )
+            move: self.moving_since_s.get(move, now_s) for move in moves
         }
 
     def _notify(self) -> None:
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -23,6 +23,8 @@
 """Candidates wait a random time up to this, so that usually only one of them tries."""
 
 POLL_INTERVAL_S = 0.1
+MAX_WAIT_FOR_VACANCY_S = 1.0
+"""Longest wait for a change of the leader record before it is looked at again."""
 
 
 class LeaderElection(Service):
@@ -102,7 +104,15 @@
             elif self._is_vacant():
                 await self._campaign()
             else:
-                await asyncio.sleep(POLL_INTERVAL_S)
+                await self._wait_for_leader_change()
+
+    async def _wait_for_leader_change(self) -> None:
+        changed = self._view.leader_changed
+        try:
+            async with asyncio.timeout(MAX_WAIT_FOR_VACANCY_S):
+                await changed.wait()
+        except TimeoutError:
+            return
 
     def _owns_record(self) -> bool:
         """Return whether a claim whose response was lost has taken effect."""
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -42,7 +42,7 @@
 """Time before the end of the grace period at which unfinished requests are given up."""
 
 DRAIN_POLL_S = 0.02
-LOG_FLUSH_INTERVAL_S = 0.2
+LOG_FLUSH_INTERVAL_S = 0.5
 
 
 class CallerListener(Protocol):
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -121,9 +121,12 @@
         self._random = random
         self._health = StoreHealth(view, events, random)
         self._leader_record_read = asyncio.Event()
+        self._follows = False
+        self._follows_no_longer = asyncio.Event()
 
     async def on_start(self) -> None:
         """Start a task for each watched part of the store."""
+        self.add_future(self._track_following())
         self.add_future(self._watch_leader_record())
         for part, list_and_watch in (
             ("configuration", self._list_and_watch_configuration),
@@ -156,7 +159,7 @@
         while not self.should_stop:
             if self._is_served_by_leader(part):
                 self._health.stop_tracking(part)
-                await asyncio.sleep(FOLLOWING_POLL_S)
+                await self._follows_no_longer.wait()
                 continue
             try:
                 await list_and_watch()
@@ -174,7 +177,21 @@
         """Return whether this host need not read the part from the store."""
         if part == "leader" and self._peers.is_seed:
             return False
-        return self._peers.is_following()
+        self._update_following()
+        return self._follows
+
+    async def _track_following(self) -> None:
+        """Wake the parts that wait for the end of following, all by one timer."""
+        while not self.should_stop:
+            self._update_following()
+            await asyncio.sleep(FOLLOWING_POLL_S)
+
+    def _update_following(self) -> None:
+        self._follows = self._peers.is_following()
+        if self._follows:
+            self._follows_no_longer.clear()
+        else:
+            self._follows_no_longer.set()
 
     async def _wait_for_leader(self) -> None:
         """Wait until a working leader has had time to send its documents.
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -85,6 +85,7 @@
     """Guards against hosts that keep an old configuration when the leader is lost."""
     watcher._peers.following = True
     watcher._store = FailingStore()
+    tracking = asyncio.create_task(watcher._track_following())
     watching = asyncio.create_task(
         watcher._watch_unless_following(
             "configuration", watcher._list_and_watch_configuration
@@ -96,6 +97,7 @@
     await asyncio.sleep(0.3)
     assert watcher._store.calls
     watching.cancel()
+    tracking.cancel()
 
 
 async def test_following_host_retries_an_unavailable_store_less_often(watcher):
