Send no request whose time ran out while the host was suspended

Cause: deadlines of requests were taken from the loop's clock, which stops while a host is suspended. A host that was suspended between the choice of a server and the sending ran an order whose caller had given up. Change: the time left is the smaller one by the loop's and the boot clock, and is checked again right before the sending. Result: the new test fails without the change; the request tests pass.

--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -119,6 +119,8 @@
         if timeout_s is None:
             timeout_s = DEFAULT_TIMEOUT_S
         self._deadline_s = request.received_s + min(timeout_s, route.timeout_s)
+        # The loop's clock stops while the host is suspended, but the caller's does not.
+        self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
         self._results: list[AttemptResult] = []
         self._tried: list[str] = []
 
@@ -133,6 +135,9 @@
             )
         while True:
             choice = await self._choose_server()
+            if self._remaining_s() < MIN_ATTEMPT_S:
+                # The wait for an owner, or a suspension, has used up the time.
+                choice = ServerChoice(None, "too-little-time")
             if choice.backend is None:
                 return self._respond_without_server(choice)
             result = await self._attempt(choice.backend)
@@ -145,12 +150,13 @@
             await self._back_off(result)
 
     def _remaining_s(self) -> float:
-        return self._deadline_s - self._loop.time()
+        return min(
+            self._deadline_s - self._loop.time(),
+            self._boot_deadline_s - boottime_s(),
+        )
 
     async def _choose_server(self) -> ServerChoice:
         """Return the server for the next attempt, or the reason why there is none."""
-        if self._remaining_s() < MIN_ATTEMPT_S:
-            return ServerChoice(None, "too-little-time")
         if self._service.keyed:
             return await self._find_owner()
         backend = self._choose_untried_server()
