--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -4,6 +4,7 @@
 
 __all__ = ["ServerConnector"]
 
+from collections import deque
 from functools import partial
 from typing import Any
 
@@ -15,6 +16,9 @@
 MAX_INTERIM_RESPONSES = 8
 """Interim (1xx) responses that are skipped before a final one."""
 
+KEPT_ATTEMPT_IDS = 32
+"""Attempt ids that a connection remembers; a retry follows its first attempt closely."""
+
 READ_BYTES = 64 * 1024
 """Bytes read from a connection at a time; asyncio's default is 256 KiB."""
 
@@ -66,7 +70,7 @@
     def __init__(self, loop: Any) -> None:
         super().__init__(loop)
         self._attempt_id = ""
-        self._attempt_ids: set[str] = set()
+        self._earlier_attempt_ids: deque[str] = deque(maxlen=KEPT_ATTEMPT_IDS)
         self._exchanging = False
         self._interim_responses = 0
         self._received_bytes = 0
@@ -78,7 +82,7 @@
 
     def was_used_for(self, attempt_id: str) -> bool:
         """Return whether an earlier request on this connection had this attempt id."""
-        return attempt_id in self._attempt_ids
+        return attempt_id in self._earlier_attempt_ids
 
     def begin_exchange(self, attempt_id: str) -> None:
         """Expect the response to a request with this attempt id."""
@@ -89,7 +93,7 @@
 
     def end_exchange(self) -> None:
         """Expect no more bytes until the next request."""
-        self._attempt_ids.add(self._attempt_id)
+        self._earlier_attempt_ids.append(self._attempt_id)
         self._exchanging = False
 
     def data_received(self, data: bytes) -> None:
@@ -141,7 +145,7 @@
             return attempt_id == self._attempt_id
         if not self._attempt_id:
             return True
-        return head.code >= 300 and not self._attempt_ids
+        return head.code >= 300 and not self._earlier_attempt_ids
 
     def _break(self, detail: str) -> None:
         """Close the connection at once; a response in progress is broken."""
