Split the execution of requests into modules of one job

Change: request_dependencies.py and attempt_recorder.py; no behaviour. Result: request, attempt and layer tests pass.

--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -9,7 +9,8 @@
 from .exchange import CallerRequest, Response
 from .model import Timing
 from .owner_lookup import NO_OWNER_RETRY_S
-from .request_execution import RequestDependencies, RequestExecution
+from .request_dependencies import RequestDependencies
+from .request_execution import RequestExecution
 from .retry_budget import RetryBudget
 from .route_index import SmoothWeightedRoundRobin
 
--- /dev/null
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -0,0 +1,62 @@
+"""What all requests of a gateway share, and the responses of the gateway itself."""
+
+from __future__ import annotations
+
+__all__ = ["RequestDependencies"]
+
+from random import Random
+from typing import NamedTuple
+
+from ..metrics import Metrics
+from .attempts import jittered_retry_after_s
+from .cluster_view import ClusterView
+from .events import EventLog
+from .exchange import BackendClient, CallerRequest, Response, local_response
+from .loads import LoadRecorder
+from .owner_lookup import OwnerLookup
+from .pool import ServerPool
+
+
+class RequestDependencies(NamedTuple):
+    """Dependencies shared by all requests of a gateway."""
+
+    view: ClusterView
+    pool: ServerPool
+    owners: OwnerLookup
+    backend_client: BackendClient
+    load_recorder: LoadRecorder
+    events: EventLog
+    metrics: Metrics
+    random: Random
+
+    def respond_unavailable(
+        self, request: CallerRequest, service: str, reason: str, wait_s: float
+    ) -> Response:
+        """Return status 503: the request was not executed and will not be."""
+        retry_after_s = jittered_retry_after_s(wait_s, self.random)
+        return self.respond_locally(request, service, reason, 503, retry_after_s)
+
+    def respond_locally(
+        self,
+        request: CallerRequest,
+        service: str,
+        reason: str,
+        status: int,
+        retry_after_s: float = 0.0,
+    ) -> Response:
+        """Return a response of the gateway itself; log and count it."""
+        self.metrics.count("requests_total", outcome="own")
+        self.metrics.count("own_answers_total", reason=reason.partition(",")[0])
+        routes = self.view.routes
+        self.events.log_failure(
+            "request_answered_by_gateway",
+            id=request.request_id,
+            service=service,
+            key=request.key,
+            status=status,
+            reason=reason,
+            configuration=routes.table.version if routes else None,
+            assignment=self.view.assignment_revision,
+            belief_age_s=round(self.view.store_age_s(), 2),
+        )
+        return local_response(status, reason, retry_after_s)
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -2,32 +2,23 @@
 
 from __future__ import annotations
 
-__all__ = ["RequestDependencies", "RequestExecution"]
+__all__ = ["RequestExecution"]
 
 import asyncio
-from random import Random
-from typing import NamedTuple
 
-from ..metrics import Metrics
-from .attempts import Step, StepKind, jittered_retry_after_s, next_step
-from .body_tracking import TrackedBody
+from .attempt_recorder import Attempt, AttemptRecorder
+from .attempts import Step, StepKind, next_step
 from .clock import boottime_s
-from .cluster_view import ClusterView
-from .events import EventLog
 from .exchange import (
     NOT_EXECUTED_OUTCOMES,
     AttemptResult,
-    BackendClient,
     CallerRequest,
     Outcome,
     Response,
-    ServerNotice,
-    local_response,
 )
-from .loads import LoadRecorder
 from .model import Backend, Route, Service
-from .owner_lookup import MOVING_RETRY_S, NO_OWNER_RETRY_S, OwnerLookup, ServerChoice
-from .pool import ServerPool
+from .owner_lookup import MOVING_RETRY_S, NO_OWNER_RETRY_S, ServerChoice
+from .request_dependencies import RequestDependencies
 from .retry_budget import RetryBudget
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -40,60 +31,9 @@
 """After a server responds that it does not own the key, the new owner becomes known
 within milliseconds, because the assignment is written before the grant is sent."""
 
-TIMEOUT_FAILURE_FACTOR = 4.0
-"""A timeout is evidence against the server only beyond this multiple of the expected
-latency. Long requests take up to seven times the mean; they are three in a hundred."""
-
 MIN_ATTEMPT_S = 0.02
 """No attempt is made with less time than this left."""
 
-_NO_RESPONSE = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT})
-
-
-class RequestDependencies(NamedTuple):
-    """Dependencies shared by all requests of a gateway."""
-
-    view: ClusterView
-    pool: ServerPool
-    owners: OwnerLookup
-    backend_client: BackendClient
-    load_recorder: LoadRecorder
-    events: EventLog
-    metrics: Metrics
-    random: Random
-
-    def respond_unavailable(
-        self, request: CallerRequest, service: str, reason: str, wait_s: float
-    ) -> Response:
-        """Return status 503: the request was not executed and will not be."""
-        retry_after_s = jittered_retry_after_s(wait_s, self.random)
-        return self.respond_locally(request, service, reason, 503, retry_after_s)
-
-    def respond_locally(
-        self,
-        request: CallerRequest,
-        service: str,
-        reason: str,
-        status: int,
-        retry_after_s: float = 0.0,
-    ) -> Response:
-        """Return a response of the gateway itself; log and count it."""
-        self.metrics.count("requests_total", outcome="own")
-        self.metrics.count("own_answers_total", reason=reason.partition(",")[0])
-        routes = self.view.routes
-        self.events.log_failure(
-            "request_answered_by_gateway",
-            id=request.request_id,
-            service=service,
-            key=request.key,
-            status=status,
-            reason=reason,
-            configuration=routes.table.version if routes else None,
-            assignment=self.view.assignment_revision,
-            belief_age_s=round(self.view.store_age_s(), 2),
-        )
-        return local_response(status, reason, retry_after_s)
-
 
 class RequestExecution:
     """Executes one request.
@@ -121,6 +61,7 @@
         self._deadline_s = request.received_s + min(timeout_s, route.timeout_s)
         # The loop's clock stops while the host is suspended, but the caller's does not.
         self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
+        self._recorder = AttemptRecorder(dependencies, request, service)
         self._results: list[AttemptResult] = []
         self._tried: list[str] = []
 
@@ -229,108 +170,18 @@
                 "attempt_cancelled",
                 id=self._request.request_id,
                 server=backend.server,
-                after_ms=_ms(self._loop.time() - started_s),
+                after_ms=round(1000 * (self._loop.time() - started_s)),
             )
             raise
-        elapsed_s = self._loop.time() - started_s
-        result = self._track_stream(backend, result)
+        result = self._recorder.track_stream(backend, result)
         self._tried.append(backend.server)
         self._results.append(result)
-        dependencies.metrics.count("attempts_total", outcome=result.outcome.value)
-        if self._service.keyed:
-            self._record_load(backend, result.outcome, elapsed_s)
-        self._record_server_result(backend, result, elapsed_s)
-        self._log_attempt(backend, result, elapsed_s, remaining_s)
-        self._record_notice(backend, result.notice)
+        elapsed_s = self._loop.time() - started_s
+        self._recorder.record(
+            Attempt(len(self._results), backend, elapsed_s, remaining_s), result
+        )
         return result
 
-    def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
-        """Stop sending to a server that leaves or has asked for a pause."""
-        dependencies = self._dependencies
-        if notice.leaving:
-            dependencies.view.record_leaving(backend.server, backend.started_ms)
-        if notice.pause_s:
-            dependencies.pool.record_pause(backend, notice.pause_s, boottime_s())
-        if notice.malformed:
-            dependencies.metrics.count("malformed_notices_total")
-            if dependencies.pool.is_first_malformed(backend, boottime_s()):
-                dependencies.events.log_state_change(
-                    "server_notice_refused",
-                    server=backend.server,
-                    detail=notice.malformed,
-                )
-
-    def _track_stream(self, backend: Backend, result: AttemptResult) -> AttemptResult:
-        """Count the connection as in use until the body has ended."""
-        response = result.response
-        if response is None or response.stream is None:
-            return result
-        dependencies = self._dependencies
-        dependencies.pool.record_start(backend, boottime_s())
-
-        def handle_end(reason: str) -> None:
-            now_s = boottime_s()
-            if not reason:
-                dependencies.pool.record_inconclusive(backend, now_s)
-                return
-            dependencies.pool.record_failure(backend, now_s, no_response=False)
-            dependencies.metrics.count("bodies_broken_total")
-            dependencies.events.log_failure(
-                "body_broken",
-                id=self._request.request_id,
-                server=backend.server,
-                detail=reason,
-            )
-
-        tracked = TrackedBody(response.stream, handle_end)
-        return result._replace(response=response._replace(stream=tracked))
-
-    def _record_load(
-        self, backend: Backend, outcome: Outcome, elapsed_s: float
-    ) -> None:
-        """Record the owner's latency for the load report to the leader."""
-        load_recorder = self._dependencies.load_recorder
-        if outcome is Outcome.ANSWERED:
-            load_recorder.record_response(self._service.name, backend.server, elapsed_s)
-        elif outcome is Outcome.TIMED_OUT:
-            load_recorder.record_timeout(self._service.name, backend.server, elapsed_s)
-
-    def _record_server_result(
-        self, backend: Backend, result: AttemptResult, elapsed_s: float
-    ) -> None:
-        """Record the result in this host's statistics of the server."""
-        pool = self._dependencies.pool
-        now_s = boottime_s()
-        outcome = result.outcome
-        if result.connection_reset:
-            pool.record_reset(backend, now_s)
-        if outcome is Outcome.ANSWERED:
-            pool.record_response(backend, elapsed_s, now_s)
-            self._dependencies.metrics.observe("attempt_duration_seconds", elapsed_s)
-        elif outcome is Outcome.REFUSED:
-            pool.record_rejection(backend, now_s)
-        elif outcome is Outcome.NOT_OWNER or self._may_still_be_working(
-            backend, result, elapsed_s
-        ):
-            pool.record_inconclusive(backend, now_s)
-        elif pool.record_failure(backend, now_s, outcome in _NO_RESPONSE):
-            self._dependencies.events.log_state_change(
-                "server_ejected",
-                server=backend.server,
-                service=backend.service,
-                outcome=outcome.value,
-                detail=result.detail,
-            )
-
-    def _may_still_be_working(
-        self, backend: Backend, result: AttemptResult, elapsed_s: float
-    ) -> bool:
-        """Return whether an attempt timed out while the server may still be working."""
-        if result.outcome is not Outcome.TIMED_OUT:
-            return False
-        expected_s = self._dependencies.pool.latency_s(backend, boottime_s())
-        return elapsed_s <= TIMEOUT_FAILURE_FACTOR * expected_s
-
     async def _decide_next_step(self, result: AttemptResult) -> Step:
         if result.outcome is Outcome.ANSWERED:
             return Step(StepKind.RESPOND, "")
@@ -438,47 +289,8 @@
             self._request, self._service.name, reason, wait_s
         )
 
-    def _log_attempt(
-        self,
-        backend: Backend,
-        result: AttemptResult,
-        elapsed_s: float,
-        remaining_s: float,
-    ) -> None:
-        dependencies = self._dependencies
-        answered = result.outcome is Outcome.ANSWERED
-        write = (
-            dependencies.events.log_success
-            if answered
-            else dependencies.events.log_failure
-        )
-        now_s = boottime_s()
-        write(
-            "attempt",
-            id=self._request.request_id,
-            n=len(self._results),
-            service=self._service.name,
-            server=backend.server,
-            key=self._request.key,
-            outcome=result.outcome.value,
-            detail=result.detail,
-            took_ms=_ms(elapsed_s),
-            left_ms=_ms(remaining_s),
-            expected_ms=_ms(dependencies.pool.latency_s(backend, now_s)),
-            in_flight=dependencies.pool.in_flight(backend),
-            server_revision=backend.revision,
-            assignment=(
-                dependencies.view.assignment_revision if self._service.keyed else None
-            ),
-            belief_age_s=round(dependencies.view.store_age_s(), 2),
-        )
-
 
 def _close_stream(result: AttemptResult) -> None:
     """Close the connection of a response that is not returned to the caller."""
     if result.response is not None and result.response.stream is not None:
         result.response.stream.close()
-
-
-def _ms(duration_s: float) -> int:
-    return round(duration_s * 1000)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -19,7 +19,7 @@
 from .gateway.owner_lookup import OwnerLookup
 from .gateway.peering import Peering
 from .gateway.pool import ServerPool
-from .gateway.request_execution import RequestDependencies
+from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
 from .gateway.store_watcher import StoreWatcher
 from .keyring import SharedKey
--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -17,7 +17,7 @@
 """Interim (1xx) responses that are skipped before a final one."""
 
 KEPT_ATTEMPT_IDS = 32
-"""Attempt ids that a connection remembers; a retry follows its first attempt closely."""
+"""Attempt ids that a connection remembers: a retry soon follows its first attempt."""
 
 READ_BYTES = 64 * 1024
 """Bytes read from a connection at a time; asyncio's default is 256 KiB."""
