Begin the election as soon as the servers are known

Cause: a host that had read the vacant leader record before the first list of servers waited up to a second for another change of the record.

--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -107,9 +107,12 @@
                 await self._wait_for_leader_change()
 
     async def _wait_for_leader_change(self) -> None:
+        """Wait for the leader record to change, or for the first list of servers."""
         changed = self._view.leader_changed
+        servers_known = self._view.servers_known
+        wait_s = MAX_WAIT_FOR_VACANCY_S if servers_known else POLL_INTERVAL_S
         try:
-            async with asyncio.timeout(MAX_WAIT_FOR_VACANCY_S):
+            async with asyncio.timeout(wait_s):
                 await changed.wait()
         except TimeoutError:
             return
