Say what following a leader and holding a body mean

Cause: read as a newcomer, three docstrings and a comment told less than the code: a leader may respond and still not be followed, and who counts the bytes of a body after it was read. Change: wording only; the syntax trees without docstrings equal. Result: lint clean, fleet, layer and store watcher tests pass.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -119,7 +119,7 @@
         )
 
     def may_follow(self) -> bool:
-        """Return whether another host leads and responded when last asked."""
+        """Return whether another host leads and could be followed when last asked."""
         leader = self._view.leader
         return (
             leader is not None
@@ -197,7 +197,8 @@
             self._followed_process_id = leader.process_id
             self._unresponsive_process_id = ""
         elif not response.confirmed:
-            # Another host may lead already, which only the store tells.
+            # It may not be followed: another host may lead already, and the store alone
+            # tells which.
             self._followed_at_s = float("-inf")
             self._unresponsive_process_id = leader.process_id
 
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -84,7 +84,7 @@
         """Return whether the leader keeps this host up to date."""
 
     def may_follow(self) -> bool:
-        """Return whether another host leads and responded when last asked."""
+        """Return whether another host leads and could be followed when last asked."""
 
     async def fetch_from_peer(self) -> None:
         """Fetch and apply the documents of one peer that responds."""
--- a/src/jacinthpath/platform/response_body.py
+++ b/src/jacinthpath/platform/response_body.py
@@ -28,7 +28,8 @@
 async def read_body(response: aiohttp.ClientResponse, memory: BodyMemory) -> HeldBody:
     """Read a body up to its end, or as far as it may be held in memory.
 
-    The bytes are counted while they are read, and handed to the caller uncounted.
+    The bytes count as held while they are read; whoever keeps the parts counts them
+    from then on.
     """
     parts: list[bytes] = []
     held_bytes = 0
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -125,7 +125,7 @@
 
 
 def _is_streaming(result: AttemptResult | None) -> bool:
-    """Return whether the connection is needed for the rest of a response's body."""
+    """Return whether the connection is needed for a body that is still arriving."""
     return (
         result is not None
         and result.response is not None
