Decode the request rate that a server names, and log what a host learned of it

Change: the adapter decodes Server-Limit (lowest of several, unreadable ones are named once in the log and change nothing); each host logs server_limit_changed, the attempt lines carry limit_per_s, and attempts_total tells limited servers apart. Nothing is decided by it yet. The stand-in server names limits and keeps the times of arrivals.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -11,11 +11,16 @@
 from .exchange import AttemptResult, CallerRequest, Outcome, ServerNotice
 from .model import Backend, Service
 from .request_dependencies import RequestDependencies
+from .server_limits import LimitObservation
 
 TIMEOUT_FAILURE_FACTOR = 4.0
 """A timeout is evidence against the server only beyond this multiple of the expected
 latency. Long requests take up to seven times the mean; they are three in a hundred."""
 
+_OWN_RESPONSES = frozenset({Outcome.ANSWERED, Outcome.FAILED, Outcome.REFUSED})
+"""Outcomes that are certainly a response of the server: another one at its address
+refuses as the wrong owner."""
+
 _NO_RESPONSE = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT})
 
 
@@ -48,12 +53,23 @@
     def record(self, attempt: Attempt, result: AttemptResult) -> None:
         """Record the result of an attempt."""
         backend, elapsed_s = attempt.backend, attempt.elapsed_s
-        self._dependencies.metrics.count("attempts_total", outcome=result.outcome.value)
+        self._count(backend, result)
         if self._service.keyed:
             self._record_load(backend, result.outcome, elapsed_s)
         self._record_server_result(backend, result, elapsed_s)
         self._log(attempt, result)
         self._record_notice(backend, result.notice)
+        self._record_limit(backend, result)
+
+    def _count(self, backend: Backend, result: AttemptResult) -> None:
+        """Count the attempt by what this host knew of the server before it ended."""
+        dependencies = self._dependencies
+        limit_per_s = dependencies.view.limits.limit_of(backend, boottime_s())
+        dependencies.metrics.count(
+            "attempts_total",
+            outcome=result.outcome.value,
+            limited="no" if limit_per_s is None else "yes",
+        )
 
     def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
         """Stop sending to a server that leaves or has asked for a pause."""
@@ -71,6 +87,21 @@
                     detail=notice.malformed,
                 )
 
+    def _record_limit(self, backend: Backend, result: AttemptResult) -> None:
+        """Record the limit that a response names, or that it names none."""
+        notice = result.notice
+        named = notice.limit_per_s is not None
+        if named or (result.outcome in _OWN_RESPONSES and not notice.malformed):
+            self._dependencies.view.record_limit(
+                LimitObservation(
+                    backend.server,
+                    backend.started_ms,
+                    notice.limit_per_s,
+                    notice.received_s,
+                ),
+                "response",
+            )
+
     def track_stream(self, backend: Backend, result: AttemptResult) -> AttemptResult:
         """Count the connection as in use until the body has ended."""
         response = result.response
@@ -165,6 +196,7 @@
             left_ms=_ms(attempt.remaining_s),
             expected_ms=_ms(dependencies.pool.latency_s(backend, now_s)),
             in_flight=dependencies.pool.in_flight(backend),
+            limit_per_s=dependencies.view.limits.limit_of(backend, now_s),
             server_revision=backend.revision,
             assignment=(
                 dependencies.view.assignment_revision if self._service.keyed else None
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -26,6 +26,7 @@
 from .model import Backend, Documents, RouteTable
 from .revisions import era_of_revision
 from .route_index import RouteIndex
+from .server_limits import LimitObservation, ServerLimits
 from .store import Item
 
 MAX_REMEMBERED_REFUSALS = 1_000
@@ -65,6 +66,7 @@
     ) -> None:
         self.routes: RouteIndex | None = None
         self.directory = ServerDirectory()
+        self.limits = ServerLimits()
         self.servers_known = False
         self._first_servers_era: int | None = None
         self.assignment: Assignment = EMPTY_ASSIGNMENT
@@ -228,6 +230,18 @@
             )
             self._notify()
 
+    def record_limit(self, observation: LimitObservation, source: str) -> None:
+        """Record what a host learned about the request rate that a server accepts."""
+        if self.limits.record(observation):
+            self._events.log_state_change(
+                "server_limit_changed",
+                server=observation.server,
+                born_ms=observation.started_ms,
+                limit_per_s=observation.limit_per_s,
+                source=source,
+            )
+            self._notify()
+
     def remove_server(self, server: str, revision: int) -> None:
         """Apply the removal of a server's entry."""
         version = self.directory.version
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -117,12 +117,17 @@
 
     :param leaving: whether it is about to end and wants no more requests.
     :param pause_s: time for which it wants no requests from this host.
+    :param limit_per_s: requests a second that it takes from all hosts together, or
+        ``None`` if it names no limit.
     :param malformed: fields of the notice that could not be read, for the log.
+    :param received_s: time on the boot clock at which the response began.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
     malformed: str = ""
+    received_s: float = 0.0
 
 
 NO_NOTICE = ServerNotice()
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -19,7 +19,8 @@
     "attempts_failed_total": (
         "Attempts that failed or that the server refused, by outcome and reason."
     ),
-    "attempts_total": "Requests sent to servers, by outcome.",
+    "attempts_total": "Requests sent to servers, by outcome and whether the server has "
+    "named a limit.",
     "belief_age_seconds": (
         "Time since the last contact with the store, direct or through peers."
     ),
--- a/src/jacinthpath/platform/headers.py
+++ b/src/jacinthpath/platform/headers.py
@@ -11,6 +11,7 @@
     "RETRY_AFTER",
     "SERVER_ID",
     "SERVER_LEAVING",
+    "SERVER_LIMIT",
     "SHARD_KEY",
     "SIGNATURE",
     "STORE_ERA",
@@ -34,6 +35,10 @@
 SERVER_LEAVING = istr("Server-Leaving")
 """With the value ``1`` in all responses of a server that leaves."""
 
+SERVER_LIMIT = istr("Server-Limit")
+"""Requests a second that a server takes from all hosts together, a decimal number; in
+its responses for as long as the limit holds."""
+
 STORE_ERA = istr("Store-Era")
 """How often the store came back from an older copy; in all of its responses."""
 
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from ..gateway.body_memory import BodyMemory
+from ..gateway.clock import boottime_s
 from ..gateway.exchange import AttemptResult, CallerRequest, Outcome, Response
 from ..gateway.model import Backend
 from ..gateway.sockets import open_reset_on_close_socket
@@ -106,7 +107,7 @@
         self, response: aiohttp.ClientResponse, deadline_s: float
     ) -> AttemptResult:
         status = response.status
-        notice = read_notice(response.headers)
+        notice = read_notice(response.headers)._replace(received_s=boottime_s())
         executed = status != 421 and NOT_EXECUTED not in response.headers
         if executed and status < 300 and SIGNATURE not in response.headers:
             return AttemptResult(Outcome.BROKEN, "no signature", notice=notice)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -53,6 +53,9 @@
     - ``refused-twice``: refuses with 503, and again when the next request arrives.
     - ``error-twice``: like ``refused-twice``, without the attempt id.
     - ``paused``: refuses with 503 and a Retry-After of ``pause``.
+
+    :ivar limit: value of Server-Limit in all responses; none is sent if it is empty.
+    :ivar arrivals_s: monotonic times of the requests, commands not included.
     """
 
     def __init__(self, server: str, service: str, keyed: bool = False) -> None:
@@ -62,6 +65,8 @@
         self.fault = ""
         self.pause = "1.5"
         self.leaving = False
+        self.limit = ""
+        self.arrivals_s: list[float] = []
         self.sent_bytes = 0
         self.accepted_connections = 0
         self.refused_attempts: list[str] = []
@@ -156,6 +161,7 @@
         if request.target in ("/-/grant", "/-/release"):
             writer.write(self._handle_command(request))
             return True
+        self.arrivals_s.append(time.monotonic())
         attempt = request.headers.get("x-attempt-id", "")
         expected = request.headers.get("x-expected-instance")
         if expected and expected != self.server:
@@ -163,10 +169,10 @@
             return True
         key = request.headers.get("x-shard-key")
         if self.keyed and not (key and self.holds_key(int(key))):
-            writer.write(_message(421, {"X-Not-Executed": "1"}, b""))
+            writer.write(_message(421, self._own_fields(), b""))
             return True
         if self.fault == "overloaded":
-            writer.write(_message(503, {"X-Not-Executed": "1"}, b""))
+            writer.write(_message(503, self._own_fields(), b""))
             return True
         refused = self._refuse(attempt, writer)
         if refused:
@@ -177,9 +183,18 @@
         self.received_deadlines_ms.append(int(request.headers["x-request-deadline-ms"]))
         return await self._respond(attempt, writer)
 
+    def _own_fields(self, executed: bool = False) -> dict[str, str]:
+        """Return the fields that do not depend on the request."""
+        fields = {} if executed else {"X-Not-Executed": "1"}
+        if self.leaving:
+            fields["Server-Leaving"] = "1"
+        if self.limit:
+            fields["Server-Limit"] = self.limit
+        return fields
+
     def _refuse(self, attempt: str, writer: asyncio.StreamWriter) -> bytes:
         """Return the refusal of a request, empty if the server accepts it."""
-        fields = {"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+        fields = {**self._own_fields(), "X-Attempt-Id": attempt}
         if self.fault == "paused":
             self.refused_attempts.append(attempt)
             return _message(503, {**fields, "Retry-After": self.pause}, b"")
@@ -210,8 +225,7 @@
     async def _respond(self, attempt: str, writer: asyncio.StreamWriter) -> bool:
         body = f"answer to {attempt}".encode()
         fields = {"X-Attempt-Id": attempt, "X-Server-Signature": f"sig.{self.server}"}
-        if self.leaving:
-            fields["Server-Leaving"] = "1"
+        fields.update(self._own_fields(executed=True))
         if self.fault.startswith("endless"):
             await self._send_without_end(*_endless_parts(self.fault, fields), writer)
             return False
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -25,6 +25,7 @@
     "retry_budget",
     "revisions",
     "route_index",
+    "server_limits",
 ]
 
 IO_MODULES = {"aiohttp", "asyncio", "mode", "os", "socket", "time"}
@@ -38,6 +39,7 @@
     "traffic_split",
     "Store-Era",
     "Server-Leaving",
+    "Server-Limit",
 ]
 
 
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -4,10 +4,11 @@
 
 import aiohttp
 import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from jacinthpath.gateway.body_memory import MAX_HELD_BYTES, BodyMemory
 from jacinthpath.platform import decode_route_table
-from jacinthpath.platform.server_notice import MAX_PAUSE_S, read_notice
+from jacinthpath.platform.server_notice import MAX_LIMIT_PER_S, MAX_PAUSE_S, read_notice
 from jacinthpath.platform.values import MalformedValue
 from standins.platform_documents import configuration, route
 from standins.platform_server import LARGE_BODY
@@ -272,6 +273,27 @@
     assert bool(notice.malformed) is malformed
 
 
+@pytest.mark.parametrize(
+    ("values", "limit_per_s", "malformed"),
+    [
+        ([], None, False),
+        (["2.9"], 2.9, False),
+        (["0"], 0.0, False),
+        (["4", "2.5"], 2.5, False),
+        (["4", "x"], 4.0, True),
+        (["9" * 30], MAX_LIMIT_PER_S, False),
+        *(([v], None, True) for v in ("-1", "nan", "inf", "1e3", "", "3, 4", "9" * 31)),
+    ],
+)
+def test_limits_that_cannot_be_read_are_ignored(values, limit_per_s, malformed):
+    """Guards against a limit that a faulty server makes negative, endless or double."""
+    notice = read_notice(
+        CIMultiDictProxy(CIMultiDict([("Server-Limit", v) for v in values]))
+    )
+    assert notice.limit_per_s == limit_per_s
+    assert bool(notice.malformed) is malformed
+
+
 def test_host_forwards_at_once_when_it_holds_too_much():
     memory = BodyMemory()
     assert memory.may_hold(0, MAX_HELD_BYTES)
