Move the reports to the leader out of the peering

Change: HostReporter sends and merges reports; the composition root builds the pool of peer connections and passes the handlers. No behaviour changes.

--- /dev/null
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -0,0 +1,104 @@
+"""Reports what this host has measured to the leader, and merges others' reports."""
+
+from __future__ import annotations
+
+__all__ = ["HostReporter"]
+
+import asyncio
+from random import Random
+from typing import Any
+
+from mode import Service
+
+from ..codec import new_frame
+from ..errors import JacinthpathError
+from ..peers import PeerPool
+from .cluster_view import ClusterView
+from .events import EventLog
+from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
+from .peer_messages import read_report, write_report
+
+REPORT_INTERVAL_S = 0.3
+REQUEST_TIMEOUT_S = 0.4
+
+
+class HostReporter(Service):
+    """Sends reports to the leader; the leader merges them.
+
+    :param host: name of this host.
+    :param address: address of this host for peers.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        address: str,
+        pool: PeerPool,
+        view: ClusterView,
+        load_recorder: LoadRecorder,
+        load_aggregator: LoadAggregator,
+        events: EventLog,
+        random: Random,
+    ) -> None:
+        super().__init__()
+        self._host = host
+        self._address = address
+        self._pool = pool
+        self._view = view
+        self._load_recorder = load_recorder
+        self._load_aggregator = load_aggregator
+        self._events = events
+        self._random = random
+
+    async def on_start(self) -> None:
+        """Start to report."""
+        self.add_future(self._report_periodically())
+
+    async def _report_periodically(self) -> None:
+        loop = asyncio.get_running_loop()
+        last_report_s = loop.time()
+        while not self.should_stop:
+            await asyncio.sleep(REPORT_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+            now_s = loop.time()
+            report = self._load_recorder.collect_report(
+                self._host, now_s - last_report_s
+            )
+            last_report_s = now_s
+            report = report._replace(leaving=self._leaving_servers())
+            if report.services or report.leaving:
+                await self._send_report(report)
+
+    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
+        """Return the servers that said so, until their entries are gone.
+
+        They are reported again each time, since the leader may change.
+        """
+        return tuple(
+            LeavingServer(backend.server, backend.started_ms)
+            for backend in self._view.directory.observed_leaving()
+        )
+
+    async def _send_report(self, report: HostReport) -> None:
+        leader = self._view.leader
+        if leader is None:
+            return
+        if leader.address == self._address:
+            self._load_aggregator.add(report)
+            return
+        frame = new_frame()
+        write_report(frame.body.init("hostReport"), report)
+        try:
+            await self._pool.request(leader.address, frame, REQUEST_TIMEOUT_S)
+        except JacinthpathError as error:
+            # A lost report is not sent again: loads only guide the placement, and the
+            # next report carries newer ones.
+            self._events.log_process_event(
+                "report_not_taken", leader=leader.host, error=str(error)
+            )
+
+    async def handle_report(self, _connection: Any, frame: Any) -> None:
+        """Merge the report in a frame of another host."""
+        report = read_report(frame.body.hostReport)
+        self._load_aggregator.add(report)
+        for server, started_ms in report.leaving:
+            self._view.record_leaving(server, started_ms)
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -1,4 +1,4 @@
-"""Exchanges load reports and documents with the other gateways."""
+"""Exchanges documents with the other gateways."""
 
 from __future__ import annotations
 
@@ -15,23 +15,19 @@
 from ..errors import JacinthpathError, PeerUnavailable
 from ..keyring import SharedKey
 from ..metrics import Metrics
-from ..peers import PeerIdentity, PeerPool, PeerServer
+from ..peers import Handler, PeerIdentity, PeerPool, PeerServer
 from .assignment import LeaderProcess
 from .authority import LeaderAuthority
 from .clock import boottime_s
 from .cluster_view import ClusterView, LeaderRecord
 from .events import EventLog
-from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .peer_messages import (
     apply_documents,
     has_newer_assignment,
     has_newer_configuration,
-    read_report,
     write_documents,
-    write_report,
 )
 
-REPORT_INTERVAL_S = 0.3
 REQUEST_TIMEOUT_S = 0.4
 LONG_POLL_WAIT_S = 0.5
 """The leader responds as soon as it has updates, and after this time at the latest."""
@@ -57,6 +53,8 @@
     """Serves documents to the other gateways, and fetches theirs.
 
     :param identity: identity of this process.
+    :param pool: connections to the other gateways; closed with this service.
+    :param handlers: handlers of the frames other than requests for documents.
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
     :ivar is_seed: whether this host is one of those that others ask first.
@@ -71,8 +69,8 @@
         seeds: tuple[str, ...],
         keys: SharedKey,
         view: ClusterView,
-        load_recorder: LoadRecorder,
-        load_aggregator: LoadAggregator,
+        pool: PeerPool,
+        handlers: Mapping[str, Handler],
         metrics: Metrics,
         events: EventLog,
         random: Random,
@@ -82,8 +80,6 @@
         self._address = address
         self._seeds = seeds
         self._view = view
-        self._load_recorder = load_recorder
-        self._load_aggregator = load_aggregator
         self._events = events
         self._random = random
         self._followed_at_s = float("-inf")
@@ -91,17 +87,13 @@
         self._unresponsive_process_id = ""
         self.is_seed = address in seeds
         self.authority: Callable[[], LeaderAuthority | None] = lambda: None
-        handlers: Mapping[str, Any] = {
-            "hostReport": self._handle_report,
-            "documentsWanted": self._handle_documents_wanted,
-        }
-        self._server = PeerServer(identity, address, keys, handlers, metrics)
-        self._pool = PeerPool(identity, keys, {}, metrics, random)
+        all_handlers = {**handlers, "documentsWanted": self._handle_documents_wanted}
+        self._server = PeerServer(identity, address, keys, all_handlers, metrics)
+        self._pool = pool
 
     async def on_start(self) -> None:
-        """Listen to peers, and start reporting and following the leader."""
+        """Listen to peers, and start following the leader."""
         await self._server.start()
-        self.add_future(self._report_periodically())
         self.add_future(self._follow_leader())
 
     async def on_stop(self) -> None:
@@ -261,51 +253,3 @@
         content.confirmed = self._is_confirmed()
         write_documents(content, wanted, view)
         return response
-
-    async def _report_periodically(self) -> None:
-        loop = asyncio.get_running_loop()
-        last_report_s = loop.time()
-        while not self.should_stop:
-            await asyncio.sleep(REPORT_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
-            now_s = loop.time()
-            report = self._load_recorder.collect_report(
-                self._identity.host, now_s - last_report_s
-            )
-            last_report_s = now_s
-            report = report._replace(leaving=self._leaving_servers())
-            if report.services or report.leaving:
-                await self._send_report(report)
-
-    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
-        """Return the servers that said so, until their entries are gone.
-
-        They are reported again each time, since the leader may change.
-        """
-        return tuple(
-            LeavingServer(backend.server, backend.started_ms)
-            for backend in self._view.directory.observed_leaving()
-        )
-
-    async def _send_report(self, report: HostReport) -> None:
-        leader = self._view.leader
-        if leader is None:
-            return
-        if leader.address == self._address:
-            self._load_aggregator.add(report)
-            return
-        frame = new_frame()
-        write_report(frame.body.init("hostReport"), report)
-        try:
-            await self._pool.request(leader.address, frame, REQUEST_TIMEOUT_S)
-        except JacinthpathError as error:
-            # A lost report is not sent again: loads only guide the placement, and the
-            # next report carries newer ones.
-            self._events.log_process_event(
-                "report_not_taken", leader=leader.host, error=str(error)
-            )
-
-    async def _handle_report(self, _connection: Any, frame: Any) -> None:
-        report = read_report(frame.body.hostReport)
-        self._load_aggregator.add(report)
-        for server, started_ms in report.leaving:
-            self._view.record_leaving(server, started_ms)
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -21,6 +21,7 @@
 from .cluster_view import HOSTS_PREFIX, ClusterView
 from .events import EventLog
 from .forwarder import Forwarder
+from .host_reports import HostReporter
 from .leader_election import LeaderElection
 from .model import GatewaySettings
 from .peering import Peering
@@ -81,6 +82,7 @@
         election: LeaderElection,
         assigner: Assigner,
         peering: Peering,
+        reporter: HostReporter,
         forwarder: Forwarder,
         clients: tuple[Any, ...],
         metrics: Metrics,
@@ -99,6 +101,7 @@
         self._election = election
         self._assigner = assigner
         self._peering = peering
+        self._reporter = reporter
         self._forwarder = forwarder
         self._clients = clients
         self._metrics = metrics
@@ -118,6 +121,7 @@
             await client.start()
         await self._admin.start()
         await self.add_runtime_dependency(self._peering)
+        await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._watcher)
         await self.add_runtime_dependency(self._election)
         await self.add_runtime_dependency(self._assigner)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -13,6 +13,7 @@
 from .gateway.cluster_view import ClusterView
 from .gateway.events import EventLog
 from .gateway.forwarder import Forwarder
+from .gateway.host_reports import HostReporter
 from .gateway.leader_election import LeaderElection
 from .gateway.loads import LoadAggregator, LoadRecorder
 from .gateway.model import CallerLimits
@@ -24,7 +25,7 @@
 from .gateway.store_watcher import StoreWatcher
 from .keyring import SharedKey
 from .metrics import Metrics
-from .peers import PeerIdentity
+from .peers import PeerIdentity, PeerPool
 from .platform import (
     WATCHED_KEYS,
     CommandClient,
@@ -54,14 +55,26 @@
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
+    identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
+    peer_pool = PeerPool(identity, keys, {}, metrics, random)
+    reporter = HostReporter(
+        settings.host,
+        settings.peer_address,
+        peer_pool,
+        view,
+        load_recorder,
+        load_aggregator,
+        events,
+        random,
+    )
     peering = Peering(
-        PeerIdentity(settings.host, settings.data_centre, "gateway", process_id),
+        identity,
         settings.peer_address,
         settings.seeds,
         keys,
         view,
-        load_recorder,
-        load_aggregator,
+        peer_pool,
+        {"hostReport": reporter.handle_report},
         metrics,
         events,
         random,
@@ -112,6 +125,7 @@
         election,
         assigner,
         peering,
+        reporter,
         forwarder,
         (store, commands, servers),
         metrics,
