Keep a server's named limit over all hosts together

Cause: what one host learned of a server stayed on that host, or, of a limit, was not read at all. The class is a bound that the whole fleet has to keep and that nobody divides. Change: a host reports the limits that it is told to the leader, which passes them on with its documents. Each request to a limited server, retries included, takes a permit, which the leader issues one at a time, so a limit may be lower than the number of hosts. Without a permit an unkeyed request goes to another server and a keyed one is refused at once, with the time when a permit can be expected; none waits, so none is sent late in a burst. The leader uses the shares of the hosts that it hears of; a host that it does not count uses its own share in turns. Why it works: shares are used once, by the leader or by their host, and a leader without a confirmed lease issues nothing.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -64,11 +64,13 @@
     def _count(self, backend: Backend, result: AttemptResult) -> None:
         """Count the attempt by what this host knew of the server before it ended."""
         dependencies = self._dependencies
-        limit_per_s = dependencies.view.limits.limit_of(backend, boottime_s())
+        limit = dependencies.view.limits.find(
+            backend.server, backend.started_ms, boottime_s()
+        )
         dependencies.metrics.count(
             "attempts_total",
             outcome=result.outcome.value,
-            limited="no" if limit_per_s is None else "yes",
+            limited="yes" if limit else "no",
         )
 
     def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
@@ -92,14 +94,13 @@
         notice = result.notice
         named = notice.limit_per_s is not None
         if named or (result.outcome in _OWN_RESPONSES and not notice.malformed):
-            self._dependencies.view.record_limit(
+            self._dependencies.view.record_own_limit(
                 LimitObservation(
                     backend.server,
                     backend.started_ms,
                     notice.limit_per_s,
                     notice.received_s,
-                ),
-                "response",
+                )
             )
 
     def track_stream(self, backend: Backend, result: AttemptResult) -> AttemptResult:
@@ -183,6 +184,7 @@
             else dependencies.events.log_failure
         )
         now_s = boottime_s()
+        limit = dependencies.view.limits.find(backend.server, backend.started_ms, now_s)
         write(
             "attempt",
             id=self._request.request_id,
@@ -196,7 +198,7 @@
             left_ms=_ms(attempt.remaining_s),
             expected_ms=_ms(dependencies.pool.latency_s(backend, now_s)),
             in_flight=dependencies.pool.in_flight(backend),
-            limit_per_s=dependencies.view.limits.limit_of(backend, now_s),
+            limit_per_s=limit.limit_per_s if limit else None,
             server_revision=backend.revision,
             assignment=(
                 dependencies.view.assignment_revision if self._service.keyed else None
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -231,16 +231,24 @@
             self._notify()
 
     def record_limit(self, observation: LimitObservation, source: str) -> None:
-        """Record what a host learned about the request rate that a server accepts."""
+        """Record what a peer learned about the request rate that a server accepts."""
         if self.limits.record(observation):
-            self._events.log_state_change(
-                "server_limit_changed",
-                server=observation.server,
-                born_ms=observation.started_ms,
-                limit_per_s=observation.limit_per_s,
-                source=source,
-            )
-            self._notify()
+            self._note_limit(observation, source)
+
+    def record_own_limit(self, observation: LimitObservation) -> None:
+        """Record what a response has told about the rate that its server accepts."""
+        if self.limits.record_own(observation):
+            self._note_limit(observation, "response")
+
+    def _note_limit(self, observation: LimitObservation, source: str) -> None:
+        self._events.log_state_change(
+            "server_limit_changed",
+            server=observation.server,
+            born_ms=observation.started_ms,
+            limit_per_s=observation.limit_per_s,
+            source=source,
+        )
+        self._notify()
 
     def remove_server(self, server: str, revision: int) -> None:
         """Apply the removal of a server's entry."""
--- a/src/jacinthpath/gateway/host_reports.py
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -64,8 +64,11 @@
                 self._host, now_s - last_report_s
             )
             last_report_s = now_s
-            report = report._replace(leaving=self._leaving_servers())
-            if report.services or report.leaving:
+            report = report._replace(
+                leaving=self._leaving_servers(),
+                limits=self._view.limits.collect_report(),
+            )
+            if report.services or report.leaving or report.limits:
                 await self._send_report(report)
 
     def _leaving_servers(self) -> tuple[LeavingServer, ...]:
@@ -102,3 +105,5 @@
         self._load_aggregator.add(report)
         for server, started_ms in report.leaving:
             self._view.record_leaving(server, started_ms)
+        for limit in report.limits:
+            self._view.record_limit(limit, f"host {report.host}")
--- a/src/jacinthpath/gateway/loads.py
+++ b/src/jacinthpath/gateway/loads.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from .balance import KeyLoads
+from .server_limits import LimitObservation
 
 LOAD_DECAY_S = 2.0
 """Time constant of the exponential decay. Busy keys change as often as every four
@@ -85,12 +86,14 @@
 
     :param span_s: period that the loads cover.
     :param leaving: servers that told this host that they are leaving.
+    :param limits: limits of servers that this host learned of since the last report.
     """
 
     host: str
     span_s: float
     services: tuple[ServiceReport, ...]
     leaving: tuple[LeavingServer, ...] = ()
+    limits: tuple[LimitObservation, ...] = ()
 
 
 class LoadRecorder:
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -16,6 +16,7 @@
 from ..errors import FrameError
 from .cluster_view import ClusterView
 from .directory import ServerDelta
+from .limit_messages import has_other_limits, read_limit, write_limits
 from .loads import HostReport, LeavingServer, ServerEvidence, ServiceReport
 from .model import KEY_COUNT, Backend, Documents
 
@@ -46,6 +47,8 @@
             hosts, view.peer_addresses.items(), strict=True
         ):
             entry.host, entry.address = host, address
+    if has_other_limits(view.limits, wanted):
+        write_limits(content, view.limits.all())
 
 
 def has_newer_configuration(newest: Documents, wanted: Any) -> bool:
@@ -113,6 +116,8 @@
     if age_s < min(MAX_SERVERS_AGE_S, view.servers_age_s()):
         _apply_servers(content, view)
     view.record_peer_store_contact(age_s)
+    for entry in content.limits:
+        view.record_limit(read_limit(entry), source)
 
 
 def _apply_assignment(content: Any, view: ClusterView, source: str) -> None:
@@ -179,6 +184,7 @@
     leaving = content.init("leaving", len(report.leaving))
     for row, server in zip(leaving, report.leaving, strict=True):
         row.server, row.bornMs = server
+    write_limits(content, report.limits)
 
 
 def read_report(content: Any) -> HostReport:
@@ -199,4 +205,7 @@
         )
         services.append(ServiceReport(entry.service, keys, servers))
     leaving = tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
-    return HostReport(content.host, content.spanMs / 1000, tuple(services), leaving)
+    limits = tuple(read_limit(entry) for entry in content.limits)
+    return HostReport(
+        content.host, content.spanMs / 1000, tuple(services), leaving, limits
+    )
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -21,12 +21,14 @@
 from .clock import boottime_s
 from .cluster_view import ClusterView, LeaderRecord
 from .events import EventLog
+from .limit_messages import has_other_limits
 from .peer_messages import (
     apply_documents,
     has_newer_assignment,
     has_newer_configuration,
     write_documents,
 )
+from .permit_exchange import PermitExchange
 
 REQUEST_TIMEOUT_S = 0.4
 LONG_POLL_WAIT_S = 0.5
@@ -54,6 +56,7 @@
 
     :param identity: identity of this process.
     :param pool: connections to the other gateways; closed with this service.
+    :param permits: is told which hosts the leader hears of.
     :param handlers: handlers of the frames other than requests for documents.
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
@@ -70,6 +73,7 @@
         keys: SharedKey,
         view: ClusterView,
         pool: PeerPool,
+        permits: PermitExchange,
         handlers: Mapping[str, Handler],
         metrics: Metrics,
         events: EventLog,
@@ -90,6 +94,7 @@
         all_handlers = {**handlers, "documentsWanted": self._handle_documents_wanted}
         self._server = PeerServer(identity, address, keys, all_handlers, metrics)
         self._pool = pool
+        self._permits = permits
 
     async def on_start(self) -> None:
         """Listen to peers, and start following the leader."""
@@ -208,14 +213,22 @@
         wanted.hosts = len(view.peer_addresses)
         wanted.takesChanges = view.accepts_deltas
         wanted.waitMs = int(wait_s * 1000)
+        wanted.takesLimits = True
+        wanted.limitsDigest = view.limits.digest(boottime_s())
+        sent_s = boottime_s()
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
         apply_documents(content, view, f"peer {address}")
+        if content.countsShares:
+            self._permits.record_counted(sent_s)
         return content
 
-    async def _handle_documents_wanted(self, _connection: Any, frame: Any) -> Any:
+    async def _handle_documents_wanted(self, connection: Any, frame: Any) -> Any:
         """Respond with newer documents, and wait for them if the requester asks to."""
         wanted = frame.body.documentsWanted
+        counted = wanted.takesLimits and self._permits.count_host(
+            connection.remote.host
+        )
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
         while (
@@ -229,7 +242,9 @@
                     await changed.wait()
             except TimeoutError:
                 break
-        return self._make_documents_frame(wanted)
+        response = self._make_documents_frame(wanted)
+        response.body.documents.countsShares = counted
+        return response
 
     def _is_confirmed(self) -> bool:
         """Return whether this host leads and no other host can lead."""
@@ -242,6 +257,7 @@
             has_newer_configuration(newest, wanted)
             or has_newer_assignment(newest, wanted)
             or self._view.directory.digest() != wanted.serversDigest
+            or has_other_limits(self._view.limits, wanted)
         )
 
     def _make_documents_frame(self, wanted: Any) -> Any:
--- a/src/jacinthpath/gateway/request_dependencies.py
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -15,6 +15,7 @@
 from .loads import LoadRecorder
 from .owner_lookup import OwnerLookup
 from .pool import ServerPool
+from .rate_limiter import RateLimiter
 
 
 class RequestDependencies(NamedTuple):
@@ -23,6 +24,7 @@
     view: ClusterView
     pool: ServerPool
     owners: OwnerLookup
+    rate_limiter: RateLimiter
     backend_client: BackendClient
     load_recorder: LoadRecorder
     events: EventLog
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -64,6 +64,7 @@
         self._recorder = AttemptRecorder(dependencies, request, service)
         self._results: list[AttemptResult] = []
         self._tried: list[str] = []
+        self._limited_wait_s: dict[str, float] = {}
 
     async def run(self) -> Response:
         """Return the response."""
@@ -100,9 +101,11 @@
         """Return the server for the next attempt, or the reason why there is none."""
         if self._service.keyed:
             return await self._find_owner()
-        backend = self._choose_untried_server()
-        if backend is not None:
-            return ServerChoice(backend)
+        while (backend := self._choose_untried_server()) is not None:
+            permit = await self._dependencies.rate_limiter.acquire(backend)
+            if permit.granted:
+                return ServerChoice(backend)
+            self._limited_wait_s[backend.server] = permit.retry_s
         return self._explain_no_server()
 
     def _explain_no_server(self) -> ServerChoice:
@@ -118,13 +121,20 @@
             return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
         now_s = boottime_s()
         pool = self._dependencies.pool
-        pause_s = min(pool.pause_left_s(backend, now_s) for backend in backends)
-        if pause_s:
-            return ServerChoice(None, "servers-paused", pause_s)
+        wait_s = min(
+            max(
+                pool.pause_left_s(backend, now_s),
+                self._limited_wait_s.get(backend.server, 0.0),
+            )
+            for backend in backends
+        )
+        if wait_s:
+            reason = "servers-limited" if self._limited_wait_s else "servers-paused"
+            return ServerChoice(None, reason, wait_s)
         return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
 
     async def _find_owner(self) -> ServerChoice:
-        """Return the key's owner unless this host is at its connection limit there."""
+        """Return the key's owner unless a limit keeps this host from sending to it."""
         choice = await self._dependencies.owners.find(
             self._service.name, self._request.key, self._remaining_s
         )
@@ -137,13 +147,19 @@
             limit = min(limit, pool.window(backend))
         if pool.in_flight(backend) >= limit:
             return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
+        permit = await self._dependencies.rate_limiter.acquire(backend)
+        if not permit.granted:
+            return ServerChoice(None, "owner-limited", permit.retry_s)
         return choice
 
     def _choose_untried_server(self) -> Backend | None:
         """Return a server of an unkeyed service that was not tried yet."""
         backends = self._dependencies.view.directory.servers_of(self._service.name)
         return self._dependencies.pool.choose(
-            backends, boottime_s(), self._tried, self._connection_limit()
+            backends,
+            boottime_s(),
+            {*self._tried, *self._limited_wait_s},
+            self._connection_limit(),
         )
 
     def _connection_limit(self) -> int:
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -19,7 +19,9 @@
 from .gateway.model import CallerLimits
 from .gateway.owner_lookup import OwnerLookup
 from .gateway.peering import Peering
+from .gateway.permit_exchange import PermitExchange
 from .gateway.pool import ServerPool
+from .gateway.rate_limiter import RateLimiter
 from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
 from .gateway.store_watcher import StoreWatcher
@@ -57,6 +59,7 @@
     pool = ServerPool(settings.data_centre, random)
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
+    permits = PermitExchange(settings.host, settings.peer_address, peer_pool, view)
     reporter = HostReporter(
         settings.host,
         settings.peer_address,
@@ -74,7 +77,11 @@
         keys,
         view,
         peer_pool,
-        {"hostReport": reporter.handle_report},
+        permits,
+        {
+            "hostReport": reporter.handle_report,
+            "permitWanted": permits.handle_permit_wanted,
+        },
         metrics,
         events,
         random,
@@ -98,7 +105,7 @@
         process_id,
         settings.lease_min_s,
     )
-    peering.authority = lambda: election.authority
+    peering.authority = permits.authority = lambda: election.authority
     assigner = Assigner(
         store,
         view,
@@ -113,7 +120,15 @@
     )
     owner_lookup = OwnerLookup(view, pool, settings.timing.drain_s)
     dependencies = RequestDependencies(
-        view, pool, owner_lookup, servers, load_recorder, events, metrics, random
+        view,
+        pool,
+        owner_lookup,
+        RateLimiter(view, permits, metrics, random),
+        servers,
+        load_recorder,
+        events,
+        metrics,
+        random,
     )
     forwarder = Forwarder(dependencies, settings.timing)
     gateway = GatewayService(
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -39,6 +39,10 @@
     "gossip_actions_dropped_total": "Gossip actions that were dropped under load.",
     "gossip_failures_total": "Gossip actions that failed.",
     "leading": "1 while this host leads.",
+    "limit_permits_total": (
+        "Requests to servers that name a limit, by whether and by whom they were "
+        "permitted."
+    ),
     "log_lines_left_out_total": (
         "Log lines dropped because of the rate limit of their kind or a full buffer."
     ),
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -36,6 +36,8 @@
     hostReport @27 :HostReport;
     documentsWanted @28 :DocumentsWanted;
     documents @29 :Documents;
+    permitWanted @30 :ServerLimit;    # Wants to send one request to a limited server.
+    permit @31 :Permit;
   }
 }
 
@@ -275,11 +277,27 @@
   bornMs @1 :UInt64;
 }
 
+struct ServerLimit {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  named @2 :Bool;           # Whether the server names a limit.
+  perSecond @3 :Float64;    # Requests from all hosts together.
+  ageMs @4 :UInt32;         # Since a host received the response that told so.
+}
+
+struct Permit {
+  confirmed @0 :Bool;       # False when the responding host may not issue permits.
+  granted @1 :Bool;
+  retryMs @2 :UInt32;       # When a refused caller should return.
+  nextMs @3 :UInt32;        # When the next permit can be issued.
+}
+
 struct HostReport {
   host @0 :Text;
   spanMs @1 :UInt32;
   services @2 :List(ServiceReport);
   leaving @3 :List(LeavingServer);    # Servers that told this host that they leave.
+  limits @4 :List(ServerLimit);       # Observed since the last report.
 }
 
 struct DocumentsWanted {
@@ -291,6 +309,8 @@
   takesChanges @5 :Bool;              # Whether the response may contain deltas.
   configurationVersion @6 :UInt64;    # Of the operator; 0 when the sender has none.
   assignmentFence @7 :UInt64;         # Of the assignment; 0 when the sender has none.
+  takesLimits @8 :Bool;               # Whether the sender keeps limits of servers.
+  limitsDigest @9 :UInt64;            # Of the limits that it knows; 0 for none.
 }
 
 struct ServerEntry {
@@ -321,6 +341,9 @@
   serversGone @11 :List(Text);        # With serversBase: servers to remove.
   confirmed @12 :Bool;                # Whether the leader's lease is confirmed, so that
                                       # no other host can lead.
+  limits @13 :List(ServerLimit);      # All, or none when the digests are equal.
+  countsShares @14 :Bool;             # Whether the leader issues the permits for the
+                                      # requester's shares of the limits.
 }
 
 struct HostAddress {
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -18,6 +18,7 @@
     "directory",
     "exchange",
     "fence_sweep",
+    "limit_permits",
     "loads",
     "model",
     "ownership",
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from jacinthpath.gateway.clock import boottime_s
+
 from .gateway_system import GatewaySystem
 
 LIMIT_PER_S = 2.0
@@ -57,3 +59,59 @@
     for server in servers:
         count = most_in_window(server, named_s + SETTLING_S)
         assert 4 <= count <= ALLOWED_IN_WINDOW
+
+
+async def test_refused_caller_is_told_when_to_return(fleet):
+    """Guards against callers that wait for a permit, or are told nothing."""
+    for server in fleet.servers.values():
+        server.limit = "0.5"
+    for number in range(12):
+        await fleet.send("/keyed/x", f"n{number}", number % 3, key=number * 5_000)
+    sent_s = time.monotonic()
+    replies = [await fleet.send("/read/x", f"r{number}") for number in range(8)]
+    replies += [
+        await fleet.send("/keyed/x", f"k{number}", key=9) for number in range(8)
+    ]
+    assert time.monotonic() - sent_s < 1.0
+    refused = [headers for status, headers, _ in replies if status == 503]
+    assert len(refused) >= 10
+    assert all(0.2 < float(headers["Retry-After"]) < 4 for headers in refused)
+
+
+async def test_limit_that_is_raised_or_ends_is_noticed_by_all_hosts(fleet):
+    """Guards against a server that keeps getting less than it takes again."""
+    server = fleet.servers["p0"]
+    server.limit = fleet.servers["p1"].limit = "2"
+    await call_steadily(fleet, "/read/x", 2.0)
+    assert all(gateway._view.limits.digest(boottime_s()) for gateway in fleet.gateways)
+    server.limit = fleet.servers["p1"].limit = ""
+    await call_steadily(fleet, "/read/x", 2.0)
+    assert await call_steadily(fleet, "/read/x", 1.0) == [200] * CALLS_PER_S
+
+
+async def test_restarted_server_is_not_held_to_its_earlier_limit(fleet):
+    for server in fleet.servers.values():
+        server.limit = "0.5"
+    await call_steadily(fleet, "/read/x", 0.5)
+    for name in ("p0", "p1"):
+        fleet.servers[name].limit = ""
+        fleet.servers[name].restart()
+        fleet.store.put(f"servers/{name}", fleet.servers[name].entry())
+    await asyncio.sleep(1.0)
+    assert await call_steadily(fleet, "/read/x", 0.5) == [200] * (CALLS_PER_S // 2)
+
+
+async def test_limit_is_kept_while_the_leader_stops(fleet):
+    """Guards against a limit that the old and the new leader both use up."""
+    servers = [s for s in fleet.servers.values() if s.service == "plain"]
+    for server in servers:
+        server.limit = str(LIMIT_PER_S)
+    await call_steadily(fleet, "/read/x", 1.0)
+    named_s = time.monotonic()
+    calls = asyncio.create_task(call_steadily(fleet, "/read/x", 8.0))
+    await asyncio.sleep(1.0)
+    leader = next(g for g in fleet.gateways if g._election.authority is not None)
+    await leader._election.resign()
+    await calls
+    for server in servers:
+        assert 4 <= most_in_window(server, named_s) <= ALLOWED_IN_WINDOW
