Move keys away from servers that take fewer requests than their keys get

Cause: the placement took a server's speed from its latencies alone; one that asks for fewer requests is fast. Change: the placement lowers the speed of a limited server so that its keys get at most 70% of what it takes; the rest is for the unevenness of arrivals. The permits not used are kept for one second instead of a quarter, so that two requests that come together need not fail.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -324,7 +324,7 @@
         self._loads.decay(now_s)
         changed = False
         for service in [*leader_state.ownership.range_states]:
-            for move in leader_state.planner.plan_service_moves(service):
+            for move in leader_state.planner.plan_service_moves(service, now_s):
                 if leader_state.ownership.begin_move(service, *move, now_s):
                     self._events.log_state_change(
                         "move_begun", service=service, **move._asdict()
--- a/src/jacinthpath/gateway/limit_permits.py
+++ b/src/jacinthpath/gateway/limit_permits.py
@@ -18,7 +18,7 @@
 """A server with a lower limit is still sent a request every ten seconds, whose response
 tells whether the limit holds."""
 
-BURST_S = 0.25
+BURST_S = 1.0
 """Permits that are not used are kept for this long, but at least one of them is."""
 
 HOST_TIMEOUT_S = 1.5
--- a/src/jacinthpath/gateway/move_planning.py
+++ b/src/jacinthpath/gateway/move_planning.py
@@ -4,7 +4,10 @@
 
 __all__ = ["MovePlanner"]
 
+import math
+
 from .balance import CandidateServer, RangeMove, initial_ranges, plan_moves
+from .capped_speeds import cap_speeds
 from .cluster_view import ClusterView
 from .loads import LoadAggregator
 from .model import Backend
@@ -50,13 +53,14 @@
             ]
         return owners
 
-    def plan_service_moves(self, service: str) -> list[RangeMove]:
+    def plan_service_moves(self, service: str, now_s: float) -> list[RangeMove]:
         """Return the moves to begin now in a service."""
-        candidates = self._candidates(service)
+        loads = self._loads.key_loads(service)
+        candidates = self._candidates(service, loads.total, now_s)
         if all(candidate.evacuating for candidate in candidates):
             return []
         ranges = [state.owned for state in self._ownership.range_states[service]]
-        return plan_moves(ranges, candidates, self._loads.key_loads(service))
+        return plan_moves(ranges, candidates, loads)
 
     def retarget(self) -> bool:
         """Choose other targets for moves to missing, draining or unresponsive servers.
@@ -96,23 +100,39 @@
         backends = self._view.directory.servers_of(service)
         return [backend for backend in backends if not backend.draining]
 
-    def _candidates(self, service: str) -> list[CandidateServer]:
+    def _candidates(
+        self, service: str, rate_per_s: float, now_s: float
+    ) -> list[CandidateServer]:
         unresponsive = self._unresponsive_servers(service, FAILURES_BEFORE_MOVE)
         suspected = self._unresponsive_servers(service, 1)
-        speeds = self._loads.speeds(service)
+        measured = self._loads.speeds(service)
+        ready_servers = self.ready_servers(service)
+        speeds = {b.server: measured.get(b.server, 1.0) for b in ready_servers}
+        capped = cap_speeds(speeds, self._limits(ready_servers, now_s), rate_per_s)
         return [
             CandidateServer(
-                server=backend.server,
-                speed=speeds.get(backend.server, 1.0),
-                evacuating=backend.server in unresponsive,
-                requests_per_slot=self._loads.requests_per_slot(
-                    service, backend.server
+                server=server,
+                speed=capped[server],
+                evacuating=server in unresponsive,
+                requests_per_slot=(
+                    math.inf
+                    if capped[server] < speed
+                    else self._loads.requests_per_slot(service, server)
                 ),
-                accepting=backend.server not in suspected,
+                accepting=server not in suspected,
             )
-            for backend in self.ready_servers(service)
+            for server, speed in speeds.items()
         ]
 
+    def _limits(self, backends: list[Backend], now_s: float) -> dict[str, float]:
+        """Return the requests a second that servers take, for those that say so."""
+        limits = {}
+        for backend in backends:
+            limit = self._view.limits.find(backend.server, backend.started_ms, now_s)
+            if limit is not None:
+                limits[backend.server] = limit.limit_per_s
+        return limits
+
     def _unresponsive_servers(self, service: str, failures: int) -> set[str]:
         """Return the servers with at least this many failed grants in a row."""
         return {
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -28,6 +28,7 @@
 )
 from jacinthpath.gateway.route_index import RouteIndex
 from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
+from jacinthpath.gateway.server_limits import ServerLimits
 from jacinthpath.gateway.store import ConflictingWrite, Item
 
 SERVICE = "preview"
@@ -238,6 +239,7 @@
         service = Service(SERVICE, True, 100, "/health", 3.0)
         self.routes = RouteIndex(RouteTable(1, (), {SERVICE: service}, None))
         self.directory = Directory(simulation)
+        self.limits = ServerLimits()
         self.assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
         self.moving_since_s = {}
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -15,6 +15,7 @@
     "balance",
     "body_memory",
     "body_tracking",
+    "capped_speeds",
     "directory",
     "exchange",
     "fence_sweep",
--- a/tests/test_limit_permits.py
+++ b/tests/test_limit_permits.py
@@ -6,6 +6,7 @@
 
 from jacinthpath.errors import PeerUnavailable
 from jacinthpath.gateway import rate_limiter
+from jacinthpath.gateway.capped_speeds import cap_speeds
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.limit_permits import MAX_RETRY_S, OwnShare, PermitIssuer
 from jacinthpath.gateway.model import Backend
@@ -207,3 +208,28 @@
     old.record(LimitObservation("s1", 5, 4.0, 10.0))
     assert fresh.digest(34.0) == old.digest(34.0) != 0
     assert fresh.digest(36.0) != old.digest(36.0)
+
+
+@pytest.mark.parametrize(
+    ("speeds", "limits", "rate_per_s", "expected_loads"),
+    [
+        ({"a": 1.0, "b": 1.0}, {}, 20.0, {"a": 10.0, "b": 10.0}),
+        ({"a": 1.0, "b": 1.0}, {"a": 100.0}, 20.0, {"a": 10.0, "b": 10.0}),
+        ({"a": 1.0, "b": 1.0}, {"a": 4.0}, 20.0, {"a": 2.8, "b": 17.2}),
+        (
+            {"a": 1.0, "b": 2.0, "c": 1.0},
+            {"a": 2.0, "b": 18.0},
+            28.0,
+            {"a": 1.4, "b": 12.6},
+        ),
+        ({"a": 1.0, "b": 1.0}, {"a": 3.0, "b": 1.0}, 40.0, {"a": 30.0, "b": 10.0}),
+        ({"a": 1.0, "b": 1.0}, {"a": 0.0}, 20.0, {"a": 0.0, "b": 20.0}),
+        ({"a": 1.0}, {"a": 2.0}, 0.0, {"a": 0.0}),
+    ],
+)
+def test_load_is_shared_within_the_limits(speeds, limits, rate_per_s, expected_loads):
+    """Guards against keys that stay with a server that refuses their requests."""
+    capped = cap_speeds(speeds, limits, rate_per_s)
+    total = sum(capped.values())
+    for server, load in expected_loads.items():
+        assert rate_per_s * capped[server] / total == pytest.approx(load, abs=0.02)
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -115,3 +115,15 @@
     await calls
     for server in servers:
         assert 4 <= most_in_window(server, named_s) <= ALLOWED_IN_WINDOW
+
+
+async def test_keys_of_a_limited_owner_are_served_by_others(fleet):
+    """Guards against keys that are refused while other servers could serve them."""
+    fleet.servers["k0"].limit = str(LIMIT_PER_S)
+
+    def key_of(number):
+        return number * 997 % 65_536
+
+    await call_steadily(fleet, "/keyed/x", 5.0, key_of)
+    statuses = await call_steadily(fleet, "/keyed/x", 3.0, key_of)
+    assert statuses.count(200) >= 0.95 * len(statuses)
