Play limited servers in the soak

A server names a limit for some seconds; the soak checks the rate of its requests while hosts are killed, paused and cut from the store. A violated limit is detected by a test.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -32,6 +32,10 @@
     "error-twice",
     "paused",
 ]
+LIMITS = ["0.5", "2", "10"]
+MIN_LIMITED_S = 8.0
+"""A limit is checked from some seconds after it was named."""
+
 PROXY_MODES = ["delay", "reset", "silent", "one-way"]
 STORE_MODES = ["busy", "silent", "lossy"]
 RESTART_DELAY_S = 0.5
@@ -166,6 +170,15 @@
     system.put_entry(name)
 
 
+@fault("server-limited")
+async def _limit_server(system: System, duration_s: float) -> None:
+    """A server names the request rate that it takes from all hosts together."""
+    name = system.random.choice([*system.servers])
+    system.name_limit(name, system.random.choice(LIMITS))
+    await asyncio.sleep(MIN_LIMITED_S + duration_s)
+    system.end_limit(name)
+
+
 @fault("server-path")
 async def _disturb_server_path(system: System, duration_s: float) -> None:
     proxy = system.random.choice([*system.proxies.values()])
@@ -222,6 +235,7 @@
         proxy.mode = "pass"
     for name, server in system.servers.items():
         server.fault = ""
+        system.end_limit(name)
         if name in system.draining_since_s or server.leaving:
             server.leaving = False
             server.restart()
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from bisect import bisect_left
 from collections import Counter
 from typing import NamedTuple
 
@@ -17,6 +18,14 @@
 UNDISTURBED_S = 3.0
 """Guarantees with a time limit apply only this long after the last disturbance."""
 
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLING_S = 3.0
+"""A limit has to be kept from this long after its server first named it."""
+
+LIMIT_SLACK = 5
+"""Requests allowed beyond one and a half times the limit; as many more for each host
+that was disturbed, since a host that starts knows no limits."""
+
 MAX_LOOP_DELAY_S = 0.2
 SCHEDULING_TOLERANCE_S = 0.5
 """Tolerance for the soak itself, which may observe an event late on a busy machine."""
@@ -59,6 +68,7 @@
             self._check_owners()
             self._check_executions()
             self._check_processes()
+            self._check_limits()
             sleep_started_s = time.monotonic()
             await asyncio.sleep(CHECK_INTERVAL_S)
             if time.monotonic() - sleep_started_s > CHECK_INTERVAL_S + MAX_LOOP_DELAY_S:
@@ -125,6 +135,28 @@
                 "after it began to drain",
             )
 
+    def _check_limits(self) -> None:
+        """Check the requests of the last seconds at servers that name a limit."""
+        window_start_s = time.monotonic() - LIMIT_WINDOW_S
+        disturbed_hosts = sum(
+            gateway.last_disturbance_s + LIMIT_SETTLING_S >= window_start_s
+            for gateway in self._system.gateways
+        )
+        for name, limited_since_s in self._system.limited_since_s.items():
+            server = self._system.servers[name]
+            named_s = max(limited_since_s, server.started_s)
+            if named_s + LIMIT_SETTLING_S > window_start_s:
+                continue
+            first = bisect_left(server.arrivals_s, window_start_s)
+            count = len(server.arrivals_s) - first
+            allowed = 1.5 * float(server.limit) * LIMIT_WINDOW_S + LIMIT_SLACK
+            if count > allowed + LIMIT_SLACK * disturbed_hosts:
+                self.record_violation(
+                    "limit",
+                    f"{name} named {server.limit} a second and got {count} requests "
+                    f"in {LIMIT_WINDOW_S} s, with {disturbed_hosts} disturbed hosts",
+                )
+
     def _check_processes(self) -> None:
         for gateway in self._system.gateways:
             if gateway.has_exited_unexpectedly():
--- a/soak/system.py
+++ b/soak/system.py
@@ -133,6 +133,7 @@
         self.version_written_s = 0.0
         self.last_disturbance_s = 0.0
         self.draining_since_s: dict[str, float] = {}
+        self.limited_since_s: dict[str, float] = {}
 
     async def start(self, hosts: int, servers: int) -> None:
         """Start the store, ``servers`` servers per service and ``hosts`` gateways."""
@@ -188,6 +189,16 @@
         else:
             self.draining_since_s.pop(name, None)
 
+    def name_limit(self, name: str, limit: str) -> None:
+        """Let a server name a limit in its responses."""
+        self.servers[name].limit = limit
+        self.limited_since_s[name] = time.monotonic()
+
+    def end_limit(self, name: str) -> None:
+        """Let a server name no limit."""
+        self.servers[name].limit = ""
+        self.limited_since_s.pop(name, None)
+
     def _put_state(self, name: str, state: str) -> None:
         server = self.servers[name]
         direct_address = server.address
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -80,6 +80,7 @@
         self.fences = [0] * KEY_COUNT
         self.address = ""
         self.started_ms = int(time.time() * 1000)
+        self.started_s = time.monotonic()
         self._listener: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -121,6 +122,7 @@
     def restart(self) -> None:
         """Begin a new incarnation under the same id, which keeps no earlier state."""
         self.started_ms = max(self.started_ms + 1, int(time.time() * 1000))
+        self.started_s = time.monotonic()
         self.held_ranges.clear()
         self.fences = [0] * KEY_COUNT
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -89,6 +89,16 @@
     assert check(checker) == ["drain"]
 
 
+def test_exceeded_limit_is_detected(system, checker):
+    system.gateways[0].last_disturbance_s = time.monotonic() - 60.0
+    server = system.servers["keys-0"]
+    system.name_limit("keys-0", "2")
+    system.limited_since_s["keys-0"] = server.started_s = time.monotonic() - 60.0
+    server.arrivals_s += [time.monotonic() - 1.0] * 18
+    checker._check_limits()
+    assert [line.partition("s  ")[2][:5] for line in checker.violations] == ["limit"]
+
+
 def test_unexpected_process_exit_is_detected(system, checker):
     system.gateways[0].process.returncode = 1
     assert check(checker) == ["process"]
