Log the fingerprint of requests whose attempts fail

Change: attempt lines that are not answered carry a digest of caller, method, host, path and body. The adapter passes the caller's address on.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -9,6 +9,7 @@
 from .body_tracking import TrackedBody
 from .clock import boottime_s
 from .exchange import AttemptResult, CallerRequest, Outcome, ServerNotice
+from .fingerprints import fingerprint_of
 from .model import Backend, Service
 from .request_dependencies import RequestDependencies
 from .server_limits import LimitObservation
@@ -192,6 +193,7 @@
             service=self._service.name,
             server=backend.server,
             key=self._request.key,
+            fingerprint=None if answered else f"{fingerprint_of(self._request):016x}",
             outcome=result.outcome.value,
             detail=result.detail,
             took_ms=_ms(attempt.elapsed_s),
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -35,6 +35,7 @@
     :param received_s: loop time at which the request arrived.
     :param timeout_s: how long the caller waits, or ``None`` if it set no deadline.
     :param headers: header fields to forward.
+    :param caller: IP address of the caller.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     timeout_s: float | None
     headers: CIMultiDict[str]
     body: bytes
+    caller: str = ""
 
 
 class Outcome(enum.Enum):
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -216,6 +216,7 @@
             timeout_s=timeout_s,
             headers=forwarded_fields(request.headers, REMOVED_FIELDS),
             body=body,
+            caller=request.remote or "",
         )
 
 
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -19,6 +19,7 @@
     "directory",
     "exchange",
     "fence_sweep",
+    "fingerprints",
     "limit_permits",
     "loads",
     "model",
