--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 KEY_COUNT = 65_536
@@ -54,6 +55,9 @@
     - ``error-twice``: like ``refused-twice``, without the attempt id.
     - ``paused``: refuses with 503 and a Retry-After of ``pause``.
 
+    :ivar crashing_path: a request whose target begins so ends the server when it begins
+        to run; the server is back at its address after ``down_s``.
+    :ivar ended_s: monotonic times of these ends.
     :ivar limit: value of Server-Limit in all responses; none is sent if it is empty.
     :ivar arrivals_s: monotonic times of the requests, commands not included.
     """
@@ -65,6 +69,10 @@
         self.fault = ""
         self.pause = "1.5"
         self.leaving = False
+        self.crashing_path = ""
+        self.down_s = 1.0
+        self.ended_s: list[float] = []
+        self.handle_return: Callable[[PlatformServerStandIn], None] | None = None
         self.limit = ""
         self.arrivals_s: list[float] = []
         self.sent_bytes = 0
@@ -82,6 +90,7 @@
         self.started_ms = int(time.time() * 1000)
         self.started_s = time.monotonic()
         self._listener: asyncio.Server | None = None
+        self._closed = False
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -92,6 +101,7 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
+        self._closed = True
         self._listener.close()
         for writer in [*self._writers]:
             writer.close()
@@ -126,6 +136,26 @@
         self.held_ranges.clear()
         self.fences = [0] * KEY_COUNT
 
+    def _crash(self) -> None:
+        """End with a reset of all connections, and come back a while later."""
+        self.ended_s.append(time.monotonic())
+        self._listener.close()
+        for writer in [*self._writers]:
+            _reset(writer)
+        asyncio.get_running_loop().call_later(
+            self.down_s, lambda: asyncio.ensure_future(self._return())
+        )
+
+    async def _return(self) -> None:
+        """Listen again, as another incarnation."""
+        if self._closed:
+            return
+        host, _, port = self.address.rpartition(":")
+        self._listener = await asyncio.start_server(self._serve, host, int(port))
+        self.restart()
+        if self.handle_return is not None:
+            self.handle_return(self)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -180,6 +210,9 @@
         if refused:
             writer.write(refused)
             return True
+        if self.crashing_path and request.target.startswith(self.crashing_path):
+            self._crash()
+            return False
         self.executed_attempts.append(attempt)
         self.executed_requests.append((request.method, request.target, request.body))
         self.received_deadlines_ms.append(int(request.headers["x-request-deadline-ms"]))
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -1,10 +1,22 @@
 """A request that ends each server that begins to run it, and comes again."""
 
+import asyncio
+import time
+
 import pytest
 
 from jacinthpath.gateway.exchange import CallerRequest
 from jacinthpath.gateway.fingerprints import fingerprint_of
 
+from .gateway_system import GatewaySystem
+
+CRASHING_PATH = "/read/crash"
+SETTLING_S = 3.0
+"""Time after the third end within which all hosts have to know the request."""
+
+ALLOWED_LATER = 3
+DURATION_S = 8.0
+
 
 def make_request(**changes):
     request = CallerRequest(
@@ -33,3 +45,45 @@
 def test_other_requests_have_other_fingerprints(change):
     """Guards against other requests that are taken for the one that ends servers."""
     assert fingerprint_of(make_request(**change)) != fingerprint_of(make_request())
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    system = GatewaySystem(tmp_path)
+    await system.start(plain=6, gateways=3)
+    for server in system.servers.values():
+        server.crashing_path = CRASHING_PATH
+        server.handle_return = lambda one: system.store.put(
+            f"servers/{one.server}", one.entry()
+        )
+    await system.wait_until_ready()
+    yield system
+    await system.close()
+
+
+def ends(fleet):
+    return sorted(at_s for server in fleet.servers.values() for at_s in server.ended_s)
+
+
+async def send_repeatedly(fleet, path, interval_s):
+    """Send requests to the hosts in turn; return their statuses."""
+    statuses = []
+    started_s = time.monotonic()
+    while time.monotonic() - started_s < DURATION_S:
+        number = len(statuses)
+        status, _, _ = await fleet.send(path, f"{path}-{number}", number % 3)
+        statuses.append(status)
+        await asyncio.sleep(interval_s)
+    return statuses
+
+
+async def test_request_that_ended_three_servers_ends_no_more(fleet):
+    """Guards against a request that ends one server after the other."""
+    _, others = await asyncio.gather(
+        send_repeatedly(fleet, CRASHING_PATH, 0.25),
+        send_repeatedly(fleet, "/read/other", 0.02),
+    )
+    third_s = ends(fleet)[2]
+    later = [at_s for at_s in ends(fleet) if at_s > third_s + SETTLING_S]
+    assert len(later) <= ALLOWED_LATER
+    assert others.count(200) >= 0.95 * len(others)
