Block a request that was in flight when three servers ended

Cause: each host took every coming of the request for a new one and, since its response was lost, sent it to a second server; no host knew what the others had seen. Change: a host whose request lost its connection before any response asks whether the server still listens. If not, it reports the request's fingerprint to the leader at once. The leader blocks a request that was there at three ends; the ends are then explained, so requests that were merely there with it are suspected no longer. Blocked requests go to all hosts with the documents and are answered 503 with the true time, since this coming of them was not run. After 300 s a request may come back, and one more end blocks it for twice as long. Hosts that follow no leader decide by their own reports; a new leader gets all reports again. Why it works: a reset, a cut, a timeout or a planned end leave a server that listens, does not answer, or drains, and count as nothing.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -61,6 +61,9 @@
         self._log(attempt, result)
         self._record_notice(backend, result.notice)
         self._record_limit(backend, result)
+        if result.connection_lost:
+            fingerprint = fingerprint_of(self._request)
+            self._dependencies.crash_detector.suspect(fingerprint, backend)
 
     def _count(self, backend: Backend, result: AttemptResult) -> None:
         """Count the attempt by what this host knew of the server before it ended."""
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -150,7 +150,7 @@
             routes=len(table.routes),
             source=source,
         )
-        self._notify()
+        self.notify()
 
     def apply_assignment(self, content: bytes, revision: int, source: str) -> None:
         """Apply an assignment unless a newer one is known.
@@ -209,7 +209,7 @@
             moving=len(self.moving_since_s),
             source=source,
         )
-        self._notify()
+        self.notify()
 
     def apply_server(self, server: str, content: bytes, revision: int) -> None:
         """Apply the entry of a server."""
@@ -220,7 +220,7 @@
         self.directory.put(backend, boottime_s())
         self._log_server_change(previous, backend)
         if previous is None or previous.draining != backend.draining:
-            self._notify()
+            self.notify()
 
     def record_leaving(self, server: str, started_ms: int) -> None:
         """Record that an incarnation of a server has said that it is leaving."""
@@ -228,7 +228,7 @@
             self._events.log_state_change(
                 "server_leaving", server=server, born_ms=started_ms
             )
-            self._notify()
+            self.notify()
 
     def record_limit(self, observation: LimitObservation, source: str) -> None:
         """Record what a peer learned about the request rate that a server accepts."""
@@ -248,7 +248,7 @@
             limit_per_s=observation.limit_per_s,
             source=source,
         )
-        self._notify()
+        self.notify()
 
     def remove_server(self, server: str, revision: int) -> None:
         """Apply the removal of a server's entry."""
@@ -261,7 +261,7 @@
             revision=revision,
         )
         if removed:
-            self._notify()
+            self.notify()
 
     def replace_servers(self, items: tuple[Item, ...], revision: int) -> None:
         """Apply a complete list of the servers' entries."""
@@ -302,7 +302,7 @@
             )
         self.leader_changed.set()
         self.leader_changed = asyncio.Event()
-        self._notify()
+        self.notify()
 
     def apply_peer_address(self, name: str, content: bytes | None) -> None:
         """Apply the address of a peer, or its removal."""
@@ -363,13 +363,13 @@
         self.directory.expire(boottime_s())
         if self.directory.version != version:
             self._events.log_state_change("servers_gone_after_outage", version=version)
-            self._notify()
+            self.notify()
 
     def _record_servers_known(self) -> None:
         self.servers_known = True
         if self._first_servers_era is None:
             self._first_servers_era = era_of_revision(self.directory.revision)
-        self._notify()
+        self.notify()
 
     def _try_decode_server(
         self, server: str, content: bytes, revision: int
@@ -422,7 +422,7 @@
             move: self.moving_since_s.get(move, now_s) for move in moves
         }
 
-    def _notify(self) -> None:
+    def notify(self) -> None:
         """Wake all tasks that wait for a change."""
         self.changed.set()
         self.changed = asyncio.Event()
--- /dev/null
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -0,0 +1,156 @@
+"""Finds out whether a server ended while it ran a request, and blocks such requests."""
+
+from __future__ import annotations
+
+__all__ = ["CrashDetector"]
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from mode import Service
+
+from ..metrics import Metrics
+from .clock import boottime_s
+from .cluster_view import ClusterView
+from .crash_ledger import SETTLING_S, CrashLedger, CrashReport
+from .events import EventLog
+from .exchange import BackendClient
+from .model import Backend
+
+PROBE_DELAY_S = 0.05
+"""A process that ends closes its connections and its listener one after the other."""
+
+RECHECK_DELAY_S = 2.0
+"""A server that restarted at once under its id has written its entry by then."""
+
+MAX_OWN_REPORTS = 512
+
+
+class CrashDetector(Service):
+    """Reports the requests that were in flight at a server when it ended.
+
+    :ivar is_following: returns whether a leader keeps this host up to date. Such a host
+        leaves the decision to the leader, which has the reports of all hosts.
+    """
+
+    def __init__(
+        self,
+        view: ClusterView,
+        ledger: CrashLedger,
+        backend_client: BackendClient,
+        metrics: Metrics,
+        events: EventLog,
+    ) -> None:
+        super().__init__()
+        self.is_following: Callable[[], bool] = lambda: False
+        self._view = view
+        self._ledger = ledger
+        self._backend_client = backend_client
+        self._metrics = metrics
+        self._events = events
+        self._ends: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        self._own_reports: deque[CrashReport] = deque(maxlen=MAX_OWN_REPORTS)
+        self._unreported: list[CrashReport] = []
+        self._has_unreported = asyncio.Event()
+        self._reported_to = ""
+        self._judging: asyncio.TimerHandle | None = None
+
+    async def on_stop(self) -> None:
+        """Stop checking."""
+        for task in self._ends.values():
+            task.cancel()
+        if self._judging is not None:
+            self._judging.cancel()
+
+    def suspect(self, fingerprint: int, backend: Backend) -> None:
+        """Check whether a server that closed its connection to a request has ended."""
+        if backend.draining:
+            return
+        report = CrashReport(
+            fingerprint, backend.server, backend.started_ms, boottime_s()
+        )
+        end_id = backend.server, backend.started_ms
+        task = self._ends.get(end_id)
+        if task is None or task.done():
+            task = self._ends[end_id] = asyncio.create_task(self._has_ended(backend))
+            task.add_done_callback(lambda _task: self._ends.pop(end_id, None))
+        task.add_done_callback(lambda done: self._report_end(report, done))
+
+    def record(self, report: CrashReport) -> None:
+        """Add a report of this host or another one, and judge it a little later."""
+        self._ledger.record(report)
+        if self._judging is None:
+            self._judge_later()
+
+    async def wait_for_report(self, timeout_s: float) -> None:
+        """Wait until this host has a new report, for at most ``timeout_s``."""
+        self._has_unreported.clear()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._has_unreported.wait()
+        except TimeoutError:
+            return
+
+    def unreported(self, leader: str) -> tuple[CrashReport, ...]:
+        """Return the reports of this host that a leader does not have yet.
+
+        :param leader: process id of the leader; another one gets all again.
+        """
+        if leader != self._reported_to:
+            self._reported_to, self._unreported = leader, [*self._own_reports]
+        return tuple(self._unreported)
+
+    def mark_reported(self, leader: str, reports: tuple[CrashReport, ...]) -> None:
+        """Record that a leader has taken the unreported reports."""
+        if leader == self._reported_to:
+            del self._unreported[: len(reports)]
+
+    def _report_end(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
+        if task.cancelled() or task.exception() is not None or not task.result():
+            return
+        self._metrics.count("requests_at_ends_total")
+        self._events.log_failure(
+            "server_ended",
+            server=report.server,
+            born_ms=report.started_ms,
+            fingerprint=f"{report.fingerprint:016x}",
+        )
+        self._own_reports.append(report)
+        self._unreported.append(report)
+        del self._unreported[:-MAX_OWN_REPORTS]
+        self._has_unreported.set()
+        self.record(report)
+
+    async def _has_ended(self, backend: Backend) -> bool:
+        """Return whether the incarnation of a server has ended.
+
+        A server that only closed or reset a connection still accepts others.
+        """
+        await asyncio.sleep(PROBE_DELAY_S)
+        if await self._backend_client.refuses_connections(backend):
+            return True
+        await asyncio.sleep(RECHECK_DELAY_S)
+        current = self._view.directory.find(backend.server)
+        return current is not None and current.started_ms > backend.started_ms
+
+    def _judge_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._judging = loop.call_later(SETTLING_S, self._judge)
+
+    def _judge(self) -> None:
+        """Block the requests that were there at enough ends."""
+        now_s = boottime_s()
+        self._judging = None
+        if self._ledger.has_unsettled(now_s):
+            self._judge_later()
+        if self.is_following():
+            return
+        for blocked in self._ledger.block_causes(now_s):
+            self._events.log_state_change(
+                "request_blocked",
+                fingerprint=f"{blocked.fingerprint:016x}",
+                times=blocked.times,
+                source="own",
+            )
+            self._view.notify()
--- /dev/null
+++ b/src/jacinthpath/gateway/crash_ledger.py
@@ -0,0 +1,184 @@
+"""Decides which requests end the servers that run them, by who was there at each end.
+
+Requests that were in flight at an end are suspects. One that was there at three ends is
+blocked, and is taken for the cause of all ends that it was there at: the requests that
+only happened to be there with it are suspected of these no longer.
+"""
+
+from __future__ import annotations
+
+__all__ = ["BlockedRequest", "CrashLedger", "CrashReport"]
+
+from collections import Counter
+from typing import NamedTuple
+
+import xxhash
+
+ENDS_TO_BLOCK = 3
+
+SETTLING_S = 0.3
+"""An end is judged this long after its first report. By then the other hosts that had
+requests in flight there have reported them."""
+
+EVIDENCE_S = 600.0
+"""Ends that are longer ago are forgotten."""
+
+BLOCK_S = 300.0
+"""First time for which a request is blocked. If it ends a server after that, it is
+blocked again, for twice as long."""
+
+MAX_BLOCK_S = 3600.0
+MAX_ENDS = 200
+MAX_SUSPECTS = 128
+"""Suspects that are remembered of one end; a server runs only a few at a time."""
+
+MAX_BLOCKED = 256
+
+
+class CrashReport(NamedTuple):
+    """A request that was in flight at a server when the server ended.
+
+    :param fingerprint: see :func:`~jacinthpath.gateway.fingerprints.fingerprint_of`.
+    :param observed_s: time of the end on this host's boot clock.
+    """
+
+    fingerprint: int
+    server: str
+    started_ms: int
+    observed_s: float
+
+
+class BlockedRequest(NamedTuple):
+    """A request that is not sent to any server.
+
+    :param until_s: end of the block on this host's boot clock.
+    :param times: how often the request has been blocked.
+    """
+
+    fingerprint: int
+    until_s: float
+    times: int
+
+
+class _End:
+    """The end of one incarnation of a server."""
+
+    def __init__(self, observed_s: float) -> None:
+        self.observed_s = observed_s
+        self.suspects: set[int] = set()
+
+
+class CrashLedger:
+    """Suspects of the ends of servers, and the requests that are blocked."""
+
+    def __init__(self) -> None:
+        self._ends: dict[tuple[str, int], _End] = {}
+        self._blocked: dict[int, BlockedRequest] = {}
+
+    def record(self, report: CrashReport) -> None:
+        """Add a suspect of an end."""
+        end_id = report.server, report.started_ms
+        end = self._ends.get(end_id)
+        if end is None:
+            end = self._ends[end_id] = _End(report.observed_s)
+            if len(self._ends) > MAX_ENDS:
+                del self._ends[next(iter(self._ends))]
+        if len(end.suspects) < MAX_SUSPECTS:
+            end.suspects.add(report.fingerprint)
+
+    def block_causes(self, now_s: float) -> list[BlockedRequest]:
+        """Block the requests that were there at enough ends.
+
+        :return: the requests that were not blocked before.
+        """
+        self._forget_old(now_s)
+        newly_blocked = []
+        while causes := self._find_causes(now_s):
+            for fingerprint in causes:
+                newly_blocked.append(self._block(fingerprint, now_s))
+        return newly_blocked
+
+    def has_unsettled(self, now_s: float) -> bool:
+        """Return whether there are ends that are still to be judged."""
+        return any(now_s - end.observed_s < SETTLING_S for end in self._ends.values())
+
+    def has_blocked(self) -> bool:
+        """Return whether any request may be blocked."""
+        return bool(self._blocked)
+
+    def blocked_left_s(self, fingerprint: int, now_s: float) -> float:
+        """Return for how much longer a request is blocked, 0 if it is not."""
+        blocked = self._blocked.get(fingerprint)
+        return max(0.0, blocked.until_s - now_s) if blocked else 0.0
+
+    def blocked(self, now_s: float) -> tuple[BlockedRequest, ...]:
+        """Return the requests that are blocked."""
+        return tuple(one for one in self._blocked.values() if one.until_s > now_s)
+
+    def merge_blocked(self, blocked: BlockedRequest) -> bool:
+        """Add a block that a peer has decided; return whether it was not known."""
+        known = self._blocked.get(blocked.fingerprint)
+        if known is not None and known.times >= blocked.times:
+            return False
+        self._keep(blocked)
+        return True
+
+    def digest(self, now_s: float) -> int:
+        """Return a digest of the blocked requests, 0 if there are none."""
+        rows = sorted((one.fingerprint, one.times) for one in self.blocked(now_s))
+        return xxhash.xxh64_intdigest(repr(rows).encode()) if rows else 0
+
+    def _find_causes(self, now_s: float) -> list[int]:
+        """Return the requests to block next: those that were there at most ends.
+
+        Blocked ones explain their ends, so other requests are not suspected of these.
+        """
+        counts: Counter[int] = Counter()
+        for end in self._ends.values():
+            if now_s - end.observed_s < SETTLING_S:
+                continue
+            if end.suspects.isdisjoint(self._blocked):
+                counts.update(end.suspects)
+            else:
+                counts.update(self._returning(end))
+        sufficient = {
+            fingerprint: count
+            for fingerprint, count in counts.items()
+            if count >= ENDS_TO_BLOCK or fingerprint in self._blocked
+        }
+        most = max(sufficient.values(), default=0)
+        return [one for one, count in sufficient.items() if count == most]
+
+    def _returning(self, end: _End) -> list[int]:
+        """Return the suspects that ended a server after their block was over."""
+        return [
+            one
+            for one in end.suspects
+            if one in self._blocked and end.observed_s > self._blocked[one].until_s
+        ]
+
+    def _block(self, fingerprint: int, now_s: float) -> BlockedRequest:
+        known = self._blocked.get(fingerprint)
+        times = known.times + 1 if known else 1
+        block_s = min(MAX_BLOCK_S, BLOCK_S * 2 ** (times - 1))
+        blocked = BlockedRequest(fingerprint, now_s + block_s, times)
+        self._keep(blocked)
+        return blocked
+
+    def _keep(self, blocked: BlockedRequest) -> None:
+        self._blocked.pop(blocked.fingerprint, None)
+        self._blocked[blocked.fingerprint] = blocked
+        if len(self._blocked) > MAX_BLOCKED:
+            del self._blocked[next(iter(self._blocked))]
+
+    def _forget_old(self, now_s: float) -> None:
+        self._ends = {
+            end_id: end
+            for end_id, end in self._ends.items()
+            if now_s - end.observed_s < EVIDENCE_S
+        }
+        self._blocked = {
+            fingerprint: one
+            for fingerprint, one in self._blocked.items()
+            if now_s - one.until_s < EVIDENCE_S
+        }
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -143,6 +143,8 @@
         is complete but for a large body that is still arriving.
     :param connection_reset: whether the connection was reset before any response, as
         servers do that have too many.
+    :param connection_lost: whether the connection was closed or reset before any
+        response.
     """
 
     outcome: Outcome
@@ -150,6 +152,7 @@
     response: Response | None = None
     notice: ServerNotice = NO_NOTICE
     connection_reset: bool = False
+    connection_lost: bool = False
 
 
 class BackendClient(Protocol):
@@ -160,6 +163,9 @@
     ) -> AttemptResult:
         """Send a request; cancellation closes the connection."""
 
+    async def refuses_connections(self, backend: Backend) -> bool:
+        """Return whether nothing listens at the server's address."""
+
 
 def local_response(status: int, reason: str, retry_after_s: float = 0.0) -> Response:
     """Return a response made by the gateway itself.
--- a/src/jacinthpath/gateway/host_reports.py
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -14,6 +14,8 @@
 from ..errors import JacinthpathError
 from ..peers import PeerPool
 from .cluster_view import ClusterView
+from .crash_detector import CrashDetector
+from .crash_messages import read_crash_reports, write_crash_reports
 from .events import EventLog
 from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .peer_messages import read_report, write_report
@@ -37,6 +39,7 @@
         view: ClusterView,
         load_recorder: LoadRecorder,
         load_aggregator: LoadAggregator,
+        crash_detector: CrashDetector,
         events: EventLog,
         random: Random,
     ) -> None:
@@ -47,6 +50,7 @@
         self._view = view
         self._load_recorder = load_recorder
         self._load_aggregator = load_aggregator
+        self._crash_detector = crash_detector
         self._events = events
         self._random = random
 
@@ -58,7 +62,8 @@
         loop = asyncio.get_running_loop()
         last_report_s = loop.time()
         while not self.should_stop:
-            await asyncio.sleep(REPORT_INTERVAL_S * (0.8 + 0.4 * self._random.random()))
+            interval_s = REPORT_INTERVAL_S * (0.8 + 0.4 * self._random.random())
+            await self._crash_detector.wait_for_report(interval_s)
             now_s = loop.time()
             report = self._load_recorder.collect_report(
                 self._host, now_s - last_report_s
@@ -68,8 +73,7 @@
                 leaving=self._leaving_servers(),
                 limits=self._view.limits.collect_report(),
             )
-            if report.services or report.leaving or report.limits:
-                await self._send_report(report)
+            await self._send_report(report)
 
     def _leaving_servers(self) -> tuple[LeavingServer, ...]:
         """Return the servers that said so, until their entries are gone.
@@ -88,8 +92,13 @@
         if leader.address == self._address:
             self._load_aggregator.add(report)
             return
+        crashes = self._crash_detector.unreported(leader.process_id)
+        if not (report.services or report.leaving or report.limits or crashes):
+            return
         frame = new_frame()
-        write_report(frame.body.init("hostReport"), report)
+        content = frame.body.init("hostReport")
+        write_report(content, report)
+        write_crash_reports(content, crashes)
         try:
             await self._pool.request(leader.address, frame, REQUEST_TIMEOUT_S)
         except JacinthpathError as error:
@@ -98,6 +107,8 @@
             self._events.log_process_event(
                 "report_not_taken", leader=leader.host, error=str(error)
             )
+            return
+        self._crash_detector.mark_reported(leader.process_id, crashes)
 
     async def handle_report(self, _connection: Any, frame: Any) -> None:
         """Merge the report in a frame of another host."""
@@ -107,3 +118,5 @@
             self._view.record_leaving(server, started_ms)
         for limit in report.limits:
             self._view.record_limit(limit, f"host {report.host}")
+        for crash in read_crash_reports(frame.body.hostReport):
+            self._crash_detector.record(crash)
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -20,6 +20,8 @@
 from .authority import LeaderAuthority
 from .clock import boottime_s
 from .cluster_view import ClusterView, LeaderRecord
+from .crash_ledger import BlockedRequest, CrashLedger
+from .crash_messages import has_other_blocked, read_blocked, write_blocked
 from .events import EventLog
 from .limit_messages import has_other_limits
 from .peer_messages import (
@@ -57,6 +59,7 @@
     :param identity: identity of this process.
     :param pool: connections to the other gateways; closed with this service.
     :param permits: is told which hosts the leader hears of.
+    :param ledger: requests that are blocked.
     :param handlers: handlers of the frames other than requests for documents.
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
@@ -74,6 +77,7 @@
         view: ClusterView,
         pool: PeerPool,
         permits: PermitExchange,
+        ledger: CrashLedger,
         handlers: Mapping[str, Handler],
         metrics: Metrics,
         events: EventLog,
@@ -95,6 +99,7 @@
         self._server = PeerServer(identity, address, keys, all_handlers, metrics)
         self._pool = pool
         self._permits = permits
+        self._ledger = ledger
 
     async def on_start(self) -> None:
         """Listen to peers, and start following the leader."""
@@ -215,14 +220,28 @@
         wanted.waitMs = int(wait_s * 1000)
         wanted.takesLimits = True
         wanted.limitsDigest = view.limits.digest(boottime_s())
+        wanted.takesBlocked = True
+        wanted.blockedDigest = self._ledger.digest(boottime_s())
         sent_s = boottime_s()
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
         apply_documents(content, view, f"peer {address}")
+        for blocked in read_blocked(content):
+            self._merge_blocked(blocked, address)
         if content.countsShares:
             self._permits.record_counted(sent_s)
         return content
 
+    def _merge_blocked(self, blocked: BlockedRequest, address: str) -> None:
+        if self._ledger.merge_blocked(blocked):
+            self._events.log_state_change(
+                "request_blocked",
+                fingerprint=f"{blocked.fingerprint:016x}",
+                times=blocked.times,
+                source=f"peer {address}",
+            )
+            self._view.notify()
+
     async def _handle_documents_wanted(self, connection: Any, frame: Any) -> Any:
         """Respond with newer documents, and wait for them if the requester asks to."""
         wanted = frame.body.documentsWanted
@@ -258,6 +277,7 @@
             or has_newer_assignment(newest, wanted)
             or self._view.directory.digest() != wanted.serversDigest
             or has_other_limits(self._view.limits, wanted)
+            or has_other_blocked(self._ledger, wanted)
         )
 
     def _make_documents_frame(self, wanted: Any) -> Any:
@@ -268,4 +288,6 @@
         content.leading = self.authority() is not None
         content.confirmed = self._is_confirmed()
         write_documents(content, wanted, view)
+        if has_other_blocked(self._ledger, wanted):
+            write_blocked(content, self._ledger)
         return response
--- a/src/jacinthpath/gateway/request_dependencies.py
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -10,6 +10,8 @@
 from ..metrics import Metrics
 from .attempts import jittered_retry_after_s
 from .cluster_view import ClusterView
+from .crash_detector import CrashDetector
+from .crash_ledger import CrashLedger
 from .events import EventLog
 from .exchange import BackendClient, CallerRequest, Response, local_response
 from .loads import LoadRecorder
@@ -25,6 +27,8 @@
     pool: ServerPool
     owners: OwnerLookup
     rate_limiter: RateLimiter
+    crash_ledger: CrashLedger
+    crash_detector: CrashDetector
     backend_client: BackendClient
     load_recorder: LoadRecorder
     events: EventLog
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -16,6 +16,7 @@
     Outcome,
     Response,
 )
+from .fingerprints import fingerprint_of
 from .model import Backend, Route, Service
 from .owner_lookup import MOVING_RETRY_S, NO_OWNER_RETRY_S, ServerChoice
 from .request_dependencies import RequestDependencies
@@ -64,6 +65,7 @@
         self._recorder = AttemptRecorder(dependencies, request, service)
         self._results: list[AttemptResult] = []
         self._tried: list[str] = []
+        self._fingerprint: int | None = None
         self._limited_wait_s: dict[str, float] = {}
 
     async def run(self) -> Response:
@@ -76,6 +78,9 @@
                 self._service.name, self._request.key
             )
         while True:
+            blocked_left_s = self._blocked_left_s()
+            if blocked_left_s:
+                return self._respond_blocked(blocked_left_s)
             choice = await self._choose_server()
             if self._remaining_s() < MIN_ATTEMPT_S:
                 # The wait for an owner, or a suspension, has used up the time.
@@ -91,6 +96,31 @@
             self._retry_budget.record_retry(self._loop.time())
             await self._back_off(result)
 
+    def _blocked_left_s(self) -> float:
+        """Return for how much longer the request is sent to no server, mostly 0."""
+        ledger = self._dependencies.crash_ledger
+        if not ledger.has_blocked():
+            return 0.0
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self._request)
+        return ledger.blocked_left_s(self._fingerprint, boottime_s())
+
+    def _respond_blocked(self, blocked_left_s: float) -> Response:
+        """Return the response to a request that has ended servers before."""
+        executed = self._may_have_executed()
+        return self._dependencies.respond_locally(
+            self._request,
+            self._service.name,
+            "request-ends-servers",
+            502 if executed else 503,
+            0.0 if executed else blocked_left_s,
+        )
+
+    def _may_have_executed(self) -> bool:
+        return any(
+            result.outcome not in NOT_EXECUTED_OUTCOMES for result in self._results
+        )
+
     def _remaining_s(self) -> float:
         return min(
             self._deadline_s - self._loop.time(),
@@ -268,7 +298,7 @@
 
     def _respond_without_server(self, choice: ServerChoice) -> Response:
         """Return the response when there is no server for the next attempt."""
-        if any(result.outcome not in NOT_EXECUTED_OUTCOMES for result in self._results):
+        if self._may_have_executed():
             return self._respond_locally(choice.reason, 502)
         if self._remaining_s() < MIN_ATTEMPT_S:
             return self._respond_locally(choice.reason, 504)
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -19,6 +19,7 @@
 from ..metrics import Metrics
 from .assigner import Assigner
 from .cluster_view import HOSTS_PREFIX, ClusterView
+from .crash_detector import CrashDetector
 from .events import EventLog
 from .forwarder import Forwarder
 from .host_reports import HostReporter
@@ -83,6 +84,7 @@
         assigner: Assigner,
         peering: Peering,
         reporter: HostReporter,
+        crash_detector: CrashDetector,
         forwarder: Forwarder,
         clients: tuple[Any, ...],
         metrics: Metrics,
@@ -102,6 +104,7 @@
         self._assigner = assigner
         self._peering = peering
         self._reporter = reporter
+        self._crash_detector = crash_detector
         self._forwarder = forwarder
         self._clients = clients
         self._metrics = metrics
@@ -121,6 +124,7 @@
             await client.start()
         await self._admin.start()
         await self.add_runtime_dependency(self._peering)
+        await self.add_runtime_dependency(self._crash_detector)
         await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._watcher)
         await self.add_runtime_dependency(self._election)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -11,6 +11,8 @@
 from .gateway.assignment import LeaderProcess
 from .gateway.body_memory import BodyMemory
 from .gateway.cluster_view import ClusterView
+from .gateway.crash_detector import CrashDetector
+from .gateway.crash_ledger import CrashLedger
 from .gateway.events import EventLog
 from .gateway.forwarder import Forwarder
 from .gateway.host_reports import HostReporter
@@ -59,6 +61,8 @@
     pool = ServerPool(settings.data_centre, random)
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
+    crash_ledger = CrashLedger()
+    crash_detector = CrashDetector(view, crash_ledger, servers, metrics, events)
     permits = PermitExchange(settings.host, settings.peer_address, peer_pool, view)
     reporter = HostReporter(
         settings.host,
@@ -67,6 +71,7 @@
         view,
         load_recorder,
         load_aggregator,
+        crash_detector,
         events,
         random,
     )
@@ -78,6 +83,7 @@
         view,
         peer_pool,
         permits,
+        crash_ledger,
         {
             "hostReport": reporter.handle_report,
             "permitWanted": permits.handle_permit_wanted,
@@ -105,6 +111,7 @@
         process_id,
         settings.lease_min_s,
     )
+    crash_detector.is_following = peering.is_following
     peering.authority = permits.authority = lambda: election.authority
     assigner = Assigner(
         store,
@@ -124,6 +131,8 @@
         pool,
         owner_lookup,
         RateLimiter(view, permits, metrics, random),
+        crash_ledger,
+        crash_detector,
         servers,
         load_recorder,
         events,
@@ -141,6 +150,7 @@
         assigner,
         peering,
         reporter,
+        crash_detector,
         forwarder,
         (store, commands, servers),
         metrics,
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -292,12 +292,26 @@
   nextMs @3 :UInt32;        # When the next permit can be issued.
 }
 
+struct CrashReport {
+  fingerprint @0 :UInt64;   # Of a request that was in flight when the server ended.
+  server @1 :Text;
+  bornMs @2 :UInt64;
+  ageMs @3 :UInt32;
+}
+
+struct BlockedRequest {
+  fingerprint @0 :UInt64;
+  remainingMs @1 :UInt32;
+  times @2 :UInt32;         # How often it has been blocked.
+}
+
 struct HostReport {
   host @0 :Text;
   spanMs @1 :UInt32;
   services @2 :List(ServiceReport);
   leaving @3 :List(LeavingServer);    # Servers that told this host that they leave.
   limits @4 :List(ServerLimit);       # Observed since the last report.
+  crashes @5 :List(CrashReport);      # That this leader has not taken yet.
 }
 
 struct DocumentsWanted {
@@ -311,6 +325,8 @@
   assignmentFence @7 :UInt64;         # Of the assignment; 0 when the sender has none.
   takesLimits @8 :Bool;               # Whether the sender keeps limits of servers.
   limitsDigest @9 :UInt64;            # Of the limits that it knows; 0 for none.
+  takesBlocked @10 :Bool;             # Whether the sender blocks requests.
+  blockedDigest @11 :UInt64;          # Of the blocked requests that it knows; 0 for none.
 }
 
 struct ServerEntry {
@@ -344,6 +360,7 @@
   limits @13 :List(ServerLimit);      # All, or none when the digests are equal.
   countsShares @14 :Bool;             # Whether the leader issues the permits for the
                                       # requester's shares of the limits.
+  blocked @15 :List(BlockedRequest);  # All, or none when the digests are equal.
 }
 
 struct HostAddress {
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -31,6 +31,8 @@
 
 MAX_HEADER_BYTES = 32_768
 
+_LOST = (aiohttp.ServerDisconnectedError, OSError)
+
 
 class ServerClient:
     """Sends requests; see :class:`jacinthpath.gateway.exchange.BackendClient`.
@@ -98,11 +100,28 @@
                 Outcome.BROKEN,
                 type(error).__name__,
                 connection_reset=response is None and isinstance(error, OSError),
+                connection_lost=response is None and isinstance(error, _LOST),
             )
         finally:
             if response is not None and not _is_streaming(result):
                 response.close()
 
+    async def refuses_connections(self, backend: Backend) -> bool:
+        """Return whether nothing listens at the server's address.
+
+        A host that does not respond refuses nothing, and may go on working.
+        """
+        host, _, port = backend.address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.transport.abort()
+        return False
+
     async def _read_response(
         self, response: aiohttp.ClientResponse, deadline_s: float
     ) -> AttemptResult:
