Let a leader that was paused renew no grant that has lapsed

Cause, by the logs: the leader was stopped for 5.25 s. Its successor moved keys from keys-0 to keys-1 after a confirmed release; keys-0 restarted and so forgot the fence of the release. The old leader, on waking, had not yet heard of the successor, and its lease, unconfirmed, still allowed renewals for ten seconds: it renewed its grant, and keys-0 took it. Change: without a confirmed lease, a grant is renewed only while it is in force.

--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -194,8 +194,9 @@
     """Return whether a grant of the range is due."""
     if state.owned.target:
         return False
-    if state.failures and not authority.may_move_keys(now_s):
+    lapsed = state.granted and now_s >= state.own_expiry_s
+    if (state.failures or lapsed) and not authority.may_move_keys(now_s):
         # The server may have restarted and lost the higher fence of a successor that
-        # has moved these keys.
+        # has moved these keys. A grant lapses while this process is suspended.
         return False
     return not state.granted or now_s - state.confirmed_s >= GRANT_INTERVAL_S
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -3,9 +3,11 @@
 import pytest
 
 from jacinthpath.gateway import assigner, command_runner, move_planning, ownership
+from jacinthpath.gateway.assignment import OwnedRange
+from jacinthpath.gateway.authority import LeaderAuthority
 from jacinthpath.gateway.fence_sweep import FenceSweep
 
-from .gateway_simulation import LeaderCommands, Simulation
+from .gateway_simulation import TTL_S, LeaderCommands, Simulation
 
 SEEDS = range(12)
 
@@ -65,6 +67,16 @@
     assert simulation.violations == []
 
 
+@pytest.mark.parametrize(("paused_s", "due"), [(1.5, True), (5.0, False)])
+def test_leader_that_was_paused_does_not_renew_lapsed_grants(paused_s, due):
+    """Guards against two owners: a successor had moved the keys of a paused leader, and
+    the server restarted, so that it accepted the old grant again (soak seed 12011)."""
+    state = ownership.RangeState(OwnedRange(0, 9, "s1", "10.0.0.1:80", 1, 1), 0.0)
+    state.record_grant(10.0, 2.5)
+    authority = LeaderAuthority(TTL_S, 10.0)
+    assert command_runner._is_due(state, authority, 10.0 + paused_s) is due
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_one_owner_while_leaders_resign(seed, monkeypatch):
     """A leader that resigns renews its grants until it sees a successor."""
