Play requests that end servers in the soak

The soak sends such a request to any host again and again, beside all other faults, and checks how many servers it ends late. A violation is detected by a test.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from .system import GRACE_PERIOD_S, Gateway, System
+from .system import CRASHING_PATH, GRACE_PERIOD_S, Gateway, System
 
 Fault = Callable[[System, float], Awaitable[None]]
 
@@ -36,6 +36,7 @@
 MIN_LIMITED_S = 8.0
 """A limit is checked from some seconds after it was named."""
 
+MIN_CRASHING_S = 6.0
 PROXY_MODES = ["delay", "reset", "silent", "one-way"]
 STORE_MODES = ["busy", "silent", "lossy"]
 RESTART_DELAY_S = 0.5
@@ -179,6 +180,20 @@
     system.end_limit(name)
 
 
+@fault("crashing-request")
+async def _send_crashing_request(system: System, duration_s: float) -> None:
+    """A request that ends each server that begins to run it comes again and again."""
+    system.crashing_requests += 1
+    path = f"{CRASHING_PATH}{system.crashing_requests}"
+    until_s = time.monotonic() + MIN_CRASHING_S + duration_s
+    number = 0
+    while time.monotonic() < until_s:
+        number += 1
+        gateway = _random_gateway(system)
+        await system.send_crashing_request(gateway, path, f"crash-{number}")
+        await asyncio.sleep(system.random.uniform(0.2, 1.0))
+
+
 @fault("server-path")
 async def _disturb_server_path(system: System, duration_s: float) -> None:
     proxy = system.random.choice([*system.proxies.values()])
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -22,6 +22,11 @@
 LIMIT_SETTLING_S = 3.0
 """A limit has to be kept from this long after its server first named it."""
 
+ENDS_TO_KNOW = 3
+CRASH_SETTLING_S = 3.0
+MAX_LATER_ENDS = 3
+"""Servers that a request may end later than this time after it ended the third."""
+
 LIMIT_SLACK = 5
 """Requests allowed beyond one and a half times the limit; as many more for each host
 that was disturbed, since a host that starts knows no limits."""
@@ -55,6 +60,7 @@
         self._system = system
         self._started_s = time.monotonic()
         self._executions: Counter[str] = Counter()
+        self._reported_targets: set[str] = set()
         self._read_positions: dict[str, int] = dict.fromkeys(system.servers, 0)
 
     def record_violation(self, guarantee: str, detail: str) -> None:
@@ -69,6 +75,7 @@
             self._check_executions()
             self._check_processes()
             self._check_limits()
+            self._check_crashing_requests()
             sleep_started_s = time.monotonic()
             await asyncio.sleep(CHECK_INTERVAL_S)
             if time.monotonic() - sleep_started_s > CHECK_INTERVAL_S + MAX_LOOP_DELAY_S:
@@ -120,11 +127,7 @@
         if draining_since_s is None:
             return
         now_s = time.monotonic()
-        last_disturbance_s = max(
-            self._system.last_disturbance_s,
-            *(gateway.last_disturbance_s for gateway in self._system.gateways),
-        )
-        undisturbed = last_disturbance_s + UNDISTURBED_S < draining_since_s
+        undisturbed = self._last_disturbance_s() + UNDISTURBED_S < draining_since_s
         if (
             undisturbed
             and now_s - draining_since_s > DRAIN_TIMEOUT_S + SCHEDULING_TOLERANCE_S
@@ -157,6 +160,33 @@
                     f"in {LIMIT_WINDOW_S} s, with {disturbed_hosts} disturbed hosts",
                 )
 
+    def _check_crashing_requests(self) -> None:
+        """Check that a request which has ended three servers ends few more."""
+        ends: dict[str, list[float]] = {}
+        for server in self._system.servers.values():
+            for target, at_s in server.ends:
+                ends.setdefault(target, []).append(at_s)
+        for target, times_s in ends.items():
+            times_s.sort()
+            later = [
+                at_s
+                for at_s in times_s[ENDS_TO_KNOW:]
+                if at_s > times_s[ENDS_TO_KNOW - 1] + CRASH_SETTLING_S
+                and at_s > self._last_disturbance_s() + CRASH_SETTLING_S
+            ]
+            if len(later) > MAX_LATER_ENDS and target not in self._reported_targets:
+                self._reported_targets.add(target)
+                self.record_violation(
+                    "crashing request",
+                    f"{target} ended {len(times_s)} servers, {len(later)} of them late",
+                )
+
+    def _last_disturbance_s(self) -> float:
+        return max(
+            self._system.last_disturbance_s,
+            *(gateway.last_disturbance_s for gateway in self._system.gateways),
+        )
+
     def _check_processes(self) -> None:
         for gateway in self._system.gateways:
             if gateway.has_exited_unexpectedly():
--- a/soak/system.py
+++ b/soak/system.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["GRACE_PERIOD_S", "VERSION_PREFIX", "Gateway", "System"]
+__all__ = ["CRASHING_PATH", "GRACE_PERIOD_S", "VERSION_PREFIX", "Gateway", "System"]
 
 import asyncio
 import os
@@ -15,9 +15,12 @@
 from random import Random
 from typing import Any
 
+import aiohttp
+
 from standins.loopback import address_block
 from standins.platform_documents import (
     CONFIGURATION_KEY,
+    HOST,
     SETTINGS,
     configuration,
     route,
@@ -31,6 +34,8 @@
 KEYED_BY_SERVICE = {"plain": False, "keys": True}
 GRACE_PERIOD_S = 6.0
 VERSION_PREFIX = "/version-"
+CRASHING_PATH = "/read/crash-"
+CRASH_RESPONSE_TIMEOUT_S = 2.0
 ROUTE_TIMEOUT = "1500ms"
 
 
@@ -134,6 +139,7 @@
         self.last_disturbance_s = 0.0
         self.draining_since_s: dict[str, float] = {}
         self.limited_since_s: dict[str, float] = {}
+        self.crashing_requests = 0
 
     async def start(self, hosts: int, servers: int) -> None:
         """Start the store, ``servers`` servers per service and ``hosts`` gateways."""
@@ -194,6 +200,25 @@
         self.servers[name].limit = limit
         self.limited_since_s[name] = time.monotonic()
 
+    async def send_crashing_request(
+        self, gateway: Gateway, path: str, request_id: str
+    ) -> None:
+        """Send a request that ends the servers that run it; its response is ignored."""
+        url = f"http://{gateway.ip}:{gateway.front_port}{path}"
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Request-Deadline-Ms": "1000",
+            "X-Shard-Key": "7",
+        }
+        timeout = aiohttp.ClientTimeout(total=CRASH_RESPONSE_TIMEOUT_S)
+        with suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url, headers=headers) as response,
+            ):
+                await response.read()
+
     def end_limit(self, name: str) -> None:
         """Let a server name no limit."""
         self.servers[name].limit = ""
@@ -221,6 +246,8 @@
 
     async def _add_server(self, name: str, service: str, keyed: bool) -> None:
         server = PlatformServerStandIn(name, service, keyed)
+        server.crashing_path = CRASHING_PATH
+        server.handle_return = lambda _server: self.put_entry(name)
         await server.start()
         self.servers[name] = server
         self.proxies[name] = Proxy(server.address)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -57,7 +57,7 @@
 
     :ivar crashing_path: a request whose target begins so ends the server when it begins
         to run; the server is back at its address after ``down_s``.
-    :ivar ended_s: monotonic times of these ends.
+    :ivar ends: targets of these requests, and the monotonic times of the ends.
     :ivar limit: value of Server-Limit in all responses; none is sent if it is empty.
     :ivar arrivals_s: monotonic times of the requests, commands not included.
     """
@@ -71,7 +71,7 @@
         self.leaving = False
         self.crashing_path = ""
         self.down_s = 1.0
-        self.ended_s: list[float] = []
+        self.ends: list[tuple[str, float]] = []
         self.handle_return: Callable[[PlatformServerStandIn], None] | None = None
         self.limit = ""
         self.arrivals_s: list[float] = []
@@ -136,9 +136,9 @@
         self.held_ranges.clear()
         self.fences = [0] * KEY_COUNT
 
-    def _crash(self) -> None:
+    def _crash(self, target: str) -> None:
         """End with a reset of all connections, and come back a while later."""
-        self.ended_s.append(time.monotonic())
+        self.ends.append((target, time.monotonic()))
         self._listener.close()
         for writer in [*self._writers]:
             _reset(writer)
@@ -211,7 +211,7 @@
             writer.write(refused)
             return True
         if self.crashing_path and request.target.startswith(self.crashing_path):
-            self._crash()
+            self._crash(request.target)
             return False
         self.executed_attempts.append(attempt)
         self.executed_requests.append((request.method, request.target, request.body))
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -69,7 +69,7 @@
 
 
 def ends(fleet):
-    return sorted(at_s for server in fleet.servers.values() for at_s in server.ended_s)
+    return sorted(at_s for server in fleet.servers.values() for _, at_s in server.ends)
 
 
 async def send_repeatedly(fleet, path, interval_s):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -99,6 +99,15 @@
     assert [line.partition("s  ")[2][:5] for line in checker.violations] == ["limit"]
 
 
+def test_request_that_goes_on_ending_servers_is_detected(system, checker):
+    system.gateways[0].last_disturbance_s = system.last_disturbance_s = 0.0
+    first_s = time.monotonic() - 30.0
+    system.servers["keys-0"].ends += [("/read/crash-1", first_s + n) for n in range(10)]
+    checker._check_crashing_requests()
+    checker._check_crashing_requests()
+    assert ["ended 10 servers, 4" in line for line in checker.violations] == [True]
+
+
 def test_unexpected_process_exit_is_detected(system, checker):
     system.gateways[0].process.returncode = 1
     assert check(checker) == ["process"]
