Move the choice of servers out of the execution of requests

Change: ServerChooser keeps the servers tried and the waits for limits. The test that suspends a host between the choice and the sending patches it there. No behaviour changes.

--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -18,9 +18,10 @@
 )
 from .fingerprints import fingerprint_of
 from .model import Backend, Route, Service
-from .owner_lookup import MOVING_RETRY_S, NO_OWNER_RETRY_S, ServerChoice
+from .owner_lookup import MOVING_RETRY_S, ServerChoice
 from .request_dependencies import RequestDependencies
 from .retry_budget import RetryBudget
+from .server_chooser import ServerChooser
 
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -64,9 +65,8 @@
         self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
         self._recorder = AttemptRecorder(dependencies, request, service)
         self._results: list[AttemptResult] = []
-        self._tried: list[str] = []
         self._fingerprint: int | None = None
-        self._limited_wait_s: dict[str, float] = {}
+        self._chooser = ServerChooser(dependencies, request, service, self._remaining_s)
 
     async def run(self) -> Response:
         """Return the response."""
@@ -81,7 +81,7 @@
             blocked_left_s = self._blocked_left_s()
             if blocked_left_s:
                 return self._respond_blocked(blocked_left_s)
-            choice = await self._choose_server()
+            choice = await self._chooser.choose(is_retry=bool(self._results))
             if self._remaining_s() < MIN_ATTEMPT_S:
                 # The wait for an owner, or a suspension, has used up the time.
                 choice = ServerChoice(None, "too-little-time")
@@ -127,79 +127,6 @@
             self._boot_deadline_s - boottime_s(),
         )
 
-    async def _choose_server(self) -> ServerChoice:
-        """Return the server for the next attempt, or the reason why there is none."""
-        if self._service.keyed:
-            return await self._find_owner()
-        while (backend := self._choose_untried_server()) is not None:
-            permit = await self._dependencies.rate_limiter.acquire(backend)
-            if permit.granted:
-                return ServerChoice(backend)
-            self._limited_wait_s[backend.server] = permit.retry_s
-        return self._explain_no_server()
-
-    def _explain_no_server(self) -> ServerChoice:
-        """Return why no server of an unkeyed service may be used, and until when."""
-        backends = [
-            backend
-            for backend in self._dependencies.view.directory.servers_of(
-                self._service.name
-            )
-            if not backend.draining
-        ]
-        if not backends:
-            return ServerChoice(None, "no-server", NO_OWNER_RETRY_S)
-        now_s = boottime_s()
-        pool = self._dependencies.pool
-        wait_s = min(
-            max(
-                pool.pause_left_s(backend, now_s),
-                self._limited_wait_s.get(backend.server, 0.0),
-            )
-            for backend in backends
-        )
-        if wait_s:
-            reason = "servers-limited" if self._limited_wait_s else "servers-paused"
-            return ServerChoice(None, reason, wait_s)
-        return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
-
-    async def _find_owner(self) -> ServerChoice:
-        """Return the key's owner unless a limit keeps this host from sending to it."""
-        choice = await self._dependencies.owners.find(
-            self._service.name, self._request.key, self._remaining_s
-        )
-        backend = choice.backend
-        if backend is None:
-            return choice
-        pool = self._dependencies.pool
-        limit = self._connection_limit()
-        if not self._results:
-            limit = min(limit, pool.window(backend))
-        if pool.in_flight(backend) >= limit:
-            return ServerChoice(None, "connections-in-use", MOVING_RETRY_S)
-        permit = await self._dependencies.rate_limiter.acquire(backend)
-        if not permit.granted:
-            return ServerChoice(None, "owner-limited", permit.retry_s)
-        return choice
-
-    def _choose_untried_server(self) -> Backend | None:
-        """Return a server of an unkeyed service that was not tried yet."""
-        backends = self._dependencies.view.directory.servers_of(self._service.name)
-        return self._dependencies.pool.choose(
-            backends,
-            boottime_s(),
-            {*self._tried, *self._limited_wait_s},
-            self._connection_limit(),
-        )
-
-    def _connection_limit(self) -> int:
-        """Return how many connections to one server this host may use.
-
-        A server resets connections above its limit, which loses the requests on them.
-        """
-        hosts = max(1, len(self._dependencies.view.peer_addresses))
-        return max(1, self._service.max_connections // hosts)
-
     async def _attempt(self, backend: Backend) -> AttemptResult:
         """Send the request to a server and record the result."""
         dependencies = self._dependencies
@@ -220,7 +147,7 @@
             )
             raise
         result = self._recorder.track_stream(backend, result)
-        self._tried.append(backend.server)
+        self._chooser.tried.append(backend.server)
         self._results.append(result)
         elapsed_s = self._loop.time() - started_s
         self._recorder.record(
@@ -254,11 +181,11 @@
         :return: number of servers tried including the retry, expected latency, and
             whether there is another server.
         """
-        other = self._choose_untried_server()
+        other = self._chooser.choose_untried()
         expected_s = (
             self._dependencies.pool.latency_s(other, boottime_s()) if other else 0.0
         )
-        return len(set(self._tried)) + 1, expected_s, other is not None
+        return len(set(self._chooser.tried)) + 1, expected_s, other is not None
 
     async def _assess_retry_on_owner(
         self, result: AttemptResult
@@ -278,12 +205,12 @@
             self._service.name, self._request.key
         )
         if owned is None:
-            return len(set(self._tried)), 0.0, False
-        servers = len({*self._tried, owned.server})
+            return len(set(self._chooser.tried)), 0.0, False
+        servers = len({*self._chooser.tried, owned.server})
         backend = self._dependencies.view.directory.find(owned.server)
         if backend and self._dependencies.pool.pause_left_s(backend, boottime_s()):
             return servers, 0.0, False
-        moved = bool(owned.target) or owned.server != self._tried[-1]
+        moved = bool(owned.target) or owned.server != self._chooser.tried[-1]
         return servers, 0.0, moved or result.outcome is not Outcome.TIMED_OUT
 
     async def _back_off(self, result: AttemptResult) -> None:
@@ -323,7 +250,7 @@
         """Return when a caller may come back whose request no server accepted."""
         if self._service.keyed:
             return max(self._results[-1].notice.pause_s, MOVING_RETRY_S)
-        return self._explain_no_server().wait_s
+        return self._chooser.explain_no_server().wait_s
 
     def _respond_locally(self, reason: str, status: int) -> Response:
         return self._dependencies.respond_locally(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -6,6 +6,7 @@
 
 from jacinthpath.gateway import request_execution
 from jacinthpath.gateway.clock import boottime_s
+from jacinthpath.gateway.server_chooser import ServerChooser
 from jacinthpath.gateway.service import LEAVE_ROTATION_S
 from standins.platform_documents import configuration, route
 
@@ -289,15 +290,14 @@
 async def test_order_is_not_sent_after_its_host_was_suspended(system, monkeypatch):
     """A host that was suspended between the choice of a server and the sending ran an
     order whose caller had given up. The monotonic clock stops meanwhile."""
-    execution = request_execution.RequestExecution
-    choose = execution._choose_server
+    choose = ServerChooser.choose
 
-    async def choose_and_suspend(self):
-        choice = await choose(self)
+    async def choose_and_suspend(self, is_retry):
+        choice = await choose(self, is_retry)
         monkeypatch.setattr(request_execution, "boottime_s", lambda: boottime_s() + 5)
         return choice
 
-    monkeypatch.setattr(execution, "_choose_server", choose_and_suspend)
+    monkeypatch.setattr(ServerChooser, "choose", choose_and_suspend)
     status, _, _ = await system.send("/order/x", method="POST")
     assert status in (503, 504)
     assert executed_ids(system) == []
