Clear a request of the ends before a server responded to it

Cause: one caller's requests for one path have one fingerprint. A frequent one is in flight at each end, whatever the cause, and was blocked after three. Change: a host that has reported a request reports too that a server has responded to it, and it is suspected of earlier ends no longer. A request that ends each server that begins to run it gets no response.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -62,8 +62,9 @@
         self._record_notice(backend, result.notice)
         self._record_limit(backend, result)
         if result.connection_lost:
-            fingerprint = fingerprint_of(self._request)
-            self._dependencies.crash_detector.suspect(fingerprint, backend)
+            self._dependencies.crash_detector.suspect(self._request, backend)
+        elif result.outcome is Outcome.ANSWERED:
+            self._dependencies.crash_detector.record_answered(self._request)
 
     def _count(self, backend: Backend, result: AttemptResult) -> None:
         """Count the attempt by what this host knew of the server before it ended."""
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -2,20 +2,28 @@
 
 from __future__ import annotations
 
-__all__ = ["CrashDetector"]
+__all__ = ["CrashDetector", "CrashNews"]
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 from mode import Service
 
 from ..metrics import Metrics
 from .clock import boottime_s
 from .cluster_view import ClusterView
-from .crash_ledger import SETTLING_S, CrashLedger, CrashReport
+from .crash_ledger import (
+    EVIDENCE_S,
+    SETTLING_S,
+    AnsweredRequest,
+    CrashLedger,
+    CrashReport,
+)
 from .events import EventLog
-from .exchange import BackendClient
+from .exchange import BackendClient, CallerRequest
+from .fingerprints import fingerprint_of
 from .model import Backend
 
 PROBE_DELAY_S = 0.05
@@ -27,6 +35,17 @@
 MAX_OWN_REPORTS = 512
 
 
+class CrashNews(NamedTuple):
+    """What a host has to report to the leader.
+
+    :param crashes: requests that were in flight at ends.
+    :param answered: such requests that a server has responded to since.
+    """
+
+    crashes: tuple[CrashReport, ...]
+    answered: tuple[AnsweredRequest, ...]
+
+
 class CrashDetector(Service):
     """Reports the requests that were in flight at a server when it ended.
 
@@ -51,7 +70,9 @@
         self._events = events
         self._ends: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self._own_reports: deque[CrashReport] = deque(maxlen=MAX_OWN_REPORTS)
+        self._own_suspects: set[int] = set()
         self._unreported: list[CrashReport] = []
+        self._unreported_answers: list[AnsweredRequest] = []
         self._has_unreported = asyncio.Event()
         self._reported_to = ""
         self._judging: asyncio.TimerHandle | None = None
@@ -63,12 +84,12 @@
         if self._judging is not None:
             self._judging.cancel()
 
-    def suspect(self, fingerprint: int, backend: Backend) -> None:
+    def suspect(self, request: CallerRequest, backend: Backend) -> None:
         """Check whether a server that closed its connection to a request has ended."""
         if backend.draining:
             return
         report = CrashReport(
-            fingerprint, backend.server, backend.started_ms, boottime_s()
+            fingerprint_of(request), backend.server, backend.started_ms, boottime_s()
         )
         end_id = backend.server, backend.started_ms
         task = self._ends.get(end_id)
@@ -77,6 +98,29 @@
             task.add_done_callback(lambda _task: self._ends.pop(end_id, None))
         task.add_done_callback(lambda done: self._report_end(report, done))
 
+    def record_answered(self, request: CallerRequest) -> None:
+        """Clear a request of the ends that this host has reported it for."""
+        if not self._own_reports:
+            return
+        now_s = boottime_s()
+        if now_s - self._own_reports[0].observed_s > EVIDENCE_S:
+            self._own_suspects.discard(self._own_reports.popleft().fingerprint)
+        fingerprint = fingerprint_of(request)
+        if fingerprint not in self._own_suspects:
+            return
+        answered = AnsweredRequest(fingerprint, now_s)
+        self._own_suspects.discard(fingerprint)
+        kept = [one for one in self._own_reports if one.fingerprint != fingerprint]
+        self._own_reports = deque(kept, maxlen=MAX_OWN_REPORTS)
+        self._unreported_answers.append(answered)
+        del self._unreported_answers[:-MAX_OWN_REPORTS]
+        self._has_unreported.set()
+        self.clear(answered)
+
+    def clear(self, answered: AnsweredRequest) -> None:
+        """Clear a request that this host or another one has seen answered."""
+        self._ledger.clear(answered)
+
     def record(self, report: CrashReport) -> None:
         """Add a report of this host or another one, and judge it a little later."""
         self._ledger.record(report)
@@ -92,19 +136,20 @@
         except TimeoutError:
             return
 
-    def unreported(self, leader: str) -> tuple[CrashReport, ...]:
-        """Return the reports of this host that a leader does not have yet.
+    def unreported(self, leader: str) -> CrashNews:
+        """Return what a leader has not been told by this host yet.
 
         :param leader: process id of the leader; another one gets all again.
         """
         if leader != self._reported_to:
             self._reported_to, self._unreported = leader, [*self._own_reports]
-        return tuple(self._unreported)
+        return CrashNews(tuple(self._unreported), tuple(self._unreported_answers))
 
-    def mark_reported(self, leader: str, reports: tuple[CrashReport, ...]) -> None:
-        """Record that a leader has taken the unreported reports."""
+    def mark_reported(self, leader: str, news: CrashNews) -> None:
+        """Record that a leader has been told."""
         if leader == self._reported_to:
-            del self._unreported[: len(reports)]
+            del self._unreported[: len(news.crashes)]
+            del self._unreported_answers[: len(news.answered)]
 
     def _report_end(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
         if task.cancelled() or task.exception() is not None or not task.result():
@@ -117,6 +162,7 @@
             fingerprint=f"{report.fingerprint:016x}",
         )
         self._own_reports.append(report)
+        self._own_suspects.add(report.fingerprint)
         self._unreported.append(report)
         del self._unreported[:-MAX_OWN_REPORTS]
         self._has_unreported.set()
--- a/src/jacinthpath/gateway/crash_ledger.py
+++ b/src/jacinthpath/gateway/crash_ledger.py
@@ -1,13 +1,14 @@
 """Decides which requests end the servers that run them, by who was there at each end.
 
-Requests that were in flight at an end are suspects. One that was there at three ends is
-blocked, and is taken for the cause of all ends that it was there at: the requests that
-only happened to be there with it are suspected of these no longer.
+Requests that were in flight at an end are suspects. A server that responds to such a
+request clears it of all earlier ends. One that was there at three ends without a
+response since is blocked, and is taken for the cause of all ends that it was there at:
+the requests that only happened to be there with it are suspected of these no longer.
 """
 
 from __future__ import annotations
 
-__all__ = ["BlockedRequest", "CrashLedger", "CrashReport"]
+__all__ = ["AnsweredRequest", "BlockedRequest", "CrashLedger", "CrashReport"]
 
 from collections import Counter
 from typing import NamedTuple
@@ -48,6 +49,16 @@
     observed_s: float
 
 
+class AnsweredRequest(NamedTuple):
+    """A suspect that a server has run to the end.
+
+    :param observed_s: time of the response on this host's boot clock.
+    """
+
+    fingerprint: int
+    observed_s: float
+
+
 class BlockedRequest(NamedTuple):
     """A request that is not sent to any server.
 
@@ -86,6 +97,12 @@
         if len(end.suspects) < MAX_SUSPECTS:
             end.suspects.add(report.fingerprint)
 
+    def clear(self, answered: AnsweredRequest) -> None:
+        """Suspect a request no longer of the ends before a server responded to it."""
+        for end in self._ends.values():
+            if end.observed_s < answered.observed_s:
+                end.suspects.discard(answered.fingerprint)
+
     def block_causes(self, now_s: float) -> list[BlockedRequest]:
         """Block the requests that were there at enough ends.
 
--- a/src/jacinthpath/gateway/crash_messages.py
+++ b/src/jacinthpath/gateway/crash_messages.py
@@ -4,16 +4,24 @@
 
 __all__ = [
     "has_other_blocked",
+    "read_answered",
     "read_blocked",
     "read_crash_reports",
     "write_blocked",
-    "write_crash_reports",
+    "write_crash_news",
 ]
 
 from typing import Any
 
 from .clock import boottime_s
-from .crash_ledger import EVIDENCE_S, BlockedRequest, CrashLedger, CrashReport
+from .crash_detector import CrashNews
+from .crash_ledger import (
+    EVIDENCE_S,
+    AnsweredRequest,
+    BlockedRequest,
+    CrashLedger,
+    CrashReport,
+)
 
 
 def has_other_blocked(ledger: CrashLedger, wanted: Any) -> bool:
@@ -43,14 +51,27 @@
     ]
 
 
-def write_crash_reports(content: Any, reports: tuple[CrashReport, ...]) -> None:
-    """Write reports; their times become ages."""
+def write_crash_news(content: Any, news: CrashNews) -> None:
+    """Write what a host reports of ends; times become ages."""
     now_s = boottime_s()
-    entries = content.init("crashes", len(reports))
-    for entry, report in zip(entries, reports, strict=True):
+    entries = content.init("crashes", len(news.crashes))
+    for entry, report in zip(entries, news.crashes, strict=True):
         entry.fingerprint = report.fingerprint
         entry.server, entry.bornMs = report.server, report.started_ms
-        entry.ageMs = int(1000 * min(EVIDENCE_S, now_s - report.observed_s))
+        entry.ageMs = _age_ms(report.observed_s, now_s)
+    entries = content.init("answered", len(news.answered))
+    for entry, answered in zip(entries, news.answered, strict=True):
+        entry.fingerprint = answered.fingerprint
+        entry.ageMs = _age_ms(answered.observed_s, now_s)
+
+
+def read_answered(content: Any) -> list[AnsweredRequest]:
+    """Return the requests in a frame that a server has responded to."""
+    now_s = boottime_s()
+    return [
+        AnsweredRequest(entry.fingerprint, now_s - entry.ageMs / 1000)
+        for entry in content.answered
+    ]
 
 
 def read_crash_reports(content: Any) -> list[CrashReport]:
@@ -62,3 +83,7 @@
         )
         for entry in content.crashes
     ]
+
+
+def _age_ms(observed_s: float, now_s: float) -> int:
+    return int(1000 * min(EVIDENCE_S, max(0.0, now_s - observed_s)))
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -299,6 +299,11 @@
   ageMs @3 :UInt32;
 }
 
+struct AnsweredRequest {
+  fingerprint @0 :UInt64;   # Of a reported request that a server has responded to.
+  ageMs @1 :UInt32;
+}
+
 struct BlockedRequest {
   fingerprint @0 :UInt64;
   remainingMs @1 :UInt32;
@@ -312,6 +317,7 @@
   leaving @3 :List(LeavingServer);    # Servers that told this host that they leave.
   limits @4 :List(ServerLimit);       # Observed since the last report.
   crashes @5 :List(CrashReport);      # That this leader has not taken yet.
+  answered @6 :List(AnsweredRequest);
 }
 
 struct DocumentsWanted {
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -11,6 +11,7 @@
     MAX_BLOCKED,
     MAX_ENDS,
     SETTLING_S,
+    AnsweredRequest,
     BlockedRequest,
     CrashLedger,
     CrashReport,
@@ -55,6 +56,16 @@
     assert blocked_by(ledger, 3.0) == set()
 
 
+def test_request_that_a_server_answers_is_cleared_of_earlier_ends():
+    """Guards against blocking a request that comes so often that it is at each end."""
+    ledger = ledger_with({1, 2}, {1, 2})
+    ledger.clear(AnsweredRequest(2, 0.1))
+    for fingerprint in (1, 2):
+        ledger.record(CrashReport(fingerprint, "s9", 1, 0.2))
+    assert blocked_by(ledger, 0.2 + SETTLING_S) == {1}
+    assert blocked_by(ledger_with({2}, {2}, {2})) == {2}
+
+
 def test_end_is_judged_when_all_hosts_have_reported():
     """Guards against blocking by the reports of the host that reports first."""
     ledger = ledger_with({2}, {2}, {2})
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -96,3 +96,22 @@
     served = [status for at_s, status in others if at_s > third_s + SETTLING_S]
     assert served == [200] * len(served)
     assert len(served) > 50
+
+
+async def test_request_that_is_always_in_flight_is_not_blocked(fleet):
+    """Guards against blocking a frequent request that was there at each end (soak seed
+    13002): one caller's requests for one path are alike, and servers end for other
+    causes too."""
+    for server in fleet.servers.values():
+        server.fault = "slow"
+    callers = [
+        asyncio.create_task(send_repeatedly(fleet, "/read/other", 0.02))
+        for _ in range(6)
+    ]
+    for number in range(4):
+        await asyncio.sleep(1.2)
+        await fleet.send(f"{CRASHING_PATH}{number}", f"crash-{number}", number % 3)
+    responses = sorted(sum(await asyncio.gather(*callers), []))
+    assert len(ends(fleet)) >= 4
+    last_s = responses[-1][0]
+    assert {status for at_s, status in responses if at_s > last_s - 1.0} == {200}
