Decide in one place whether a leader is confirmed

Cause: the peering and the permits both decided whether the lease of this host is confirmed. Change: PermitExchange.is_confirmed serves both; no behaviour changes.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -252,7 +252,7 @@
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
         while (
             not self._has_updates(wanted)
-            and self._is_confirmed()
+            and self._permits.is_confirmed()
             and loop.time() < deadline_s
         ):
             changed = self._view.changed
@@ -265,11 +265,6 @@
         response.body.documents.countsShares = counted
         return response
 
-    def _is_confirmed(self) -> bool:
-        """Return whether this host leads and no other host can lead."""
-        authority = self.authority()
-        return authority is not None and authority.may_move_keys(boottime_s())
-
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
@@ -286,7 +281,7 @@
         content = response.body.init("documents")
         content.ageMs = int(min(MAX_ENCODED_AGE_S, view.servers_age_s()) * 1000)
         content.leading = self.authority() is not None
-        content.confirmed = self._is_confirmed()
+        content.confirmed = self._permits.is_confirmed()
         write_documents(content, wanted, view)
         if has_other_blocked(self._ledger, wanted):
             write_blocked(content, self._ledger)
--- a/src/jacinthpath/gateway/permit_exchange.py
+++ b/src/jacinthpath/gateway/permit_exchange.py
@@ -62,6 +62,11 @@
         self.record_counted(sent_s)
         return permit
 
+    def is_confirmed(self) -> bool:
+        """Return whether this host leads and no other host can lead."""
+        authority = self.authority()
+        return authority is not None and authority.may_move_keys(boottime_s())
+
     def last_counted_s(self) -> float:
         """Return when a leader last counted this host's shares as its own to issue."""
         return self._counted_s
@@ -72,7 +77,7 @@
 
     def count_host(self, host: str) -> bool:
         """Count the shares of another host as this leader's to issue, if it may."""
-        if not self._may_issue():
+        if not self.is_confirmed():
             return False
         self._issuer.record_host(host, boottime_s())
         return True
@@ -101,8 +106,3 @@
             len(self._view.peer_addresses),
             now_s,
         )
-
-    def _may_issue(self) -> bool:
-        """Return whether this host leads and no other host can lead."""
-        authority = self.authority()
-        return authority is not None and authority.may_move_keys(boottime_s())
