--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -1,8 +1,8 @@
-"""Finds out whether a server ended while it ran a request, and blocks such requests."""
+"""Finds out whether a server crashed while it ran a request, and blocks such requests."""
 
 from __future__ import annotations
 
-__all__ = ["CrashDetector", "CrashNews"]
+__all__ = ["CrashDetector", "CrashEvidence"]
 
 import asyncio
 from collections import deque
@@ -27,7 +27,7 @@
 from .model import Backend
 
 PROBE_DELAY_S = 0.05
-"""A process that ends closes its connections and its listener one after the other."""
+"""A process that crashes closes its connections and its listener one after the other."""
 
 RECHECK_DELAY_S = 2.0
 """A server that restarted at once under its id has written its entry by then."""
@@ -35,10 +35,10 @@
 MAX_OWN_REPORTS = 512
 
 
-class CrashNews(NamedTuple):
+class CrashEvidence(NamedTuple):
     """What a host has to report to the leader.
 
-    :param crashes: requests that were in flight at ends.
+    :param crashes: requests that were in flight at crashes.
     :param answered: such requests that a server has responded to since.
     """
 
@@ -47,7 +47,7 @@
 
 
 class CrashDetector(Service):
-    """Reports the requests that were in flight at a server when it ended.
+    """Reports the requests that were in flight at a server when it crashed.
 
     :ivar is_following: returns whether a leader keeps this host up to date. Such a host
         leaves the decision to the leader, which has the reports of all hosts.
@@ -68,7 +68,7 @@
         self._backend_client = backend_client
         self._metrics = metrics
         self._events = events
-        self._ends: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        self._checks: dict[tuple[str, int], asyncio.Task[bool]] = {}
         self._own_reports: deque[CrashReport] = deque(maxlen=MAX_OWN_REPORTS)
         self._own_suspects: set[int] = set()
         self._unreported: list[CrashReport] = []
@@ -79,27 +79,29 @@
 
     async def on_stop(self) -> None:
         """Stop checking."""
-        for task in self._ends.values():
+        for task in self._checks.values():
             task.cancel()
         if self._judging is not None:
             self._judging.cancel()
 
     def suspect(self, request: CallerRequest, backend: Backend) -> None:
-        """Check whether a server that closed its connection to a request has ended."""
+        """Check whether a server that closed its connection to a request has crashed."""
         if backend.draining:
             return
         report = CrashReport(
             fingerprint_of(request), backend.server, backend.started_ms, boottime_s()
         )
-        end_id = backend.server, backend.started_ms
-        task = self._ends.get(end_id)
+        crash_id = backend.server, backend.started_ms
+        task = self._checks.get(crash_id)
         if task is None or task.done():
-            task = self._ends[end_id] = asyncio.create_task(self._has_ended(backend))
-            task.add_done_callback(lambda _task: self._ends.pop(end_id, None))
-        task.add_done_callback(lambda done: self._report_end(report, done))
+            task = self._checks[crash_id] = asyncio.create_task(
+                self._has_crashed(backend)
+            )
+            task.add_done_callback(lambda _task: self._checks.pop(crash_id, None))
+        task.add_done_callback(lambda done: self._report_crash(report, done))
 
     def record_answered(self, request: CallerRequest) -> None:
-        """Clear a request of the ends that this host has reported it for."""
+        """Clear a request of the crashes that this host has reported it for."""
         if not self._own_reports:
             return
         now_s = boottime_s()
@@ -136,27 +138,27 @@
         except TimeoutError:
             return
 
-    def unreported(self, leader: str) -> CrashNews:
+    def unreported(self, leader: str) -> CrashEvidence:
         """Return what a leader has not been told by this host yet.
 
         :param leader: process id of the leader; another one gets all again.
         """
         if leader != self._reported_to:
             self._reported_to, self._unreported = leader, [*self._own_reports]
-        return CrashNews(tuple(self._unreported), tuple(self._unreported_answers))
+        return CrashEvidence(tuple(self._unreported), tuple(self._unreported_answers))
 
-    def mark_reported(self, leader: str, news: CrashNews) -> None:
+    def mark_reported(self, leader: str, evidence: CrashEvidence) -> None:
         """Record that a leader has been told."""
         if leader == self._reported_to:
-            del self._unreported[: len(news.crashes)]
-            del self._unreported_answers[: len(news.answered)]
+            del self._unreported[: len(evidence.crashes)]
+            del self._unreported_answers[: len(evidence.answered)]
 
-    def _report_end(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
+    def _report_crash(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
         if task.cancelled() or task.exception() is not None or not task.result():
             return
-        self._metrics.count("requests_at_ends_total")
+        self._metrics.count("requests_at_crashes_total")
         self._events.log_failure(
-            "server_ended",
+            "server_crashed",
             server=report.server,
             born_ms=report.started_ms,
             fingerprint=f"{report.fingerprint:016x}",
@@ -168,8 +170,8 @@
         self._has_unreported.set()
         self.record(report)
 
-    async def _has_ended(self, backend: Backend) -> bool:
-        """Return whether the incarnation of a server has ended.
+    async def _has_crashed(self, backend: Backend) -> bool:
+        """Return whether the incarnation of a server has crashed.
 
         A server that only closed or reset a connection still accepts others.
         """
@@ -185,7 +187,7 @@
         self._judging = loop.call_later(wait_s, self._judge)
 
     def _judge(self) -> None:
-        """Block the requests that were there at enough ends."""
+        """Block the requests that were there at enough crashes."""
         now_s = boottime_s()
         self._judging = None
         wait_s = self._ledger.next_judgement_s(now_s)
--- a/src/jacinthpath/gateway/crash_ledger.py
+++ b/src/jacinthpath/gateway/crash_ledger.py
@@ -1,8 +1,8 @@
-"""Decides which requests end the servers that run them, by who was there at each end.
+"""Decides which requests crash the servers that run them, by who was there each time.
 
-Requests that were in flight at an end are suspects. A server that responds to such a
-request clears it of all earlier ends. One that was there at three ends without a
-response since is blocked, and is taken for the cause of all ends that it was there at:
+Requests that were in flight at a crash are suspects. A server that responds to such a
+request clears it of all earlier crashes. One that was there at three crashes without a
+response since is blocked, and is taken for the cause of all crashes that it was there at:
 the requests that only happened to be there with it are suspected of these no longer.
 """
 
@@ -15,32 +15,32 @@
 
 import xxhash
 
-ENDS_TO_BLOCK = 3
+CRASHES_TO_BLOCK = 3
 
 SETTLING_S = 0.3
-"""An end is judged this long after its first report. By then the other hosts that had
+"""A crash is judged this long after its first report. By then the other hosts that had
 requests in flight there have reported them."""
 
 EVIDENCE_S = 600.0
-"""Ends that are longer ago are forgotten."""
+"""Crashes that are longer ago are forgotten."""
 
 BLOCK_S = 300.0
-"""First time for which a request is blocked. If it ends a server after that, it is
+"""First time for which a request is blocked. If it crashes a server after that, it is
 blocked again, for twice as long."""
 
 MAX_BLOCK_S = 3600.0
-MAX_ENDS = 200
+MAX_CRASHES = 200
 MAX_SUSPECTS = 128
-"""Suspects that are remembered of one end; a server runs only a few at a time."""
+"""Suspects that are remembered of one crash; a server runs only a few at a time."""
 
 MAX_BLOCKED = 256
 
 
 class CrashReport(NamedTuple):
-    """A request that was in flight at a server when the server ended.
+    """A request that was in flight at a server when the server crashed.
 
     :param fingerprint: see :func:`~jacinthpath.gateway.fingerprints.fingerprint_of`.
-    :param observed_s: time of the end on this host's boot clock.
+    :param observed_s: time of the crash on this host's boot clock.
     """
 
     fingerprint: int
@@ -71,8 +71,8 @@
     times: int
 
 
-class _End:
-    """The end of one incarnation of a server."""
+class _Crash:
+    """The crash of one incarnation of a server."""
 
     def __init__(self, observed_s: float) -> None:
         self.observed_s = observed_s
@@ -80,31 +80,31 @@
 
 
 class CrashLedger:
-    """Suspects of the ends of servers, and the requests that are blocked."""
+    """Suspects of the crashes of servers, and the requests that are blocked."""
 
     def __init__(self) -> None:
-        self._ends: dict[tuple[str, int], _End] = {}
+        self._crashes: dict[tuple[str, int], _Crash] = {}
         self._blocked: dict[int, BlockedRequest] = {}
 
     def record(self, report: CrashReport) -> None:
-        """Add a suspect of an end."""
-        end_id = report.server, report.started_ms
-        end = self._ends.get(end_id)
-        if end is None:
-            end = self._ends[end_id] = _End(report.observed_s)
-            if len(self._ends) > MAX_ENDS:
-                del self._ends[next(iter(self._ends))]
-        if len(end.suspects) < MAX_SUSPECTS:
-            end.suspects.add(report.fingerprint)
+        """Add a suspect of a crash."""
+        crash_id = report.server, report.started_ms
+        crash = self._crashes.get(crash_id)
+        if crash is None:
+            crash = self._crashes[crash_id] = _Crash(report.observed_s)
+            if len(self._crashes) > MAX_CRASHES:
+                del self._crashes[next(iter(self._crashes))]
+        if len(crash.suspects) < MAX_SUSPECTS:
+            crash.suspects.add(report.fingerprint)
 
     def clear(self, answered: AnsweredRequest) -> None:
-        """Suspect a request no longer of the ends before a server responded to it."""
-        for end in self._ends.values():
-            if end.observed_s < answered.observed_s:
-                end.suspects.discard(answered.fingerprint)
+        """Suspect a request no longer of the crashes before a server responded to it."""
+        for crash in self._crashes.values():
+            if crash.observed_s < answered.observed_s:
+                crash.suspects.discard(answered.fingerprint)
 
     def block_causes(self, now_s: float) -> list[BlockedRequest]:
-        """Block the requests that were there at enough ends.
+        """Block the requests that were there at enough crashes.
 
         :return: the requests that were not blocked before.
         """
@@ -116,11 +116,11 @@
         return newly_blocked
 
     def next_judgement_s(self, now_s: float) -> float | None:
-        """Return the time until the next end is to be judged, ``None`` without one."""
+        """Return the time until the next crash is to be judged, ``None`` without one."""
         waits_s = [
-            end.observed_s + SETTLING_S - now_s
-            for end in self._ends.values()
-            if now_s - end.observed_s < SETTLING_S
+            crash.observed_s + SETTLING_S - now_s
+            for crash in self._crashes.values()
+            if now_s - crash.observed_s < SETTLING_S
         ]
         return min(waits_s, default=None)
 
@@ -151,32 +151,32 @@
         return xxhash.xxh64_intdigest(repr(rows).encode()) if rows else 0
 
     def _find_causes(self, now_s: float) -> list[int]:
-        """Return the requests to block next: those that were there at most ends.
+        """Return the requests to block next: those that were there at most crashes.
 
-        Blocked ones explain their ends, so other requests are not suspected of these.
+        Blocked ones explain their crashes, so other requests are not suspected of these.
         """
         counts: Counter[int] = Counter()
-        for end in self._ends.values():
-            if now_s - end.observed_s < SETTLING_S:
+        for crash in self._crashes.values():
+            if now_s - crash.observed_s < SETTLING_S:
                 continue
-            if end.suspects.isdisjoint(self._blocked):
-                counts.update(end.suspects)
+            if crash.suspects.isdisjoint(self._blocked):
+                counts.update(crash.suspects)
             else:
-                counts.update(self._returning(end))
+                counts.update(self._returning(crash))
         sufficient = {
             fingerprint: count
             for fingerprint, count in counts.items()
-            if count >= ENDS_TO_BLOCK or fingerprint in self._blocked
+            if count >= CRASHES_TO_BLOCK or fingerprint in self._blocked
         }
         most = max(sufficient.values(), default=0)
         return [one for one, count in sufficient.items() if count == most]
 
-    def _returning(self, end: _End) -> list[int]:
-        """Return the suspects that ended a server after their block was over."""
+    def _returning(self, crash: _Crash) -> list[int]:
+        """Return the suspects that crashed a server after their block was over."""
         return [
             one
-            for one in end.suspects
-            if one in self._blocked and end.observed_s > self._blocked[one].until_s
+            for one in crash.suspects
+            if one in self._blocked and crash.observed_s > self._blocked[one].until_s
         ]
 
     def _block(self, fingerprint: int, now_s: float) -> BlockedRequest:
@@ -194,10 +194,10 @@
             del self._blocked[next(iter(self._blocked))]
 
     def _forget_old(self, now_s: float) -> None:
-        self._ends = {
-            end_id: end
-            for end_id, end in self._ends.items()
-            if now_s - end.observed_s < EVIDENCE_S
+        self._crashes = {
+            crash_id: crash
+            for crash_id, crash in self._crashes.items()
+            if now_s - crash.observed_s < EVIDENCE_S
         }
         self._blocked = {
             fingerprint: one
--- a/src/jacinthpath/gateway/crash_messages.py
+++ b/src/jacinthpath/gateway/crash_messages.py
@@ -1,4 +1,4 @@
-"""Encodes and decodes ends of servers and blocked requests in peer frames."""
+"""Encodes and decodes crashes of servers and blocked requests in peer frames."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
     "read_blocked",
     "read_crash_reports",
     "write_blocked",
-    "write_crash_news",
+    "write_crash_evidence",
 ]
 
 from typing import Any
 
 from .clock import boottime_s
-from .crash_detector import CrashNews
+from .crash_detector import CrashEvidence
 from .crash_ledger import (
     EVIDENCE_S,
     AnsweredRequest,
@@ -51,16 +51,16 @@
     ]
 
 
-def write_crash_news(content: Any, news: CrashNews) -> None:
-    """Write what a host reports of ends; times become ages."""
+def write_crash_evidence(content: Any, evidence: CrashEvidence) -> None:
+    """Write what a host reports of crashes; times become ages."""
     now_s = boottime_s()
-    entries = content.init("crashes", len(news.crashes))
-    for entry, report in zip(entries, news.crashes, strict=True):
+    entries = content.init("crashes", len(evidence.crashes))
+    for entry, report in zip(entries, evidence.crashes, strict=True):
         entry.fingerprint = report.fingerprint
         entry.server, entry.bornMs = report.server, report.started_ms
         entry.ageMs = _age_ms(report.observed_s, now_s)
-    entries = content.init("answered", len(news.answered))
-    for entry, answered in zip(entries, news.answered, strict=True):
+    entries = content.init("answered", len(evidence.answered))
+    for entry, answered in zip(entries, evidence.answered, strict=True):
         entry.fingerprint = answered.fingerprint
         entry.ageMs = _age_ms(answered.observed_s, now_s)
 
--- a/src/jacinthpath/gateway/host_reports.py
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -15,7 +15,7 @@
 from ..peers import PeerPool
 from .cluster_view import ClusterView
 from .crash_detector import CrashDetector
-from .crash_messages import read_answered, read_crash_reports, write_crash_news
+from .crash_messages import read_answered, read_crash_reports, write_crash_evidence
 from .events import EventLog
 from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .peer_messages import read_report, write_report
@@ -92,13 +92,13 @@
         if leader.address == self._address:
             self._load_aggregator.add(report)
             return
-        news = self._crash_detector.unreported(leader.process_id)
-        if not (report.services or report.leaving or report.limits or any(news)):
+        evidence = self._crash_detector.unreported(leader.process_id)
+        if not (report.services or report.leaving or report.limits or any(evidence)):
             return
         frame = new_frame()
         content = frame.body.init("hostReport")
         write_report(content, report)
-        write_crash_news(content, news)
+        write_crash_evidence(content, evidence)
         try:
             await self._pool.request(leader.address, frame, REQUEST_TIMEOUT_S)
         except JacinthpathError as error:
@@ -108,7 +108,7 @@
                 "report_not_taken", leader=leader.host, error=str(error)
             )
             return
-        self._crash_detector.mark_reported(leader.process_id, news)
+        self._crash_detector.mark_reported(leader.process_id, evidence)
 
     async def handle_report(self, _connection: Any, frame: Any) -> None:
         """Merge the report in a frame of another host."""
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -106,12 +106,12 @@
         return ledger.blocked_left_s(self._fingerprint, boottime_s())
 
     def _respond_blocked(self, blocked_left_s: float) -> Response:
-        """Return the response to a request that has ended servers before."""
+        """Return the response to a request that has crashed servers before."""
         executed = self._may_have_executed()
         return self._dependencies.respond_locally(
             self._request,
             self._service.name,
-            "request-ends-servers",
+            "request-crashes-servers",
             502 if executed else 503,
             0.0 if executed else blocked_left_s,
         )
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -6,10 +6,10 @@
 
 from jacinthpath.gateway.crash_ledger import (
     BLOCK_S,
-    ENDS_TO_BLOCK,
+    CRASHES_TO_BLOCK,
     EVIDENCE_S,
     MAX_BLOCKED,
-    MAX_ENDS,
+    MAX_CRASHES,
     SETTLING_S,
     AnsweredRequest,
     BlockedRequest,
@@ -95,9 +95,9 @@
 def test_flood_of_fingerprints_is_bounded_and_blocks_nobody():
     """Guards against memory that a caller can fill, and against dropped blocks."""
     ledger = CrashLedger()
-    for number in range(20 * MAX_ENDS):
+    for number in range(20 * MAX_CRASHES):
         ledger.record(CrashReport(number, f"s{number}", 1, 0.0))
-    assert len(ledger._ends) == MAX_ENDS
+    assert len(ledger._crashes) == MAX_CRASHES
     assert blocked_by(ledger) == set()
     for number in range(2 * MAX_BLOCKED):
         ledger.merge_blocked(BlockedRequest(number, 100.0, 1))
@@ -198,6 +198,6 @@
     """Guards against a cause that goes on, and against rejecting innocent requests."""
     fleet = SimulatedFleet(seed)
     fleet.run()
-    third_s = fleet.cause_ends_s[ENDS_TO_BLOCK - 1]
+    third_s = fleet.cause_ends_s[CRASHES_TO_BLOCK - 1]
     assert sum(at_s > third_s + 3.0 for at_s in fleet.cause_ends_s) == 0
     assert fleet.block_seen_s.keys() == {CAUSE}
