--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -1,4 +1,4 @@
-"""Finds out whether a server crashed while it ran a request, and blocks such requests."""
+"""Finds out whether servers crashed while they ran a request, and blocks the cause."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 from .model import Backend
 
 PROBE_DELAY_S = 0.05
-"""A process that crashes closes its connections and its listener one after the other."""
+"""A process that crashes closes its connections and its listener in any order."""
 
 RECHECK_DELAY_S = 2.0
 """A server that restarted at once under its id has written its entry by then."""
@@ -85,7 +85,7 @@
             self._judging.cancel()
 
     def suspect(self, request: CallerRequest, backend: Backend) -> None:
-        """Check whether a server that closed its connection to a request has crashed."""
+        """Check whether a server that closed a request's connection has crashed."""
         if backend.draining:
             return
         report = CrashReport(
--- a/src/jacinthpath/gateway/crash_ledger.py
+++ b/src/jacinthpath/gateway/crash_ledger.py
@@ -2,8 +2,8 @@
 
 Requests that were in flight at a crash are suspects. A server that responds to such a
 request clears it of all earlier crashes. One that was there at three crashes without a
-response since is blocked, and is taken for the cause of all crashes that it was there at:
-the requests that only happened to be there with it are suspected of these no longer.
+response since is blocked, and is taken for the cause of all its crashes: the requests
+that only happened to be there with it are suspected of these no longer.
 """
 
 from __future__ import annotations
@@ -98,7 +98,7 @@
             crash.suspects.add(report.fingerprint)
 
     def clear(self, answered: AnsweredRequest) -> None:
-        """Suspect a request no longer of the crashes before a server responded to it."""
+        """Clear a request of the crashes before a server responded to it."""
         for crash in self._crashes.values():
             if crash.observed_s < answered.observed_s:
                 crash.suspects.discard(answered.fingerprint)
@@ -116,7 +116,7 @@
         return newly_blocked
 
     def next_judgement_s(self, now_s: float) -> float | None:
-        """Return the time until the next crash is to be judged, ``None`` without one."""
+        """Return the time until a crash is to be judged, ``None`` if none is left."""
         waits_s = [
             crash.observed_s + SETTLING_S - now_s
             for crash in self._crashes.values()
@@ -153,7 +153,7 @@
     def _find_causes(self, now_s: float) -> list[int]:
         """Return the requests to block next: those that were there at most crashes.
 
-        Blocked ones explain their crashes, so other requests are not suspected of these.
+        Blocked ones explain their crashes, so no other request is suspected of these.
         """
         counts: Counter[int] = Counter()
         for crash in self._crashes.values():
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -56,7 +56,9 @@
     "peer_frames_refused_total": "Frames from peers that were refused.",
     "peer_handler_errors_total": "Frames whose handler failed.",
     "peer_sent_bytes_total": "Bytes sent to other processes of the system.",
-    "requests_at_crashes_total": "Requests that were in flight at a server when it crashed.",
+    "requests_at_crashes_total": (
+        "Requests that were in flight at a server when it crashed."
+    ),
     "request_duration_seconds": "Time from receiving a request to its end.",
     "requests_in_flight": "Requests of callers that are in progress.",
     "requests_not_admitted_total": "Requests that got no free slot in time, by reason.",
