--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 KEY_COUNT = 65_536
+RETURN_RETRY_S = 0.1
 LARGE_BODY = bytes(range(256)) * 8_192
 
 REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request", 503: "Unavailable"}
@@ -147,11 +148,21 @@
         )
 
     async def _return(self) -> None:
-        """Listen again, as another incarnation."""
+        """Listen again, as another incarnation.
+
+        Meanwhile an outgoing connection of another process may have used the port.
+        """
+        host, _, port = self.address.rpartition(":")
+        while not self._closed:
+            try:
+                self._listener = await asyncio.start_server(
+                    self._serve, host, int(port)
+                )
+                break
+            except OSError:
+                await asyncio.sleep(RETURN_RETRY_S)
         if self._closed:
             return
-        host, _, port = self.address.rpartition(":")
-        self._listener = await asyncio.start_server(self._serve, host, int(port))
         self.restart()
         if self.handle_return is not None:
             self.handle_return(self)
