Show when a host has lost its path to all servers

The logs named the outcome of each attempt, but nothing told a host that is cut off from all servers from one whose servers have failed. Nothing is decided by it yet.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -29,6 +29,7 @@
 from .move_planning import MovePlanner
 from .ownership import Ownership, RangeState, adopt_assignment
 from .previous_leaders import PreviousLeaders
+from .reach_monitor import ReachMonitor
 from .revisions import era_of_revision, minimum_fence
 from .server_commands import CommandSender
 from .store import ConflictingWrite, Store
@@ -82,6 +83,7 @@
         election: LeaderElection,
         commands: CommandSender,
         loads: LoadAggregator,
+        reach: ReachMonitor,
         timing: Timing,
         events: EventLog,
         metrics: Metrics,
@@ -101,7 +103,7 @@
         self._clock = clock
         self._leader_state: _LeaderState | None = None
         self._command_runner = CommandRunner(
-            commands, view, events, metrics, self._handle_fenced, clock
+            commands, view, reach, events, metrics, self._handle_fenced, clock
         )
 
     async def on_start(self) -> None:
--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -24,6 +24,9 @@
 
 _NO_RESPONSE = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT})
 
+_RESPONSES = _OWN_RESPONSES | {Outcome.NOT_OWNER}
+"""Outcomes that show a path to the server's address."""
+
 
 class Attempt(NamedTuple):
     """One attempt of a request at a server.
@@ -55,6 +58,7 @@
         """Record the result of an attempt."""
         backend, elapsed_s = attempt.backend, attempt.elapsed_s
         self._count(backend, result)
+        self._record_reach(backend, result)
         if self._service.keyed:
             self._record_load(backend, result.outcome, elapsed_s)
         self._record_server_result(backend, result, elapsed_s)
@@ -78,6 +82,14 @@
             limited="yes" if limit else "no",
         )
 
+    def _record_reach(self, backend: Backend, result: AttemptResult) -> None:
+        """Record whether this host has a path to the server."""
+        reach = self._dependencies.reach
+        if result.outcome in _RESPONSES:
+            reach.record_response()
+        elif result.outcome in _NO_RESPONSE or result.connection_lost:
+            reach.record_failure(backend.server)
+
     def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
         """Stop sending to a server that leaves or has asked for a pause."""
         dependencies = self._dependencies
--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -15,6 +15,7 @@
 from .fence_sweep import FenceSweep, SweepRelease
 from .model import Backend
 from .ownership import Ownership, RangeState
+from .reach_monitor import ReachMonitor
 from .server_commands import (
     CommandResponse,
     CommandResult,
@@ -42,6 +43,7 @@
         self,
         commands: CommandSender,
         view: ClusterView,
+        reach: ReachMonitor,
         events: EventLog,
         metrics: Metrics,
         handle_fenced: Callable[[LeaderAuthority], None],
@@ -50,6 +52,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self._commands = commands
         self._view = view
+        self._reach = reach
         self._events = events
         self._metrics = metrics
         self._handle_fenced = handle_fenced
@@ -110,6 +113,7 @@
             state.command_pending = False
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=response.result.value)
+        self._record_reach(owned.server, response)
         if response.result is CommandResult.DONE:
             is_first = not state.granted
             state.record_grant(now_s, hold_s)
@@ -162,6 +166,13 @@
             detail=response.detail,
         )
 
+    def _record_reach(self, server: str, response: CommandResponse) -> None:
+        """Record whether this host has a path to the server."""
+        if response.responded:
+            self._reach.record_response()
+        else:
+            self._reach.record_failure(server)
+
     def _address(self, state: RangeState) -> str:
         """Return the holder's address for commands, from its entry or as written."""
         backend = self._view.directory.find(state.owned.server)
--- a/src/jacinthpath/gateway/explain.py
+++ b/src/jacinthpath/gateway/explain.py
@@ -138,7 +138,15 @@
 def _is_dependency_event(line: LogLine, hosts: set[str]) -> bool:
     """Return whether a line is about a dependency of the request's host."""
     return line.host in hosts and line.event.startswith(
-        ("store_", "leader", "configuration", "draining", "starting", "assignment_")
+        (
+            "store_",
+            "leader",
+            "configuration",
+            "draining",
+            "reach_",
+            "starting",
+            "assignment_",
+        )
     )
 
 
--- a/src/jacinthpath/gateway/request_dependencies.py
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -18,6 +18,7 @@
 from .owner_lookup import OwnerLookup
 from .pool import ServerPool
 from .rate_limiter import RateLimiter
+from .reach_monitor import ReachMonitor
 
 
 class RequestDependencies(NamedTuple):
@@ -25,6 +26,7 @@
 
     view: ClusterView
     pool: ServerPool
+    reach: ReachMonitor
     owners: OwnerLookup
     rate_limiter: RateLimiter
     crash_ledger: CrashLedger
--- a/src/jacinthpath/gateway/server_commands.py
+++ b/src/jacinthpath/gateway/server_commands.py
@@ -49,11 +49,15 @@
 
 
 class CommandResponse(NamedTuple):
-    """Result of a command; ``detail`` is for the log."""
+    """Result of a command; ``detail`` is for the log.
+
+    :param responded: whether a response arrived, whatever it says.
+    """
 
     result: CommandResult
     handover: str
     detail: str
+    responded: bool = False
 
 
 class CommandSender(Protocol):
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -24,6 +24,7 @@
 from .gateway.permit_exchange import PermitExchange
 from .gateway.pool import ServerPool
 from .gateway.rate_limiter import RateLimiter
+from .gateway.reach_monitor import ReachMonitor
 from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
 from .gateway.store_watcher import StoreWatcher
@@ -59,6 +60,7 @@
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
+    reach = ReachMonitor(view, metrics, events)
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
     crash_ledger = CrashLedger()
@@ -119,6 +121,7 @@
         election,
         commands,
         load_aggregator,
+        reach,
         settings.timing,
         events,
         metrics,
@@ -129,6 +132,7 @@
     dependencies = RequestDependencies(
         view,
         pool,
+        reach,
         owner_lookup,
         RateLimiter(view, permits, metrics, random),
         crash_ledger,
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -35,6 +35,7 @@
         "1 while a newer configuration may exist that this process has not seen."
     ),
     "configuration_store_failures_total": "Reads of the configuration that failed.",
+    "cut_off_from_servers": "1 while no server responds to this host.",
     "deferred_requests": "Deferrable requests that wait for off-peak time.",
     "gossip_actions_dropped_total": "Gossip actions that were dropped under load.",
     "gossip_failures_total": "Gossip actions that failed.",
--- a/src/jacinthpath/platform/server_commands.py
+++ b/src/jacinthpath/platform/server_commands.py
@@ -100,4 +100,4 @@
             return CommandResponse(CommandResult.UNKNOWN, "", repr(error))
         result = _RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
         handover = response.headers.get(HANDOVER, "")
-        return CommandResponse(result, handover, f"status {response.status}")
+        return CommandResponse(result, handover, f"status {response.status}", True)
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -21,6 +21,7 @@
 from jacinthpath.gateway.cluster_view import ASSIGNMENT_KEY, LEADER_KEY
 from jacinthpath.gateway.loads import LoadAggregator
 from jacinthpath.gateway.model import KEY_COUNT, Backend, RouteTable, Service, Timing
+from jacinthpath.gateway.reach_monitor import ReachMonitor
 from jacinthpath.gateway.revisions import (
     era_of_revision,
     make_revision,
@@ -296,6 +297,9 @@
             self.election,
             LeaderCommands(simulation, self),
             LoadAggregator(),
+            ReachMonitor(
+                self.view, NullEventLog(), NullEventLog(), lambda: simulation.now_s
+            ),
             TIMING,
             NullEventLog(),
             NullEventLog(),
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -30,6 +30,7 @@
     "revisions",
     "route_index",
     "server_limits",
+    "server_reach",
 ]
 
 IO_MODULES = {"aiohttp", "asyncio", "mode", "os", "socket", "time"}
