Reproduce hosts that have lost the path to all servers, failing

Three gateways and real sockets; one host's connections to the servers go through proxies of its own.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,7 +21,8 @@
 
     ``mode`` applies to open connections too: ``pass``, ``delay``, ``reset`` (each new
     connection is reset together with all open ones), ``silent`` (discards the data of
-    both directions) or ``one-way`` (discards the data from ``target``).
+    both directions) or ``one-way`` (discards the data from ``target``). With
+    ``refuse-new``, open connections live on while each new one is reset.
     """
 
     def __init__(self, target: str) -> None:
@@ -57,6 +58,9 @@
             if self.mode == "reset":
                 self.reset()
                 return
+            if self.mode == "refuse-new":
+                _reset(writer)
+                return
             upstream_reader, upstream_writer = await asyncio.open_connection(
                 host, int(port)
             )
--- a/src/jacinthpath/gateway/sockets.py
+++ b/src/jacinthpath/gateway/sockets.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-__all__ = ["open_keepalive_socket", "open_reset_on_close_socket"]
+__all__ = ["OpenSocket", "open_keepalive_socket", "open_reset_on_close_socket"]
 
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
+OpenSocket = Callable[[Any], socket.socket]
+"""Opens a socket for an ``addrinfo`` tuple."""
+
 USER_TIMEOUT_MS = 1500
 """Time that sent data may stay unacknowledged before the connection is closed."""
 
--- a/src/jacinthpath/platform/server_commands.py
+++ b/src/jacinthpath/platform/server_commands.py
@@ -15,7 +15,7 @@
     GrantCommand,
     ReleaseCommand,
 )
-from ..gateway.sockets import open_reset_on_close_socket
+from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from .headers import EXPECTED_SERVER, HANDOVER
 from .http import open_session
 from .values import format_duration
@@ -35,9 +35,12 @@
 
     The connection is reset when a command is given up, so the end of the call bounds
     the time at which the command can arrive.
+
+    :param open_socket: opens the socket of a connection to an ``addrinfo`` tuple.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, open_socket: OpenSocket = open_reset_on_close_socket) -> None:
+        self._open_socket = open_socket
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -46,7 +49,7 @@
             aiohttp.TCPConnector(
                 limit=0,
                 keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                socket_factory=open_reset_on_close_socket,
+                socket_factory=self._open_socket,
             ),
             CONNECT_TIMEOUT_S,
         )
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -5,6 +5,7 @@
 __all__ = ["ServerClient"]
 
 import asyncio
+import socket
 
 import aiohttp
 from yarl import URL
@@ -13,7 +14,7 @@
 from ..gateway.clock import boottime_s
 from ..gateway.exchange import AttemptResult, CallerRequest, Outcome, Response
 from ..gateway.model import Backend
-from ..gateway.sockets import open_reset_on_close_socket
+from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from ..headers import forwarded_fields
 from .headers import DEADLINE_MS, EXPECTED_SERVER, NOT_EXECUTED, SIGNATURE
 from .http import HOP_BY_HOP_FIELDS, open_session
@@ -38,10 +39,14 @@
     """Sends requests; see :class:`jacinthpath.gateway.exchange.BackendClient`.
 
     :param memory: counts the bodies that this host holds.
+    :param open_socket: opens the socket of a connection to an ``addrinfo`` tuple.
     """
 
-    def __init__(self, memory: BodyMemory) -> None:
+    def __init__(
+        self, memory: BodyMemory, open_socket: OpenSocket = open_reset_on_close_socket
+    ) -> None:
         self._memory = memory
+        self._open_socket = open_socket
         self._session: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
@@ -50,7 +55,7 @@
             ServerConnector(
                 limit=0,
                 keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                socket_factory=open_reset_on_close_socket,
+                socket_factory=self._open_socket,
             ),
             CONNECT_TIMEOUT_S,
             auto_decompress=False,
@@ -112,14 +117,18 @@
         A host that does not respond refuses nothing, and may go on working.
         """
         host, _, port = backend.address.rpartition(":")
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
+                (address, *_) = await loop.getaddrinfo(
+                    host, int(port), type=socket.SOCK_STREAM
+                )
+                with self._open_socket(address) as probe:
+                    await loop.sock_connect(probe, address[-1])
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError):
             return False
-        writer.transport.abort()
         return False
 
     async def _read_response(
--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -63,7 +63,7 @@
         self.store.put(f"servers/{name}", server.entry())
         return server
 
-    async def add_gateway(self, index):
+    async def add_gateway(self, index, host_path=None):
         path = self.tmp_path / f"gateway-{index}.toml"
         path.write_text(
             SETTINGS.format(
@@ -76,6 +76,8 @@
             )
         )
         gateway = build_gateway(str(path))
+        if host_path is not None:
+            await host_path.start(gateway, self.servers.values())
         await gateway.start()
         self.gateways.append(gateway)
         return gateway
