Send requests by way of another host where a host has no path to a server

Cause: a host had one path to a server, its own, and judged servers by it alone: it tried and ejected one server after the other, and refused what any other host could have sent. Ruled out: that the servers had failed (the others served), and that a larger budget of retries would help (every attempt at the cut hosts failed).

Change: three servers that fail one after the other with no response between mean a lost path; two probes confirm it where there is little traffic, and one every 0.4 s finds its end, so that no caller pays. Without a path, or without a connection to one server, the attempt goes by a frame to another host, which sends it to that server or says why not. The host that has the caller decides on retries, limits, blocks and deadline as before. A request is sent by a second host only while it is certain that the first has not sent it; a lost reply leaves the outcome unknown. Bodies of responses are requested part by part. A host asks only those of this release or later.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -55,16 +55,21 @@
         self._service = service
 
     def record(self, attempt: Attempt, result: AttemptResult) -> None:
-        """Record the result of an attempt."""
+        """Record the result of an attempt.
+
+        The load and the crashes that a relayed attempt shows are reported by the host
+        that has relayed it.
+        """
         backend, elapsed_s = attempt.backend, attempt.elapsed_s
         self._count(backend, result)
-        self._record_reach(backend, result)
-        if self._service.keyed:
+        if self._service.keyed and not result.relayed_by:
             self._record_load(backend, result.outcome, elapsed_s)
         self._record_server_result(backend, result, elapsed_s)
         self._log(attempt, result)
         self._record_notice(backend, result.notice)
         self._record_limit(backend, result)
+        if result.relayed_by:
+            return
         if result.connection_lost:
             self._dependencies.crash_detector.suspect(self._request, backend)
         elif result.outcome is Outcome.ANSWERED:
@@ -80,10 +85,11 @@
             "attempts_total",
             outcome=result.outcome.value,
             limited="yes" if limit else "no",
+            path="relayed" if result.relayed_by else "own",
         )
 
-    def _record_reach(self, backend: Backend, result: AttemptResult) -> None:
-        """Record whether this host has a path to the server."""
+    def record_reach(self, backend: Backend, result: AttemptResult) -> None:
+        """Record whether this host has a path to the server, by an attempt on it."""
         reach = self._dependencies.reach
         if result.outcome in _RESPONSES:
             reach.record_response()
@@ -169,8 +175,11 @@
             self._dependencies.metrics.observe("attempt_duration_seconds", elapsed_s)
         elif outcome is Outcome.REFUSED:
             pool.record_rejection(backend, now_s)
-        elif outcome is Outcome.NOT_OWNER or self._may_still_be_working(
-            backend, result, elapsed_s
+        elif (
+            outcome is Outcome.NOT_OWNER
+            or result.relay_lost
+            or self._says_only_that_path_is_lost(result)
+            or self._may_still_be_working(backend, result, elapsed_s)
         ):
             pool.record_inconclusive(backend, now_s)
         elif pool.record_failure(backend, now_s, outcome in _NO_RESPONSE):
@@ -182,6 +191,15 @@
                 detail=result.detail,
             )
 
+    def _says_only_that_path_is_lost(self, result: AttemptResult) -> bool:
+        """Return whether an attempt failed on the path of a host that is cut off."""
+        no_response = result.outcome in _NO_RESPONSE or result.connection_lost
+        return (
+            no_response
+            and not result.relayed_by
+            and self._dependencies.reach.is_cut_off()
+        )
+
     def _may_still_be_working(
         self, backend: Backend, result: AttemptResult, elapsed_s: float
     ) -> bool:
@@ -212,6 +230,7 @@
             fingerprint=None if answered else f"{fingerprint_of(self._request):016x}",
             outcome=result.outcome.value,
             detail=result.detail,
+            relayed_by=result.relayed_by or None,
             took_ms=_ms(attempt.elapsed_s),
             left_ms=_ms(attempt.remaining_s),
             expected_ms=_ms(dependencies.pool.latency_s(backend, now_s)),
--- /dev/null
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -0,0 +1,112 @@
+"""Sends one attempt to a server, on this host's path or that of another host."""
+
+from __future__ import annotations
+
+__all__ = ["AttemptSender"]
+
+import asyncio
+
+from .attempt_recorder import Attempt, AttemptRecorder
+from .clock import boottime_s
+from .exchange import AttemptResult, CallerRequest, Outcome
+from .model import Backend, Service
+from .request_dependencies import RequestDependencies
+
+MAX_DIRECT_CONNECT_S = 0.2
+"""After a longer wait for a connection, another server is more likely to respond in
+time than the same one by way of another host."""
+
+MIN_RELAYED_S = 0.02
+"""No request is relayed with less time than this left."""
+
+
+class AttemptSender:
+    """Sends the attempts of one request, and records their results.
+
+    :param may_relay: whether another host may send the request; one that was relayed
+        is not relayed again.
+    """
+
+    def __init__(
+        self,
+        dependencies: RequestDependencies,
+        request: CallerRequest,
+        service: Service,
+        may_relay: bool = True,
+    ) -> None:
+        self._dependencies = dependencies
+        self._request = request
+        self._service = service
+        self._may_relay = may_relay
+        self._loop = asyncio.get_running_loop()
+        self._recorder = AttemptRecorder(dependencies, request, service)
+
+    async def send(
+        self, number: int, backend: Backend, remaining_s: float
+    ) -> AttemptResult:
+        """Send the request to a server and record the result.
+
+        :param number: 1 for the first attempt of the request.
+        :param remaining_s: time until the request's deadline.
+        """
+        pool = self._dependencies.pool
+        started_s = self._loop.time()
+        pool.record_start(backend, boottime_s())
+        try:
+            result = await self._send_by_a_path(backend, remaining_s)
+        except asyncio.CancelledError:
+            pool.record_inconclusive(backend, boottime_s())
+            self._dependencies.events.log_failure(
+                "attempt_cancelled",
+                id=self._request.request_id,
+                server=backend.server,
+                after_ms=round(1000 * (self._loop.time() - started_s)),
+            )
+            raise
+        result = self._recorder.track_stream(backend, result)
+        elapsed_s = self._loop.time() - started_s
+        self._recorder.record(Attempt(number, backend, elapsed_s, remaining_s), result)
+        return result
+
+    async def _send_by_a_path(
+        self, backend: Backend, remaining_s: float
+    ) -> AttemptResult:
+        dependencies = self._dependencies
+        started_s = self._loop.time()
+        relay = dependencies.relay if self._may_relay else None
+        if relay is None or not (dependencies.reach.is_cut_off() and relay.has_peers()):
+            result = await self._send_directly(backend, remaining_s)
+            elapsed_s = self._loop.time() - started_s
+            remaining_s -= elapsed_s
+            if (
+                relay is None
+                or result.outcome is not Outcome.UNREACHABLE
+                or remaining_s < MIN_RELAYED_S
+                or not relay.may_help(backend)
+                or not self._is_relay_worthwhile(elapsed_s)
+            ):
+                return result
+        return await relay.send(self._request, backend, remaining_s)
+
+    async def _send_directly(
+        self, backend: Backend, remaining_s: float
+    ) -> AttemptResult:
+        """Send on this host's own path, and record whether there is one."""
+        reach = self._dependencies.reach
+        token = reach.record_sent()
+        try:
+            result = await self._dependencies.backend_client.send(
+                self._request, backend, remaining_s
+            )
+        finally:
+            reach.record_ended(token)
+        self._recorder.record_reach(backend, result)
+        return result
+
+    def _is_relay_worthwhile(self, elapsed_s: float) -> bool:
+        """Return whether to relay a request that found no connection to a server."""
+        return (
+            self._service.keyed
+            or elapsed_s < MAX_DIRECT_CONNECT_S
+            or self._dependencies.reach.is_doubted()
+        )
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -145,6 +145,9 @@
         servers do that have too many.
     :param connection_lost: whether the connection was closed or reset before any
         response.
+    :param relayed_by: host that has sent the request to the server, empty for this one.
+    :param relay_lost: whether the path to that host broke, so that the result says
+        nothing about the server.
     """
 
     outcome: Outcome
@@ -153,6 +156,8 @@
     notice: ServerNotice = NO_NOTICE
     connection_reset: bool = False
     connection_lost: bool = False
+    relayed_by: str = ""
+    relay_lost: bool = False
 
 
 class BackendClient(Protocol):
@@ -166,6 +171,9 @@
     async def refuses_connections(self, backend: Backend) -> bool:
         """Return whether nothing listens at the server's address."""
 
+    async def responds(self, backend: Backend, health_path: str) -> bool:
+        """Return whether the server responds at all, whatever it says."""
+
 
 def local_response(status: int, reason: str, retry_after_s: float = 0.0) -> Response:
     """Return a response made by the gateway itself.
--- a/src/jacinthpath/gateway/pool.py
+++ b/src/jacinthpath/gateway/pool.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["ServerPool"]
+__all__ = ["ServerPool", "connection_limit"]
 
 import math
 from collections.abc import Collection, Iterable
 from random import Random
 
-from .model import Backend
+from .model import Backend, Service
 
 CHOICE_COUNT = 2
 """Servers of the own data centre compared for each choice. With two, servers of unequal
@@ -227,6 +227,14 @@
         stats.failures = FAILURES_TO_EJECT - 1
         return True
 
+    def forget_failures(self) -> None:
+        """Forget the failures of all servers: the path of this host was their cause."""
+        for stats in self._stats_by_server.values():
+            stats.failures = stats.ejections = 0
+            stats.failure_rate = 0.0
+            stats.ejected_until_s = stats.unreachable_until_s = float("-inf")
+            stats.window = math.inf
+
     def retain(self, known: Collection[str]) -> None:
         """Drop the statistics of servers that are no longer known."""
         for server in [*self._stats_by_server]:
@@ -279,3 +287,11 @@
         if backend.data_centre != self._data_centre:
             score *= OTHER_DATA_CENTRE_FACTOR
         return score
+
+
+def connection_limit(service: Service, hosts: int) -> int:
+    """Return how many connections to one server each of ``hosts`` may use.
+
+    A server resets connections above its limit, which loses the requests on them.
+    """
+    return max(1, service.max_connections // max(1, hosts))
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -4,35 +4,59 @@
 
 __all__ = ["ReachMonitor"]
 
+import asyncio
 from collections.abc import Callable
+from random import Random
+
+from mode import Service
 
 from ..metrics import Metrics
 from .clock import boottime_s
 from .cluster_view import ClusterView
 from .events import EventLog
+from .exchange import BackendClient
+from .model import Backend
+from .pool import ServerPool
 from .server_reach import Reach, ServerReach
 
+CHECK_INTERVAL_S = 0.1
+PROBED_SERVERS = 3
+
+
+class ReachMonitor(Service):
+    """Records how attempts and commands of this host end, and probes servers in doubt.
 
-class ReachMonitor:
-    """Records how attempts and commands of this host end.
+    Probes are health checks, so that no caller's request has to find out.
 
+    :param pool: forgets failures whose cause was this host's own path.
     :param clock: boot clock.
     """
 
     def __init__(
         self,
         view: ClusterView,
+        pool: ServerPool,
+        backend_client: BackendClient,
         metrics: Metrics,
         events: EventLog,
+        random: Random,
         clock: Callable[[], float] = boottime_s,
     ) -> None:
+        super().__init__()
         self._view = view
+        self._pool = pool
+        self._backend_client = backend_client
         self._metrics = metrics
         self._events = events
+        self._random = random
         self._clock = clock
         self._reach = ServerReach()
         self._was_cut_off = False
 
+    async def on_start(self) -> None:
+        """Start to probe servers whenever the path is in doubt."""
+        self.add_future(self._probe_in_doubt())
+
     def state(self) -> Reach:
         """Return what is known of the path to the servers."""
         return self._reach.state(self._clock())
@@ -41,24 +65,79 @@
         """Return whether this host has lost its path to all servers."""
         return self._reach.is_cut_off(self._clock())
 
+    def is_doubted(self) -> bool:
+        """Return whether two servers have failed one after the other."""
+        return self._reach.is_doubted()
+
+    def record_sent(self) -> int:
+        """Record the start of an attempt; return a token for its end."""
+        return self._reach.record_sent(self._clock())
+
+    def record_ended(self, token: int) -> None:
+        """Record the end of an attempt, whatever its result."""
+        self._reach.record_ended(token)
+
     def record_response(self) -> None:
         """Record that a server has responded to this host."""
         self._reach.record_response(self._clock())
         if self._was_cut_off:
-            self._log_change()
+            self._handle_change()
 
     def record_failure(self, server: str) -> None:
         """Record that a server did not respond to this host."""
         self._reach.set_known_servers(len(self._view.directory.all()))
         self._reach.record_failure(server, self._clock())
         if self.is_cut_off() != self._was_cut_off:
-            self._log_change()
+            self._handle_change()
 
-    def _log_change(self) -> None:
+    def _handle_change(self) -> None:
         self._was_cut_off = self.is_cut_off()
+        self._pool.forget_failures()
         self._metrics.gauge("cut_off_from_servers", float(self._was_cut_off))
         self._events.log_state_change(
             "reach_changed",
             state=self.state().value,
             failing=" ".join(self._reach.failing),
         )
+
+    async def _probe_in_doubt(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            count = self._reach.due_probes(self._clock())
+            if count:
+                await self._probe(min(count, PROBED_SERVERS))
+
+    async def _probe(self, count: int) -> None:
+        backends = self._choose_probed(count)
+        await asyncio.gather(*(self._probe_server(backend) for backend in backends))
+
+    def _choose_probed(self, count: int) -> list[Backend]:
+        """Return servers that have not failed yet, and whom a probe does not burden."""
+        now_s = self._clock()
+        directory, limits = self._view.directory, self._view.limits
+        unburdened = [
+            backend
+            for backend in directory.all().values()
+            if not backend.draining
+            and not self._pool.pause_left_s(backend, now_s)
+            and limits.find(backend.server, backend.started_ms, now_s) is None
+        ]
+        untried = [b for b in unburdened if b.server not in self._reach.failing]
+        candidates = untried or unburdened
+        return self._random.sample(candidates, min(count, len(candidates)))
+
+    async def _probe_server(self, backend: Backend) -> None:
+        health_path = self._health_path(backend)
+        if not health_path:
+            return
+        responds = await self._backend_client.responds(backend, health_path)
+        self._metrics.count("reach_probes_total", result="yes" if responds else "no")
+        if responds:
+            self.record_response()
+        else:
+            self.record_failure(backend.server)
+
+    def _health_path(self, backend: Backend) -> str:
+        routes = self._view.routes
+        service = routes.table.services.get(backend.service) if routes else None
+        return service.health_path if service else ""
--- /dev/null
+++ b/src/jacinthpath/gateway/relay_messages.py
@@ -0,0 +1,187 @@
+"""Encodes and decodes relayed requests and their responses in peer frames."""
+
+from __future__ import annotations
+
+__all__ = [
+    "Refusal",
+    "RelayReply",
+    "RelayTarget",
+    "read_relayed",
+    "read_relay_wanted",
+    "write_refusal",
+    "write_relayed",
+    "write_relay_wanted",
+]
+
+from typing import Any, NamedTuple
+
+from multidict import CIMultiDict
+
+from ..errors import FrameError
+from .exchange import AttemptResult, CallerRequest, Outcome, Response, ServerNotice
+from .model import Backend
+
+MAX_PAUSE_MS = 0xFFFFFFFF
+
+
+class RelayTarget(NamedTuple):
+    """The server that a relayed request may be sent to, and no other."""
+
+    server: str
+    started_ms: int
+
+
+class Refusal(NamedTuple):
+    """Why a host does not send a request that it was asked to relay.
+
+    :param host_is_unable: whether it would refuse those to other servers too.
+    :param pause_s: time for which the server wants no requests from that host.
+    """
+
+    reason: str
+    host_is_unable: bool = False
+    pause_s: float = 0.0
+
+
+class RelayReply(NamedTuple):
+    """What the relaying host replies.
+
+    :param refusal: why the request was not sent to the server; empty if it was.
+    :param result: result of the attempt, without a stream; ``None`` with a refusal,
+        unless the server has asked for a pause.
+    :param host_is_unable: whether the refusal concerns all servers.
+    :param reaches_servers: whether that host has had a server's response lately.
+    :param continues: whether parts of the body follow on demand.
+    :param length: length of the whole body in bytes, ``None`` if it is not known.
+    """
+
+    refusal: str
+    result: AttemptResult | None
+    reaches_servers: bool
+    continues: bool = False
+    length: int | None = None
+    host_is_unable: bool = False
+
+
+def write_relay_wanted(
+    content: Any,
+    relay_id: int,
+    request: CallerRequest,
+    backend: Backend,
+    remaining_s: float,
+) -> None:
+    """Write a request that another host shall send to ``backend``."""
+    content.relayId = relay_id
+    content.server, content.bornMs = backend.server, backend.started_ms
+    content.attemptId = request.request_id
+    content.method, content.host = request.method, request.host
+    content.target, content.caller = request.target, request.caller
+    content.keyed, content.key = request.key is not None, request.key or 0
+    content.remainingMs = max(1, int(1000 * remaining_s))
+    _write_headers(content, request.headers)
+    content.body = request.body
+
+
+def read_relay_wanted(
+    content: Any, received_s: float
+) -> tuple[RelayTarget, CallerRequest]:
+    """Return the target and the request of a frame.
+
+    :param received_s: loop time at which the frame arrived.
+    """
+    request = CallerRequest(
+        request_id=content.attemptId,
+        method=content.method,
+        host=content.host,
+        target=content.target,
+        path=content.target.partition("?")[0],
+        key=content.key if content.keyed else None,
+        received_s=received_s,
+        timeout_s=content.remainingMs / 1000,
+        headers=_read_headers(content),
+        body=bytes(content.body),
+        caller=content.caller,
+    )
+    return RelayTarget(content.server, content.bornMs), request
+
+
+def write_refusal(content: Any, refusal: Refusal) -> None:
+    """Write that a request was not sent."""
+    content.refusal = refusal.reason
+    content.unable = refusal.host_is_unable
+    content.pauseMs = min(MAX_PAUSE_MS, int(1000 * refusal.pause_s))
+
+
+def write_relayed(content: Any, result: AttemptResult, reaches_servers: bool) -> None:
+    """Write the result of an attempt, without the stream of a large body."""
+    content.outcome, content.detail = result.outcome.value, result.detail
+    content.reachesServers = reaches_servers
+    notice = result.notice
+    content.leaving = notice.leaving
+    content.pauseMs = min(MAX_PAUSE_MS, int(1000 * notice.pause_s))
+    content.limited = notice.limit_per_s is not None
+    content.limitPerS = notice.limit_per_s or 0.0
+    response = result.response
+    if response is None:
+        return
+    content.complete = True
+    content.status = response.status
+    _write_headers(content, response.headers)
+    content.body = response.body
+    length: int | None = len(response.body)
+    if response.stream is not None:
+        content.continues = True
+        length = response.stream.length
+    content.length = -1 if length is None else length
+
+
+def read_relayed(content: Any, host: str, received_s: float) -> RelayReply:
+    """Return the reply in a frame of a host.
+
+    :param received_s: time on the boot clock.
+    :raises FrameError: the outcome is unknown to this release.
+    """
+    notice = ServerNotice(
+        leaving=content.leaving,
+        pause_s=content.pauseMs / 1000,
+        limit_per_s=content.limitPerS if content.limited else None,
+        received_s=received_s,
+    )
+    if content.refusal:
+        return _read_refusal(content, host, notice)
+    try:
+        outcome = Outcome(content.outcome)
+    except ValueError as error:
+        raise FrameError(
+            "The outcome of a relayed request is unknown.", "Upgrade the older host."
+        ) from error
+    response = None
+    if content.complete:
+        response = Response(content.status, _read_headers(content), bytes(content.body))
+    result = AttemptResult(outcome, content.detail, response, notice, relayed_by=host)
+    length = None if content.length < 0 else content.length
+    return RelayReply("", result, content.reachesServers, content.continues, length)
+
+
+def _read_refusal(content: Any, host: str, notice: ServerNotice) -> RelayReply:
+    result = None
+    if notice.pause_s:
+        result = AttemptResult(
+            Outcome.REFUSED, content.refusal, notice=notice, relayed_by=host
+        )
+    return RelayReply(
+        content.refusal,
+        result,
+        content.reachesServers,
+        host_is_unable=content.unable,
+    )
+
+
+def _write_headers(content: Any, headers: CIMultiDict[str]) -> None:
+    entries = content.init("headers", len(headers))
+    for entry, (name, value) in zip(entries, headers.items(), strict=True):
+        entry.name, entry.value = name, value
+
+
+def _read_headers(content: Any) -> CIMultiDict[str]:
+    return CIMultiDict((entry.name, entry.value) for entry in content.headers)
--- a/src/jacinthpath/gateway/request_dependencies.py
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -19,6 +19,7 @@
 from .pool import ServerPool
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
+from .relay_client import RelayClient
 
 
 class RequestDependencies(NamedTuple):
@@ -32,6 +33,7 @@
     crash_ledger: CrashLedger
     crash_detector: CrashDetector
     backend_client: BackendClient
+    relay: RelayClient
     load_recorder: LoadRecorder
     events: EventLog
     metrics: Metrics
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from .attempt_recorder import Attempt, AttemptRecorder
+from .attempt_sender import AttemptSender
 from .attempts import Step, StepKind, next_step
 from .clock import boottime_s
 from .exchange import (
@@ -63,7 +63,7 @@
         self._deadline_s = request.received_s + min(timeout_s, route.timeout_s)
         # The loop's clock stops while the host is suspended, but the caller's does not.
         self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
-        self._recorder = AttemptRecorder(dependencies, request, service)
+        self._sender = AttemptSender(dependencies, request, service)
         self._results: list[AttemptResult] = []
         self._fingerprint: int | None = None
         self._chooser = ServerChooser(dependencies, request, service, self._remaining_s)
@@ -128,31 +128,12 @@
         )
 
     async def _attempt(self, backend: Backend) -> AttemptResult:
-        """Send the request to a server and record the result."""
-        dependencies = self._dependencies
-        started_s = self._loop.time()
-        remaining_s = self._remaining_s()
-        dependencies.pool.record_start(backend, boottime_s())
-        try:
-            result = await dependencies.backend_client.send(
-                self._request, backend, remaining_s
-            )
-        except asyncio.CancelledError:
-            dependencies.pool.record_inconclusive(backend, boottime_s())
-            dependencies.events.log_failure(
-                "attempt_cancelled",
-                id=self._request.request_id,
-                server=backend.server,
-                after_ms=round(1000 * (self._loop.time() - started_s)),
-            )
-            raise
-        result = self._recorder.track_stream(backend, result)
+        """Send the request to a server."""
+        result = await self._sender.send(
+            len(self._results) + 1, backend, self._remaining_s()
+        )
         self._chooser.tried.append(backend.server)
         self._results.append(result)
-        elapsed_s = self._loop.time() - started_s
-        self._recorder.record(
-            Attempt(len(self._results), backend, elapsed_s, remaining_s), result
-        )
         return result
 
     async def _decide_next_step(self, result: AttemptResult) -> Step:
--- a/src/jacinthpath/gateway/server_chooser.py
+++ b/src/jacinthpath/gateway/server_chooser.py
@@ -10,6 +10,7 @@
 from .exchange import CallerRequest
 from .model import Backend, Service
 from .owner_lookup import MOVING_RETRY_S, NO_OWNER_RETRY_S, ServerChoice
+from .pool import connection_limit
 from .request_dependencies import RequestDependencies
 
 
@@ -100,9 +101,6 @@
         )
 
     def _connection_limit(self) -> int:
-        """Return how many connections to one server this host may use.
-
-        A server resets connections above its limit, which loses the requests on them.
-        """
-        hosts = max(1, len(self._dependencies.view.peer_addresses))
-        return max(1, self._service.max_connections // hosts)
+        """Return how many connections to one server this host may use."""
+        hosts = len(self._dependencies.view.peer_addresses)
+        return connection_limit(self._service, hosts)
--- a/src/jacinthpath/gateway/server_reach.py
+++ b/src/jacinthpath/gateway/server_reach.py
@@ -18,6 +18,17 @@
 FRESH_RESPONSE_S = 2.0
 """A response younger than this shows that this host had a path."""
 
+DOUBT_S = 0.2
+"""Time after a failure in which a response of another server usually arrives."""
+
+SILENCE_S = 0.8
+"""An attempt that waits for longer while no server responds puts the path in doubt:
+connections may stay open and lose everything sent on them."""
+
+DOUBT_PROBE_INTERVAL_S = 0.5
+SILENCE_PROBE_INTERVAL_S = 2.0
+CUT_OFF_PROBE_INTERVAL_S = 0.4
+
 
 class Reach(enum.Enum):
     """What this host knows of its path to the servers."""
@@ -40,6 +51,7 @@
         self._pending_since_s: dict[int, float] = {}
         self._next_token = 0
         self._known_servers = 0
+        self._last_probe_s = float("-inf")
 
     def set_known_servers(self, count: int) -> None:
         """Set how many servers there are: of fewer than three, all have to fail."""
@@ -77,6 +89,28 @@
         """Return whether this host has lost its path to all servers."""
         return self.state(now_s) is Reach.CUT_OFF
 
+    def is_doubted(self) -> bool:
+        """Return whether two servers have failed one after the other."""
+        return len(self.failing) > 1
+
+    def due_probes(self, now_s: float) -> int:
+        """Return how many servers to probe now, and take them as probed."""
+        count, interval_s = self._wanted_probes(now_s)
+        if not count or now_s - self._last_probe_s < interval_s:
+            return 0
+        self._last_probe_s = now_s
+        return count
+
+    def _wanted_probes(self, now_s: float) -> tuple[int, float]:
+        """Return how many servers to probe at a time, and how often."""
+        if self.is_cut_off(now_s):
+            return 2, CUT_OFF_PROBE_INTERVAL_S
+        if self.failing and now_s - min(self.failing.values()) > DOUBT_S:
+            return MIN_FAILING_SERVERS - 1, DOUBT_PROBE_INTERVAL_S
+        if self.silence_s(now_s) > SILENCE_S:
+            return 1, SILENCE_PROBE_INTERVAL_S
+        return 0, 0.0
+
     def silence_s(self, now_s: float) -> float:
         """Return for how long an attempt has waited while no server responded."""
         if not self._pending_since_s:
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -26,6 +26,8 @@
 from .leader_election import LeaderElection
 from .model import GatewaySettings
 from .peering import Peering
+from .reach_monitor import ReachMonitor
+from .relay_server import RelayServer
 from .store import Condition, ConflictingWrite, Store, Write
 from .store_watcher import StoreWatcher
 
@@ -85,6 +87,8 @@
         peering: Peering,
         reporter: HostReporter,
         crash_detector: CrashDetector,
+        reach: ReachMonitor,
+        relay_server: RelayServer,
         forwarder: Forwarder,
         clients: tuple[Any, ...],
         metrics: Metrics,
@@ -105,6 +109,8 @@
         self._peering = peering
         self._reporter = reporter
         self._crash_detector = crash_detector
+        self._reach = reach
+        self._relay_server = relay_server
         self._forwarder = forwarder
         self._clients = clients
         self._metrics = metrics
@@ -125,6 +131,7 @@
         await self._admin.start()
         await self.add_runtime_dependency(self._peering)
         await self.add_runtime_dependency(self._crash_detector)
+        await self.add_runtime_dependency(self._reach)
         await self.add_runtime_dependency(self._reporter)
         await self.add_runtime_dependency(self._watcher)
         await self.add_runtime_dependency(self._election)
@@ -158,7 +165,11 @@
     def _close_idle_and_check_work(self) -> bool:
         """Close idle connections; return whether there is work left to wait for."""
         open_connections = self.listener.close_idle_connections()
-        return open_connections > 0 or self._election.has_unrevoked_lease()
+        return (
+            open_connections > 0
+            or self._relay_server.in_progress > 0
+            or self._election.has_unrevoked_lease()
+        )
 
     def reload(self) -> None:
         """Read the settings again and log what differs; the old ones stay in force."""
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -25,6 +25,8 @@
 from .gateway.pool import ServerPool
 from .gateway.rate_limiter import RateLimiter
 from .gateway.reach_monitor import ReachMonitor
+from .gateway.relay_client import RelayClient
+from .gateway.relay_server import RelayServer
 from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
 from .gateway.store_watcher import StoreWatcher
@@ -60,7 +62,7 @@
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
-    reach = ReachMonitor(view, metrics, events)
+    reach = ReachMonitor(view, pool, servers, metrics, events, random)
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
     crash_ledger = CrashLedger()
@@ -77,6 +79,23 @@
         events,
         random,
     )
+    owner_lookup = OwnerLookup(view, pool, settings.timing.drain_s)
+    dependencies = RequestDependencies(
+        view,
+        pool,
+        reach,
+        owner_lookup,
+        RateLimiter(view, permits, metrics, random),
+        crash_ledger,
+        crash_detector,
+        servers,
+        RelayClient(settings.peer_address, peer_pool, view, random),
+        load_recorder,
+        events,
+        metrics,
+        random,
+    )
+    relay_server = RelayServer(dependencies, settings.timing.drain_s)
     peering = Peering(
         identity,
         settings.peer_address,
@@ -89,6 +108,9 @@
         {
             "hostReport": reporter.handle_report,
             "permitWanted": permits.handle_permit_wanted,
+            "relayWanted": relay_server.handle_relay_wanted,
+            "relayPartWanted": relay_server.handle_part_wanted,
+            "relayEnded": relay_server.handle_relay_ended,
         },
         metrics,
         events,
@@ -128,21 +150,6 @@
         LeaderProcess(process_id, settings.peer_address),
         peering.has_stopped_leading,
     )
-    owner_lookup = OwnerLookup(view, pool, settings.timing.drain_s)
-    dependencies = RequestDependencies(
-        view,
-        pool,
-        reach,
-        owner_lookup,
-        RateLimiter(view, permits, metrics, random),
-        crash_ledger,
-        crash_detector,
-        servers,
-        load_recorder,
-        events,
-        metrics,
-        random,
-    )
     forwarder = Forwarder(dependencies, settings.timing)
     gateway = GatewayService(
         settings,
@@ -155,6 +162,8 @@
         peering,
         reporter,
         crash_detector,
+        reach,
+        relay_server,
         forwarder,
         (store, commands, servers),
         metrics,
@@ -162,6 +171,7 @@
         lambda: load_settings(path),
         random,
     )
+    relay_server.draining = lambda: gateway.draining
     gateway.listener = CallerServer(
         settings.callers_address,
         settings.ready_address,
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -19,8 +19,8 @@
     "attempts_failed_total": (
         "Attempts that failed or that the server refused, by outcome and reason."
     ),
-    "attempts_total": "Requests sent to servers, by outcome and whether the server has "
-    "named a limit.",
+    "attempts_total": "Requests sent to servers, by outcome, whether the server has "
+    "named a limit, and whether another host has relayed them.",
     "belief_age_seconds": (
         "Time since the last contact with the store, direct or through peers."
     ),
@@ -60,6 +60,10 @@
     "requests_at_crashes_total": (
         "Requests that were in flight at a server when it crashed."
     ),
+    "reach_probes_total": (
+        "Health checks that find out whether this host reaches servers, by result."
+    ),
+    "relays_total": "Requests of other hosts that this host was to send, by result.",
     "request_duration_seconds": "Time from receiving a request to its end.",
     "requests_in_flight": "Requests of callers that are in progress.",
     "requests_not_admitted_total": "Requests that got no free slot in time, by reason.",
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -38,6 +38,11 @@
     documents @29 :Documents;
     permitWanted @30 :ServerLimit;    # Wants to send one request to a limited server.
     permit @31 :Permit;
+    relayWanted @32 :RelayedRequest;  # From a host without a path to a server.
+    relayed @33 :RelayedResponse;
+    relayPartWanted @34 :UInt64;      # Identifier of the relay whose body goes on.
+    relayPart @35 :RelayedPart;
+    relayEnded @36 :UInt64;           # One-way: no more is wanted of this relay.
   }
 }
 
@@ -292,6 +297,46 @@
   nextMs @3 :UInt32;        # When the next permit can be issued.
 }
 
+struct RelayedRequest {
+  relayId @0 :UInt64;         # Unique among those of one connection.
+  server @1 :Text;            # The only one that the request may be sent to.
+  bornMs @2 :UInt64;
+  attemptId @3 :Text;
+  method @4 :Text;
+  host @5 :Text;
+  target @6 :Text;            # Path and query.
+  keyed @7 :Bool;
+  key @8 :UInt16;
+  remainingMs @9 :UInt32;     # Until the caller's deadline.
+  headers @10 :List(Header);
+  body @11 :Data;
+  caller @12 :Text;           # IP address of the caller.
+}
+
+struct RelayedResponse {
+  refusal @0 :Text;           # Why the request was not sent; empty if it was.
+  outcome @1 :Text;
+  detail @2 :Text;
+  reachesServers @3 :Bool;    # Whether the sender has had a server's response lately.
+  complete @4 :Bool;          # Whether there is a response for the caller.
+  status @5 :UInt16;
+  headers @6 :List(Header);
+  body @7 :Data;              # Whole unless continues is set.
+  continues @8 :Bool;         # Whether parts of the body follow on demand.
+  length @9 :Int64;           # Of the whole body; negative if it is not known.
+  leaving @10 :Bool;          # What the server said about itself.
+  pauseMs @11 :UInt32;
+  limited @12 :Bool;
+  limitPerS @13 :Float64;
+  unable @14 :Bool;           # With a refusal: whether it concerns all servers.
+}
+
+struct RelayedPart {
+  data @0 :Data;
+  ended @1 :Bool;
+  broken @2 :Text;            # Why the body has no end; empty if it goes on or ended.
+}
+
 struct CrashReport {
   fingerprint @0 :UInt64;   # Of a request that was in flight when the server ended.
   server @1 :Text;
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-__all__ = ["Handler", "PeerConnection", "PeerIdentity"]
+__all__ = ["RELAYING_RELEASE", "Handler", "PeerConnection", "PeerIdentity"]
 
 import asyncio
 import hashlib
@@ -24,7 +24,10 @@
 from .logs import get_logger
 from .metrics import Metrics
 
-PROTOCOL_RELEASE = 1
+PROTOCOL_RELEASE = 2
+RELAYING_RELEASE = 2
+"""Release from which on processes relay requests."""
+
 MAC_BYTES = 16
 HEADER_BYTES = 4 + MAC_BYTES
 MAX_HANDLERS_PER_CONNECTION = 256
@@ -69,6 +72,7 @@
         accepting: bool,
     ) -> None:
         self.remote = PeerIdentity("", "", "", "")
+        self.remote_release = 0
         self.bytes_sent = 0
         self.last_used_at_s = asyncio.get_running_loop().time()
         self._reader = reader
@@ -160,6 +164,7 @@
         self.remote = PeerIdentity(
             challenge.host, challenge.dataCentre, "control", challenge.processId
         )
+        self.remote_release = challenge.release
         proof = new_frame()
         proof.body.init("proof").proof = key.sign(
             "client", encoded_hello, challenge.nonce
@@ -203,6 +208,7 @@
         self.remote = PeerIdentity(
             hello.host, hello.dataCentre, hello.role, hello.processId
         )
+        self.remote_release = hello.release
         self._session_key = key.sign("session", encoded_hello, nonce)
 
     def _write(self, encoded: bytes) -> None:
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -32,6 +32,9 @@
 
 MAX_HEADER_BYTES = 32_768
 
+PROBE_TIMEOUT_S = 0.4
+MAX_PROBE_BYTES = 4_096
+
 _LOST = (aiohttp.ServerDisconnectedError, OSError)
 
 
@@ -131,6 +134,22 @@
             return False
         return False
 
+    async def responds(self, backend: Backend, health_path: str) -> bool:
+        """Return whether the server responds to a health check, whatever it says."""
+        url = URL(f"http://{backend.address}{health_path}", encoded=True)
+        fields = {EXPECTED_SERVER: backend.server}
+        try:
+            async with (
+                asyncio.timeout(PROBE_TIMEOUT_S),
+                self._session.get(
+                    url, headers=fields, allow_redirects=False
+                ) as response,
+            ):
+                await response.content.read(MAX_PROBE_BYTES)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            return False
+        return True
+
     async def _read_response(
         self, response: aiohttp.ClientResponse, deadline_s: float
     ) -> AttemptResult:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -14,6 +14,7 @@
 
 KEY_COUNT = 65_536
 RETURN_RETRY_S = 0.1
+HEALTH_PATH = "/health"
 LARGE_BODY = bytes(range(256)) * 8_192
 
 REASONS = {200: "OK", 409: "Conflict", 421: "Misdirected Request", 503: "Unavailable"}
@@ -204,6 +205,9 @@
         if request.target in ("/-/grant", "/-/release"):
             writer.write(self._handle_command(request))
             return True
+        if request.target == HEALTH_PATH:
+            writer.write(_message(200, {"X-Instance-Id": self.server}, b""))
+            return True
         self.arrivals_s.append(time.monotonic())
         attempt = request.headers.get("x-attempt-id", "")
         expected = request.headers.get("x-expected-instance")
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -298,7 +298,13 @@
             LeaderCommands(simulation, self),
             LoadAggregator(),
             ReachMonitor(
-                self.view, NullEventLog(), NullEventLog(), lambda: simulation.now_s
+                self.view,
+                NullEventLog(),
+                None,
+                NullEventLog(),
+                NullEventLog(),
+                simulation.random,
+                lambda: simulation.now_s,
             ),
             TIMING,
             NullEventLog(),
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -26,6 +26,7 @@
     "model",
     "ownership",
     "pool",
+    "relay_hosts",
     "retry_budget",
     "revisions",
     "route_index",
--- a/tests/test_hosts_cut_from_servers.py
+++ b/tests/test_hosts_cut_from_servers.py
@@ -1,4 +1,4 @@
-"""Hosts that lose the path to all servers, while callers, store and hosts reach them."""
+"""Hosts that lose the path to all servers, while callers and other hosts reach them."""
 
 import asyncio
 import time
@@ -110,8 +110,8 @@
 
 
 async def test_host_without_a_path_to_servers_blocks_no_request(fleet):
-    """Guards against a cut that is reported as the crash of all servers: what one caller
-    sends often was in flight at each of them."""
+    """Guards against a cut that is reported as the crash of all servers: what one
+    caller sends often was in flight at each of them."""
     for server in fleet.servers.values():
         server.fault = "slow"
     cut = (leader_index(fleet) + 1) % HOSTS
--- /dev/null
+++ b/tests/test_relayed_requests.py
@@ -0,0 +1,165 @@
+"""Requests that another host sends for one without a path to the servers."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from jacinthpath import peer_connections
+from standins.platform_server import LARGE_BODY
+
+from .gateway_system import GatewaySystem
+from .host_paths import HostPath
+
+CUT = 0
+RELAYING = 1
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    system = GatewaySystem(tmp_path)
+    await system.start(plain=3, keyed=1, gateways=0)
+    system.path = HostPath()
+    await system.add_gateway(CUT, system.path)
+    await system.add_gateway(RELAYING)
+    await system.wait_until_ready()
+    await cut(system)
+    yield system
+    await system.path.close()
+    await system.close()
+
+
+async def cut(system):
+    """Cut the first host off, and wait until it knows."""
+    system.path.cut("reset")
+    async with asyncio.timeout(5):
+        while not system.gateways[CUT]._reach.is_cut_off():
+            await system.send("/read/x", "probe", CUT)
+            await asyncio.sleep(0.05)
+    for server in system.servers.values():
+        server.executed_attempts.clear()
+        server.received_deadlines_ms.clear()
+
+
+def executed(fleet):
+    return [a for server in fleet.servers.values() for a in server.executed_attempts]
+
+
+def set_fault(fleet, fault):
+    for server in fleet.servers.values():
+        server.fault = fault
+
+
+async def test_relayed_request_arrives_unchanged_with_the_time_left(fleet):
+    status, headers, body = await fleet.send(
+        "/order/x?a=%2F1", "n1", CUT, "POST", data=b"\0payload"
+    )
+    assert (status, body) == (200, b"answer to n1")
+    assert headers["X-Server-Signature"].startswith("sig.p")
+    (server,) = [s for s in fleet.servers.values() if s.executed_attempts]
+    assert server.executed_requests[-1] == ("POST", "/order/x?a=%2F1", b"\0payload")
+    assert 0 < server.received_deadlines_ms[-1] <= 800
+
+
+async def test_both_hosts_log_a_relayed_request_under_its_id(fleet, capfd):
+    """Guards against a request that cannot be explained from the logs."""
+    capfd.readouterr()
+    await fleet.send("/read/x", "explained", CUT)
+    lines = [
+        line for line in capfd.readouterr().out.splitlines() if "id=explained" in line
+    ]
+    attempts = [line for line in lines if "event=attempt" in line]
+    assert any("host=g0" in one and "relayed_by=g1" in one for one in attempts)
+    assert any("host=g1" in one and "outcome=answered" in one for one in attempts)
+
+
+async def test_large_relayed_body_arrives_whole(fleet):
+    set_fault(fleet, "large")
+    status, _, body = await fleet.send("/read/x", "n1", CUT)
+    assert status == 200
+    assert body == LARGE_BODY
+
+
+async def test_relayed_body_that_breaks_off_does_not_look_whole(fleet):
+    set_fault(fleet, "large-truncated")
+    with pytest.raises(aiohttp.ClientError):
+        await fleet.send("/read/x", "n1", CUT)
+
+
+async def test_order_whose_relaying_host_is_lost_runs_once(fleet):
+    """Guards against a second run, or a promise that it has not run, when the path
+    between two hosts breaks after the order was sent."""
+    set_fault(fleet, "slow")
+    order = asyncio.create_task(fleet.send("/order/x", "n1", CUT, "POST"))
+    async with asyncio.timeout(2):
+        while not executed(fleet):
+            await asyncio.sleep(0.01)
+    for connection in fleet.gateways[RELAYING]._peering._server.connections:
+        await connection.close()
+    status, _, _ = await order
+    assert status in (502, 504)
+    await asyncio.sleep(0.7)
+    assert executed(fleet) == ["n1"]
+
+
+async def test_server_stops_work_when_the_caller_of_a_relayed_request_leaves(fleet):
+    set_fault(fleet, "silent")
+    call = asyncio.create_task(fleet.send("/read/x", "n1", CUT))
+    async with asyncio.timeout(2):
+        while not executed(fleet):
+            await asyncio.sleep(0.01)
+    call.cancel()
+    await asyncio.sleep(0.5)
+    assert sum(server.abandoned_requests for server in fleet.servers.values()) == 1
+    assert fleet.gateways[RELAYING]._relay_server.in_progress == 0
+
+
+async def test_host_that_leaves_takes_no_relays(fleet):
+    """The caller learns at once that the request has not run, and when to return."""
+    fleet.gateways[RELAYING].draining = True
+    async with asyncio.timeout(0.3):
+        status, headers, _ = await fleet.send("/read/x", "n1", CUT)
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert executed(fleet) == []
+
+
+async def test_server_that_wants_a_pause_gets_no_relayed_request(fleet):
+    """The server has told the relaying host alone."""
+    set_fault(fleet, "paused")
+    for number in range(3):
+        await fleet.send("/read/x", f"told-{number}", RELAYING)
+    set_fault(fleet, "")
+    status, headers, _ = await fleet.send("/read/x", "n1", CUT)
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0.3
+    assert executed(fleet) == []
+
+
+async def test_host_of_an_earlier_release_is_not_asked_to_relay(tmp_path, monkeypatch):
+    """It would drop the frame without a response, and the caller would wait."""
+    monkeypatch.setattr(peer_connections, "PROTOCOL_RELEASE", 1)
+    system = GatewaySystem(tmp_path)
+    await system.start(plain=3, keyed=1, gateways=0)
+    system.path = HostPath()
+    await system.add_gateway(CUT, system.path)
+    await system.add_gateway(RELAYING)
+    await system.wait_until_ready()
+    await cut(system)
+    status, _, _ = await system.send("/order/x", "n1", CUT)
+    assert status == 503
+    assert executed(system) == []
+    await system.path.close()
+    await system.close()
+
+
+async def test_host_uses_its_own_path_again_once_it_is_back(fleet):
+    fleet.path.restore()
+    async with asyncio.timeout(2):
+        while fleet.gateways[CUT]._reach.is_cut_off():
+            await asyncio.sleep(0.02)
+    relayed = fleet.gateways[RELAYING]._metrics.total("relays_total")
+    for number in range(20):
+        status, _, _ = await fleet.send("/read/x", f"n{number}", CUT)
+        assert status == 200
+    assert fleet.gateways[RELAYING]._metrics.total("relays_total") == relayed
