Let a leader that cannot reach the servers leave its role to a host that can

Cause: the leadership hangs on the lease in the store alone. A leader that reaches the store but no server keeps it, while its grants run out after 2.5 s: a role stays where its duty cannot be done.

A leader that three servers in a row fail to answer revokes its lease if another host has its path. Candidates that are cut off wait a second longer, those in doubt 0.25 s. The successor begins at once instead of at its next tick. Owners stay, as with each change of leader. If no other host has a path, the leader stays.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -130,8 +130,18 @@
                 self._events.log_process_event(
                     "assignment_not_written", error=str(error)
                 )
-            leads = self._election.authority is not None
-            await asyncio.sleep(TICK_S if leads else IDLE_TICK_S)
+            if self._election.authority is not None:
+                await asyncio.sleep(TICK_S)
+            else:
+                await self._wait_for_leadership()
+
+    async def _wait_for_leadership(self) -> None:
+        gained = self._election.gained
+        try:
+            async with asyncio.timeout(IDLE_TICK_S):
+                await gained.wait()
+        except TimeoutError:
+            return
 
     async def run_once(self) -> None:
         """Do everything that is due now.
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from random import Random
 
 from mode import Service
@@ -15,6 +16,7 @@
 from .clock import boottime_s
 from .cluster_view import LEADER_KEY, ClusterView
 from .events import EventLog
+from .reach_monitor import ReachMonitor
 from .store import Condition, ConflictingWrite, LeaseEnded, Store, Write
 
 LEASE_TTL_S = 1.2
@@ -22,6 +24,11 @@
 MAX_CANDIDACY_DELAY_S = 0.2
 """Candidates wait a random time up to this, so that usually only one of them tries."""
 
+DOUBTFUL_CANDIDACY_DELAY_S = 0.25
+CUT_OFF_CANDIDACY_DELAY_S = 1.0
+"""A host that has no path to the servers leaves the others this much time: it could
+grant nothing. It leads if they do not, since a leader has other duties too."""
+
 POLL_INTERVAL_S = 0.1
 MAX_WAIT_FOR_VACANCY_S = 1.0
 """Longest wait for a change of the leader record before it is looked at again."""
@@ -32,12 +39,16 @@
 
     :param address: where peers reach this host.
     :param process_id: random identity of this process.
+    :param reach: knows whether this host reaches the servers.
+    :ivar knows_better_host: returns whether another host has lately reached servers.
+    :ivar gained: set when this host becomes leader, and then replaced.
     """
 
     def __init__(
         self,
         store: Store,
         view: ClusterView,
+        reach: ReachMonitor,
         events: EventLog,
         random: Random,
         host: str,
@@ -48,8 +59,11 @@
         super().__init__()
         self.authority: LeaderAuthority | None = None
         self.record_revision = 0
+        self.knows_better_host: Callable[[], bool] = lambda: False
+        self.gained = asyncio.Event()
         self._store = store
         self._view = view
+        self._reach = reach
         self._events = events
         self._random = random
         self._host = host
@@ -95,6 +109,8 @@
         while not self.should_stop:
             if self.authority is not None and self._resigning:
                 await self._run_resignation()
+            elif self.authority is not None and self._cannot_grant():
+                await self._step_aside()
             elif self.authority is not None:
                 await self._renew()
             elif self._resigning:
@@ -117,6 +133,24 @@
         except TimeoutError:
             return
 
+    def _cannot_grant(self) -> bool:
+        """Return whether another host could grant keys and this one cannot."""
+        return self._reach.is_cut_off() and self.knows_better_host()
+
+    async def _step_aside(self) -> None:
+        """Leave the leadership to a host that has a path to the servers."""
+        lease_id = self._lease_id
+        try:
+            await self._store.revoke_lease(lease_id)
+        except LeaseEnded:
+            pass
+        except StoreError as error:
+            self._events.log_process_event("lease_not_ended", error=str(error))
+            await self._renew()
+            return
+        if self.authority is not None and self._lease_id == lease_id:
+            self._stop_leading("cut off from the servers")
+
     def _owns_record(self) -> bool:
         """Return whether a claim whose response was lost has taken effect."""
         leader = self._view.leader
@@ -143,7 +177,7 @@
         return self._view.leader is None and self._view.servers_known
 
     async def _campaign(self) -> None:
-        await asyncio.sleep(MAX_CANDIDACY_DELAY_S * self._random.random())
+        await asyncio.sleep(self._candidacy_delay_s())
         if not self._is_vacant() or self._resigning:
             return
         sent_s = boottime_s()
@@ -166,12 +200,22 @@
             return
         self._become_leader(min(self._ttl_s, lease.ttl_s), sent_s)
 
+    def _candidacy_delay_s(self) -> float:
+        delay_s = MAX_CANDIDACY_DELAY_S * self._random.random()
+        if self._reach.is_cut_off():
+            return delay_s + CUT_OFF_CANDIDACY_DELAY_S
+        if self._reach.has_failures():
+            return delay_s + DOUBTFUL_CANDIDACY_DELAY_S
+        return delay_s
+
     def _become_leader(self, ttl_s: float, sent_s: float) -> None:
         self._record_seen = False
         self.authority = LeaderAuthority(ttl_s, sent_s)
         self._events.log_state_change(
             "leadership_gained", revision=self.record_revision, lease=self._lease_id
         )
+        self.gained.set()
+        self.gained = asyncio.Event()
 
     async def _claim_leadership(self, lease_id: int) -> None:
         record = json.dumps(
@@ -202,7 +246,17 @@
         if not self.authority.may_renew_grants(boottime_s()):
             self._stop_leading("lease unconfirmed for too long")
             return
-        await asyncio.sleep(max(0.05, RENEWAL_INTERVAL_S - (boottime_s() - sent_s)))
+        await self._wait_for_renewal(sent_s)
+
+    async def _wait_for_renewal(self, sent_s: float) -> None:
+        """Wait until the next renewal is due, or until the path is lost or back."""
+        changed = self._reach.changed
+        wait_s = max(0.05, RENEWAL_INTERVAL_S - (boottime_s() - sent_s))
+        try:
+            async with asyncio.timeout(wait_s):
+                await changed.wait()
+        except TimeoutError:
+            return
 
     async def _run_resignation(self) -> None:
         """Run one step from the resignation until this host stops leading."""
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -31,6 +31,8 @@
     write_documents,
 )
 from .permit_exchange import PermitExchange
+from .reach_monitor import ReachMonitor
+from .server_reach import Reach
 
 REQUEST_TIMEOUT_S = 0.4
 LONG_POLL_WAIT_S = 0.5
@@ -49,6 +51,10 @@
 it responds at once, and all hosts ask it during an outage of the store."""
 
 MAX_PEERS_TRIED = 3
+FOLLOWER_REACH_S = 1.5
+"""How long the word of a follower that it reaches servers counts: it asks the leader for
+documents twice as often."""
+
 MAX_ENCODED_AGE_S = 4_000_000.0
 """Largest age that fits into a message; also sent when the age is not known."""
 
@@ -60,6 +66,7 @@
     :param pool: connections to the other gateways; closed with this service.
     :param permits: is told which hosts the leader hears of.
     :param ledger: requests that are blocked.
+    :param reach: knows whether this host reaches the servers.
     :param handlers: handlers of the frames other than requests for documents.
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
@@ -78,6 +85,7 @@
         pool: PeerPool,
         permits: PermitExchange,
         ledger: CrashLedger,
+        reach: ReachMonitor,
         handlers: Mapping[str, Handler],
         metrics: Metrics,
         events: EventLog,
@@ -100,6 +108,8 @@
         self._pool = pool
         self._permits = permits
         self._ledger = ledger
+        self._reach = reach
+        self._followers_reached_s: dict[str, float] = {}
 
     async def on_start(self) -> None:
         """Listen to peers, and start following the leader."""
@@ -129,6 +139,11 @@
             and leader.process_id != self._unresponsive_process_id
         )
 
+    def knows_host_with_path(self) -> bool:
+        """Return whether a host that follows this one has lately reached servers."""
+        last_s = max(self._followers_reached_s.values(), default=float("-inf"))
+        return boottime_s() - last_s < FOLLOWER_REACH_S
+
     async def has_stopped_leading(self, leader: LeaderProcess) -> bool:
         """Return whether a previous leader is known to send no more grants.
 
@@ -222,6 +237,7 @@
         wanted.limitsDigest = view.limits.digest(boottime_s())
         wanted.takesBlocked = True
         wanted.blockedDigest = self._ledger.digest(boottime_s())
+        wanted.reachesServers = self._reach.state() is Reach.REACHED
         sent_s = boottime_s()
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
@@ -248,6 +264,8 @@
         counted = wanted.takesLimits and self._permits.count_host(
             connection.remote.host
         )
+        if wanted.reachesServers:
+            self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
         while (
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -30,6 +30,7 @@
 
     :param pool: forgets failures whose cause was this host's own path.
     :param clock: boot clock.
+    :ivar changed: set and replaced whenever the path is lost or back.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         self._clock = clock
         self._reach = ServerReach()
         self._was_cut_off = False
+        self.changed = asyncio.Event()
 
     async def on_start(self) -> None:
         """Start to probe servers whenever the path is in doubt."""
@@ -69,6 +71,10 @@
         """Return whether two servers have failed one after the other."""
         return self._reach.is_doubted()
 
+    def has_failures(self) -> bool:
+        """Return whether the last server that was asked has not responded."""
+        return bool(self._reach.failing)
+
     def record_sent(self) -> int:
         """Record the start of an attempt; return a token for its end."""
         return self._reach.record_sent(self._clock())
@@ -99,6 +105,8 @@
             state=self.state().value,
             failing=" ".join(self._reach.failing),
         )
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     async def _probe_in_doubt(self) -> None:
         while not self.should_stop:
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -105,6 +105,7 @@
         peer_pool,
         permits,
         crash_ledger,
+        reach,
         {
             "hostReport": reporter.handle_report,
             "permitWanted": permits.handle_permit_wanted,
@@ -128,6 +129,7 @@
     election = LeaderElection(
         store,
         view,
+        reach,
         events,
         random,
         settings.host,
@@ -135,6 +137,7 @@
         process_id,
         settings.lease_min_s,
     )
+    election.knows_better_host = peering.knows_host_with_path
     crash_detector.is_following = peering.is_following
     peering.authority = permits.authority = lambda: election.authority
     assigner = Assigner(
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -378,6 +378,7 @@
   limitsDigest @9 :UInt64;            # Of the limits that it knows; 0 for none.
   takesBlocked @10 :Bool;             # Whether the sender blocks requests.
   blockedDigest @11 :UInt64;          # Of the blocked requests that it knows; 0 for none.
+  reachesServers @12 :Bool;           # Whether a server has responded to it lately.
 }
 
 struct ServerEntry {
