Let a host without a path to the servers report no crashes

What would be seen: a path that is cut by resets looks to its host as if every server had closed its connections and stopped to listen. The host reported each request in flight as there at the crash of a server; with three such servers the leader blocks the request for 300 s on all hosts.

Cause: a refused connection was taken for proof that the server had ended. It is proof only to a host that has a path. Timeouts of such a host counted against the speed of the servers, too, by which the leader moves keys.

Change: a crash is reported only if another server has responded to this host since the connection was lost, or responds to a probe. What such a host cannot tell, the server's entry does: one that has started again is reported as before. Timeouts of a host that is cut off are not reported as load.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -158,7 +158,7 @@
         load_recorder = self._dependencies.load_recorder
         if outcome is Outcome.ANSWERED:
             load_recorder.record_response(self._service.name, backend.server, elapsed_s)
-        elif outcome is Outcome.TIMED_OUT:
+        elif outcome is Outcome.TIMED_OUT and not self._dependencies.reach.is_cut_off():
             load_recorder.record_timeout(self._service.name, backend.server, elapsed_s)
 
     def _record_server_result(
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -25,6 +25,7 @@
 from .exchange import BackendClient, CallerRequest
 from .fingerprints import fingerprint_of
 from .model import Backend
+from .reach_monitor import ReachMonitor
 
 PROBE_DELAY_S = 0.05
 """A process that crashes closes its connections and its listener in any order."""
@@ -58,6 +59,7 @@
         view: ClusterView,
         ledger: CrashLedger,
         backend_client: BackendClient,
+        reach: ReachMonitor,
         metrics: Metrics,
         events: EventLog,
     ) -> None:
@@ -66,6 +68,7 @@
         self._view = view
         self._ledger = ledger
         self._backend_client = backend_client
+        self._reach = reach
         self._metrics = metrics
         self._events = events
         self._checks: dict[tuple[str, int], asyncio.Task[bool]] = {}
@@ -173,10 +176,13 @@
     async def _has_crashed(self, backend: Backend) -> bool:
         """Return whether the incarnation of a server has crashed.
 
-        A server that only closed or reset a connection still accepts others.
+        A server that only closed or reset a connection still accepts others. One that
+        refuses connections proves nothing to a host that has lost its path.
         """
+        lost_s = boottime_s()
         await asyncio.sleep(PROBE_DELAY_S)
-        if await self._backend_client.refuses_connections(backend):
+        refuses = await self._backend_client.refuses_connections(backend)
+        if refuses and await self._reach.has_path_beside(backend, lost_s):
             return True
         await asyncio.sleep(RECHECK_DELAY_S)
         current = self._view.directory.find(backend.server)
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -75,6 +75,20 @@
         """Return whether the last server that was asked has not responded."""
         return bool(self._reach.failing)
 
+    async def has_path_beside(self, backend: Backend, since_s: float) -> bool:
+        """Return whether a server other than ``backend`` responds to this host.
+
+        :param since_s: a response after this time suffices; servers are probed if there
+            was none.
+        """
+        if self._reach.last_response_s > since_s:
+            return True
+        others = [b for b in self._choose_probed(PROBED_SERVERS + 1) if b != backend]
+        if not others:
+            return len(self._view.directory.all()) < 2
+        await self._probe(others[:PROBED_SERVERS])
+        return self._reach.last_response_s > since_s
+
     def record_sent(self) -> int:
         """Record the start of an attempt; return a token for its end."""
         return self._reach.record_sent(self._clock())
@@ -113,10 +127,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             count = self._reach.due_probes(self._clock())
             if count:
-                await self._probe(min(count, PROBED_SERVERS))
+                await self._probe(self._choose_probed(count))
 
-    async def _probe(self, count: int) -> None:
-        backends = self._choose_probed(count)
+    async def _probe(self, backends: list[Backend]) -> None:
         await asyncio.gather(*(self._probe_server(backend) for backend in backends))
 
     def _choose_probed(self, count: int) -> list[Backend]:
--- a/src/jacinthpath/gateway/server_reach.py
+++ b/src/jacinthpath/gateway/server_reach.py
@@ -43,11 +43,12 @@
     """Counts the servers that have failed to respond since the last response of any.
 
     :ivar failing: these servers, and when each of them failed first.
+    :ivar last_response_s: when a server last responded.
     """
 
     def __init__(self) -> None:
         self.failing: dict[str, float] = {}
-        self._last_response_s = float("-inf")
+        self.last_response_s = float("-inf")
         self._pending_since_s: dict[int, float] = {}
         self._next_token = 0
         self._known_servers = 0
@@ -69,7 +70,7 @@
 
     def record_response(self, now_s: float) -> None:
         """Record that bytes of any server have arrived."""
-        self._last_response_s = max(self._last_response_s, now_s)
+        self.last_response_s = max(self.last_response_s, now_s)
         self.failing.clear()
 
     def record_failure(self, server: str, now_s: float) -> None:
@@ -81,7 +82,7 @@
         needed = max(1, min(MIN_FAILING_SERVERS, self._known_servers))
         if len(self.failing) >= needed:
             return Reach.CUT_OFF
-        if now_s - self._last_response_s < FRESH_RESPONSE_S:
+        if now_s - self.last_response_s < FRESH_RESPONSE_S:
             return Reach.REACHED
         return Reach.UNKNOWN
 
@@ -116,4 +117,4 @@
         if not self._pending_since_s:
             return 0.0
         oldest_s = next(iter(self._pending_since_s.values()))
-        return now_s - max(oldest_s, self._last_response_s)
+        return now_s - max(oldest_s, self.last_response_s)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -66,7 +66,7 @@
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
     crash_ledger = CrashLedger()
-    crash_detector = CrashDetector(view, crash_ledger, servers, metrics, events)
+    crash_detector = CrashDetector(view, crash_ledger, servers, reach, metrics, events)
     permits = PermitExchange(settings.host, settings.peer_address, peer_pool, view)
     reporter = HostReporter(
         settings.host,
