Let the test of endless bodies not count its own copy of the body

A trace shows the gateway close the stream after 0.80 s each time; the rest is the caller in the test, which copies the 100 to 230 MB that it has read (bytes(content)) on the loop that both share.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -52,7 +52,7 @@
 
 MAX_PEERS_TRIED = 3
 FOLLOWER_REACH_S = 1.5
-"""How long the word of a follower that it reaches servers counts: it asks the leader for
+"""How long a follower that reaches servers is taken to do so; it asks the leader for
 documents twice as often."""
 
 MAX_ENCODED_AGE_S = 4_000_000.0
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -62,8 +62,8 @@
                 if take_bytes is not None and len(content) >= take_bytes:
                     break
         except aiohttp.ClientError:
-            return reply.status, bytes(content), False
-        return reply.status, bytes(content), True
+            return reply.status, content, False
+        return reply.status, content, True
 
 
 async def test_download_is_repeated_like_an_idempotent_request(system):
@@ -87,7 +87,7 @@
     status, content, whole = await read_slowly(system)
     assert status == 200
     assert not whole
-    assert LARGE_BODY.startswith(content)
+    assert content == LARGE_BODY[: len(content)]
     assert len(executed_ids(system)) == 1
 
 
