Spend the retry budget only on attempts that a server received

Cause: an attempt that found no connection counted like one that a server had received, in the budget that bounds the load of servers and in the number of servers that a request may be sent to. This also cost callers whose servers are down while others are left.

Change: only attempts that a server may have received count in both. The number of attempts of a request is bounded as before.

--- a/src/jacinthpath/gateway/attempts.py
+++ b/src/jacinthpath/gateway/attempts.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
-__all__ = ["Step", "StepKind", "jittered_retry_after_s", "next_step"]
+__all__ = [
+    "Step",
+    "StepKind",
+    "jittered_retry_after_s",
+    "next_step",
+    "was_received",
+]
 
 import enum
+from collections.abc import Iterable
 from random import Random
 from typing import NamedTuple
 
@@ -56,8 +63,8 @@
 ) -> Step:
     """Return the step that follows the last of ``results``.
 
-    :param server_count: distinct servers that the request will have been sent to after
-        a retry.
+    :param server_count: distinct servers that may have received the request after a
+        retry.
     :param remaining_s: time until the request's deadline.
     :param expected_s: expected response time of the server that a retry goes to.
     :param has_alternative: whether there is a server that a retry may go to.
@@ -90,6 +97,14 @@
     return Step(StepKind.GIVE_UP, f"{last.outcome.value}, {reason}")
 
 
+def was_received(results: Iterable[AttemptResult]) -> bool:
+    """Return whether a server has received one of the attempts.
+
+    One without a connection adds no load to any server.
+    """
+    return any(result.outcome is not Outcome.UNREACHABLE for result in results)
+
+
 def jittered_retry_after_s(wait_s: float, random: Random) -> float:
     """Return the Retry-After time for a refused caller, with jitter.
 
@@ -118,6 +133,6 @@
         return "no-other-server"
     if remaining_s < MIN_REMAINING_SHARE * expected_s:
         return "too-little-time"
-    if not budget_allows:
+    if not budget_allows and was_received(results):
         return "repeat-budget-spent"
     return ""
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from .attempt_sender import AttemptSender
-from .attempts import Step, StepKind, next_step
+from .attempts import Step, StepKind, next_step, was_received
 from .clock import boottime_s
 from .exchange import (
     NOT_EXECUTED_OUTCOMES,
@@ -65,6 +65,7 @@
         self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
         self._sender = AttemptSender(dependencies, request, service)
         self._results: list[AttemptResult] = []
+        self._receivers: set[str] = set()
         self._fingerprint: int | None = None
         self._chooser = ServerChooser(dependencies, request, service, self._remaining_s)
 
@@ -93,7 +94,8 @@
                 _close_stream(result)
             if step.kind is not StepKind.RETRY:
                 return self._respond(step)
-            self._retry_budget.record_retry(self._loop.time())
+            if was_received(self._results):
+                self._retry_budget.record_retry(self._loop.time())
             await self._back_off(result)
 
     def _blocked_left_s(self) -> float:
@@ -134,6 +136,8 @@
         )
         self._chooser.tried.append(backend.server)
         self._results.append(result)
+        if result.outcome is not Outcome.UNREACHABLE:
+            self._receivers.add(backend.server)
         return result
 
     async def _decide_next_step(self, result: AttemptResult) -> Step:
@@ -159,14 +163,15 @@
     def _assess_retry_on_other_server(self) -> tuple[int, float, bool]:
         """Return what the decision on a retry of an unkeyed request needs.
 
-        :return: number of servers tried including the retry, expected latency, and
+        :return: number of servers that may have received the request after the retry,
+            expected latency, and
             whether there is another server.
         """
         other = self._chooser.choose_untried()
         expected_s = (
             self._dependencies.pool.latency_s(other, boottime_s()) if other else 0.0
         )
-        return len(set(self._chooser.tried)) + 1, expected_s, other is not None
+        return len(self._receivers) + 1, expected_s, other is not None
 
     async def _assess_retry_on_owner(
         self, result: AttemptResult
@@ -175,7 +180,8 @@
 
         The retry goes to the owner, which may be the same or a new server.
 
-        :return: number of servers tried including the retry, an expected latency
+        :return: number of servers that may have received the request after the retry, an
+            expected latency
             of 0, so that any remaining time suffices, and whether a retry may help.
         """
         if result.outcome is Outcome.NOT_OWNER:
@@ -186,8 +192,8 @@
             self._service.name, self._request.key
         )
         if owned is None:
-            return len(set(self._chooser.tried)), 0.0, False
-        servers = len({*self._chooser.tried, owned.server})
+            return len(self._receivers), 0.0, False
+        servers = len({*self._receivers, owned.server})
         backend = self._dependencies.view.directory.find(owned.server)
         if backend and self._dependencies.pool.pause_left_s(backend, boottime_s()):
             return servers, 0.0, False
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -71,6 +71,20 @@
     assert decide([Outcome.REFUSED], budget_allows=False).kind is StepKind.REFUSE
 
 
+def test_attempt_that_no_server_received_needs_no_budget():
+    """Guards against a host whose path is disturbed: it spent the budget on attempts that
+    added no load to any server, and refused what the next one would have served."""
+    unreachable = [Outcome.UNREACHABLE] * 2
+    assert decide(unreachable, budget_allows=False).kind is StepKind.RETRY
+    received = [Outcome.REFUSED, Outcome.UNREACHABLE]
+    assert decide(received, budget_allows=False).kind is StepKind.REFUSE
+
+
+def test_attempts_without_a_connection_end_too():
+    """Guards against a request that tries all servers of a service that has failed."""
+    assert decide([Outcome.UNREACHABLE] * 4).kind is StepKind.REFUSE
+
+
 def test_no_retry_with_too_little_time():
     assert decide([Outcome.REFUSED], remaining_s=0.01).kind is StepKind.REFUSE
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -301,3 +301,17 @@
     status, _, _ = await system.send("/order/x", method="POST")
     assert status in (503, 504)
     assert executed_ids(system) == []
+
+
+async def test_servers_that_are_down_use_up_no_attempts_of_a_request(system):
+    """Guards against refusals by a service with servers left: three of them are down,
+    and a request may be sent to two servers."""
+    await system.add_server("p2", "plain")
+    for name in ("p0", "p1", "p2"):
+        await system.servers[name].close()
+    spare = await system.add_server("spare", "plain")
+    await asyncio.sleep(0.5)
+    for number in range(6):
+        status, _, _ = await system.send("/read/x", f"n{number}")
+        assert status == 200
+    assert len(spare.executed_attempts) == 6
