Cut hosts off from all servers in the soak, and clear relayed requests of crashes

Each host of the soak has a path of its own to each server now, through a proxy; the fault hosts-cut-from-servers cuts one host, the leader, most hosts or all, in four forms, beside all other faults. Callers of cut hosts have to be served two thirds as often as the others, beyond 10 failures and one in 50.

Without a path nothing is proof now. A response by way of another host also clears a request of earlier crashes, which only the host that reported them can do.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,6 +38,10 @@
 
 MIN_CRASHING_S = 6.0
 PROXY_MODES = ["delay", "reset", "silent", "one-way"]
+CUT_MODES = ["reset", "silent", "one-way", "refuse-new"]
+MIN_CUT_S = 5.0
+"""Callers of a host that is cut off are served by others from some seconds after."""
+
 STORE_MODES = ["busy", "silent", "lossy"]
 RESTART_DELAY_S = 0.5
 MAX_COPY_AGE_S = 3.0
@@ -196,12 +200,28 @@
 
 @fault("server-path")
 async def _disturb_server_path(system: System, duration_s: float) -> None:
-    proxy = system.random.choice([*system.proxies.values()])
-    proxy.mode = system.random.choice(PROXY_MODES)
-    if proxy.mode == "reset":
-        proxy.reset()
+    name = system.random.choice([*system.servers])
+    system.set_server_mode(name, system.random.choice(PROXY_MODES))
     await asyncio.sleep(duration_s)
-    proxy.mode = "pass"
+    system.set_server_mode(name, "pass")
+
+
+@fault("hosts-cut-from-servers")
+async def _cut_hosts_from_servers(system: System, duration_s: float) -> None:
+    """One host, the leader, most hosts or all lose their paths to all servers."""
+    count = system.random.choice([1, 1, len(system.gateways) - 1, len(system.gateways)])
+    gateways = system.random.sample(system.gateways, count)
+    leader = system.leader()
+    if count == 1 and leader is not None and system.random.random() < 0.5:
+        gateways = [leader]
+    mode = system.random.choice(CUT_MODES)
+    for gateway in gateways:
+        gateway.cut_from_servers(mode)
+    system.apply_path_modes()
+    await asyncio.sleep(MIN_CUT_S + duration_s)
+    for gateway in gateways:
+        gateway.restore_paths()
+    system.apply_path_modes()
 
 
 @fault("server-answers")
@@ -215,7 +235,7 @@
 @fault("server-restarted")
 async def _restart_server(system: System, _duration_s: float) -> None:
     name = system.random.choice([*system.servers])
-    system.proxies[name].reset()
+    system.reset_server(name)
     system.servers[name].restart()
     system.put_entry(name)
 
@@ -246,8 +266,11 @@
 async def heal(system: System) -> None:
     """Undo every fault that may still be in effect."""
     system.store.mode = "up"
-    for proxy in [*system.proxies.values(), *(g.store_proxy for g in system.gateways)]:
-        proxy.mode = "pass"
+    system.server_modes.clear()
+    for gateway in system.gateways:
+        gateway.store_proxy.mode = "pass"
+        gateway.restore_paths()
+    system.apply_path_modes()
     for name, server in system.servers.items():
         server.fault = ""
         system.end_limit(name)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -27,6 +27,14 @@
 MAX_LATER_ENDS = 3
 """Servers that a request may end later than this time after it ended the third."""
 
+CUT_SETTLING_S = 4.5
+"""Time after the cut of a host from all servers, or any other fault of a host, from
+which on its responses count: three seconds, and the time that a request may take."""
+
+MIN_CUT_SERVED_RATIO = 2 / 3
+ALLOWED_CUT_FAILURES = 10
+ALLOWED_CUT_FAILURE_SHARE = 0.02
+
 LIMIT_SLACK = 5
 """Requests allowed beyond one and a half times the limit; as many more for each host
 that was disturbed, since a host that starts knows no limits."""
@@ -62,6 +70,11 @@
         self._executions: Counter[str] = Counter()
         self._reported_targets: set[str] = set()
         self._read_positions: dict[str, int] = dict.fromkeys(system.servers, 0)
+        self._served_by_cut: dict[bool, Counter[bool]] = {
+            True: Counter(),
+            False: Counter(),
+        }
+        self._cut_reported = False
 
     def record_violation(self, guarantee: str, detail: str) -> None:
         """Record a violated guarantee."""
@@ -86,6 +99,7 @@
         """Check one response."""
         self._check_executions()
         self.response_counts[f"{response.kind} {response.status or 'no response'}"] += 1
+        self._count_by_cut(response)
         executions = self._executions[response.request_id]
         expected = f"answer to {response.request_id}".encode()
         if response.status == 200 and response.body != expected:
@@ -104,6 +118,38 @@
                 f"{response.request_id} was refused with 503 after it was executed",
             )
 
+    def _count_by_cut(self, response: CallerResponse) -> None:
+        """Count responses while some hosts, not all, are cut off from the servers."""
+        now_s = time.monotonic()
+        if now_s - self._last_disturbance_s() < CUT_SETTLING_S:
+            return
+        cut = {
+            gateway.name: gateway.cut_since_s
+            for gateway in self._system.gateways
+            if gateway.cut_since_s is not None
+        }
+        settled = all(now_s - since_s >= CUT_SETTLING_S for since_s in cut.values())
+        if not cut or not settled or len(cut) == len(self._system.gateways):
+            return
+        self._served_by_cut[response.host in cut][response.status == 200] += 1
+        self._check_cut_hosts()
+
+    def _check_cut_hosts(self) -> None:
+        """Check that callers of hosts that are cut off are served like others."""
+        at_cut, at_others = self._served_by_cut[True], self._served_by_cut[False]
+        allowed = ALLOWED_CUT_FAILURES + ALLOWED_CUT_FAILURE_SHARE * at_cut.total()
+        if self._cut_reported or at_cut[False] <= allowed or not at_others.total():
+            return
+        share = at_cut[True] / at_cut.total()
+        others_share = at_others[True] / at_others.total()
+        if share < MIN_CUT_SERVED_RATIO * others_share:
+            self._cut_reported = True
+            self.record_violation(
+                "cut hosts",
+                f"served {at_cut[True]} of {at_cut.total()}, the others "
+                f"{at_others[True]} of {at_others.total()}",
+            )
+
     def _check_owners(self) -> None:
         keyed = [server for server in self._system.servers.values() if server.keyed]
         for key in SAMPLED_KEYS:
--- a/soak/system.py
+++ b/soak/system.py
@@ -5,6 +5,8 @@
 __all__ = ["CRASHING_PATH", "GRACE_PERIOD_S", "VERSION_PREFIX", "Gateway", "System"]
 
 import asyncio
+import base64
+import json
 import os
 import signal
 import socket
@@ -31,8 +33,10 @@
 from .proxy import Proxy
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
+HOST_PROGRAM = Path(__file__).parent / "host_program.py"
 KEYED_BY_SERVICE = {"plain": False, "keys": True}
 GRACE_PERIOD_S = 6.0
+LEADER_KEY = "jacinthpath/leader"
 VERSION_PREFIX = "/version-"
 CRASHING_PATH = "/read/crash-"
 CRASH_RESPONSE_TIMEOUT_S = 2.0
@@ -40,13 +44,20 @@
 
 
 class Gateway:
-    """One host: its gateway process and its proxy to the store."""
+    """One host: its gateway process, and its proxies to the store and the servers.
+
+    :ivar cut_mode: mode of all its paths to servers, ``pass`` unless it is cut off.
+    :ivar cut_since_s: monotonic time since when it is cut off, ``None`` if it is not.
+    """
 
     def __init__(self, index: int, log_dir: Path, store: PlatformStoreStandIn) -> None:
         self.name = f"g{index}"
         self.ip = f"{address_block()}.{index + 1}"
         self.front_port, self.ready_port, self.peer_port = _free_ports(self.ip, 3)
         self.store_proxy = Proxy(store.address)
+        self.server_proxies: dict[str, Proxy] = {}
+        self.cut_mode = "pass"
+        self.cut_since_s: float | None = None
         self.process: asyncio.subprocess.Process | None = None
         self.is_exit_expected = True
         self.killed_after_grace = False
@@ -66,9 +77,15 @@
         """Start a process."""
         path = self._log_dir / f"{self.name}.toml"
         path.write_text(self._format_settings())
+        paths = self._log_dir / f"{self.name}-paths.json"
+        paths.write_text(
+            json.dumps({p.target: p.address for p in self.server_proxies.values()})
+        )
         with (self._log_dir / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
+                str(HOST_PROGRAM),
+                str(paths),
                 str(PROGRAM),
                 env={**os.environ, "JACINTHPATH_SETTINGS": str(path)},
                 stdout=log,
@@ -88,6 +105,15 @@
             store=self.store_proxy.address,
         )
 
+    def cut_from_servers(self, mode: str) -> None:
+        """Cut the paths to all servers off by a mode of the proxies."""
+        self.cut_mode = mode
+        self.cut_since_s = time.monotonic()
+
+    def restore_paths(self) -> None:
+        """Restore the paths to all servers."""
+        self.cut_mode, self.cut_since_s = "pass", None
+
     def record_disturbance(self) -> None:
         """Record a fault of this host, which suspends guarantees with a time limit."""
         self.last_disturbance_s = time.monotonic()
@@ -132,7 +158,7 @@
         self.random = random
         self.store = PlatformStoreStandIn("127.0.0.1:0")
         self.servers: dict[str, PlatformServerStandIn] = {}
-        self.proxies: dict[str, Proxy] = {}
+        self.server_modes: dict[str, str] = {}
         self.gateways: list[Gateway] = []
         self.version = 1
         self.version_written_s = 0.0
@@ -152,19 +178,48 @@
             self.gateways.append(Gateway(index, self.log_dir, self.store))
         for gateway in self.gateways:
             await gateway.store_proxy.start()
+            for name, server in self.servers.items():
+                gateway.server_proxies[name] = Proxy(server.address)
+                await gateway.server_proxies[name].start()
             await gateway.start()
 
     async def close(self) -> None:
         """Kill all processes and close the proxies and stand-ins."""
         for gateway in self.gateways:
             await gateway.kill()
-            await gateway.store_proxy.close()
-        for proxy in self.proxies.values():
-            await proxy.close()
+            for proxy in (gateway.store_proxy, *gateway.server_proxies.values()):
+                await proxy.close()
         for server in self.servers.values():
             await server.close()
         await self.store.close()
 
+    def set_server_mode(self, name: str, mode: str) -> None:
+        """Set the mode of the paths of all hosts to one server."""
+        self.server_modes[name] = mode
+        self.apply_path_modes()
+
+    def apply_path_modes(self) -> None:
+        """Set the modes of all paths; a host that is cut off has no other."""
+        for gateway in self.gateways:
+            for name, proxy in gateway.server_proxies.items():
+                mode = gateway.cut_mode
+                if mode == "pass":
+                    mode = self.server_modes.get(name, "pass")
+                if mode == "reset" and proxy.mode != mode:
+                    proxy.reset()
+                proxy.mode = mode
+
+    def reset_server(self, name: str) -> None:
+        """Reset the connections of all hosts to one server."""
+        for gateway in self.gateways:
+            gateway.server_proxies[name].reset()
+
+    def leader(self) -> Gateway | None:
+        """Return the host that the leader record names."""
+        item = self.store.items.get(LEADER_KEY)
+        name = json.loads(base64.b64decode(item["value"]))["host"] if item else ""
+        return next((one for one in self.gateways if one.name == name), None)
+
     def configure(self) -> None:
         """Write the next version of the configuration; each version adds a route."""
         self.version += 1
@@ -188,7 +243,7 @@
         self.last_disturbance_s = time.monotonic()
 
     def put_entry(self, name: str, state: str = "ready") -> None:
-        """Write a server's entry to the store, with the address of its proxy."""
+        """Write a server's entry to the store."""
         self._put_state(name, state)
         if state == "draining":
             self.draining_since_s[name] = time.monotonic()
@@ -225,11 +280,7 @@
         self.limited_since_s.pop(name, None)
 
     def _put_state(self, name: str, state: str) -> None:
-        server = self.servers[name]
-        direct_address = server.address
-        server.address = self.proxies[name].address
-        self.store.put(f"servers/{name}", server.entry(state))
-        server.address = direct_address
+        self.store.put(f"servers/{name}", self.servers[name].entry(state))
 
     def _route_rows(self) -> list[list[Any]]:
         """Return the rows of the routes, with one route for each version so far."""
@@ -250,8 +301,6 @@
         server.handle_return = lambda _server: self.put_entry(name)
         await server.start()
         self.servers[name] = server
-        self.proxies[name] = Proxy(server.address)
-        await self.proxies[name].start()
         self.put_entry(name)
 
 
--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -58,7 +58,7 @@
         """Record the result of an attempt.
 
         The load and the crashes that a relayed attempt shows are reported by the host
-        that has relayed it.
+        that has relayed it, which knows nothing of earlier crashes here.
         """
         backend, elapsed_s = attempt.backend, attempt.elapsed_s
         self._count(backend, result)
@@ -68,9 +68,7 @@
         self._log(attempt, result)
         self._record_notice(backend, result.notice)
         self._record_limit(backend, result)
-        if result.relayed_by:
-            return
-        if result.connection_lost:
+        if result.connection_lost and not result.relayed_by:
             self._dependencies.crash_detector.suspect(self._request, backend)
         elif result.outcome is Outcome.ANSWERED:
             self._dependencies.crash_detector.record_answered(self._request)
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -176,13 +176,15 @@
     async def _has_crashed(self, backend: Backend) -> bool:
         """Return whether the incarnation of a server has crashed.
 
-        A server that only closed or reset a connection still accepts others. One that
-        refuses connections proves nothing to a host that has lost its path.
+        A server that only closed or reset a connection still accepts others. To a host
+        that has lost its path nothing is proof: the path has closed the connection, and
+        the server may start again for another cause.
         """
         lost_s = boottime_s()
         await asyncio.sleep(PROBE_DELAY_S)
-        refuses = await self._backend_client.refuses_connections(backend)
-        if refuses and await self._reach.has_path_beside(backend, lost_s):
+        if not await self._reach.has_path_beside(backend, lost_s):
+            return False
+        if await self._backend_client.refuses_connections(backend):
             return True
         await asyncio.sleep(RECHECK_DELAY_S)
         current = self._view.directory.find(backend.server)
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -180,9 +180,9 @@
 
         The retry goes to the owner, which may be the same or a new server.
 
-        :return: number of servers that may have received the request after the retry, an
-            expected latency
-            of 0, so that any remaining time suffices, and whether a retry may help.
+        :return: number of servers that may have received the request after the retry,
+            an expected latency of 0, so that any remaining time suffices, and whether a
+            retry may help.
         """
         if result.outcome is Outcome.NOT_OWNER:
             await self._dependencies.owners.wait_for_update(
--- a/tests/test_gateway_attempts.py
+++ b/tests/test_gateway_attempts.py
@@ -72,8 +72,8 @@
 
 
 def test_attempt_that_no_server_received_needs_no_budget():
-    """Guards against a host whose path is disturbed: it spent the budget on attempts that
-    added no load to any server, and refused what the next one would have served."""
+    """Guards against a host whose path is disturbed: it spent the budget on attempts
+    that no server received, and refused what the next one would have served."""
     unreachable = [Outcome.UNREACHABLE] * 2
     assert decide(unreachable, budget_allows=False).kind is StepKind.RETRY
     received = [Outcome.REFUSED, Outcome.UNREACHABLE]
