--- a/soak/system.py
+++ b/soak/system.py
@@ -50,7 +50,13 @@
     :ivar cut_since_s: monotonic time since when it is cut off, ``None`` if it is not.
     """
 
-    def __init__(self, index: int, log_dir: Path, store: PlatformStoreStandIn) -> None:
+    def __init__(
+        self,
+        index: int,
+        log_dir: Path,
+        store: PlatformStoreStandIn,
+        program: Path = PROGRAM,
+    ) -> None:
         self.name = f"g{index}"
         self.ip = f"{address_block()}.{index + 1}"
         self.front_port, self.ready_port, self.peer_port = _free_ports(self.ip, 3)
@@ -65,6 +71,7 @@
         self.started_s = 0.0
         self.paused_until_s = 0.0
         self._log_dir = log_dir
+        self._program = program
         self._start_lock = asyncio.Lock()
 
     async def restart(self) -> None:
@@ -86,7 +93,7 @@
                 sys.executable,
                 str(HOST_PROGRAM),
                 str(paths),
-                str(PROGRAM),
+                str(self._program),
                 env={**os.environ, "JACINTHPATH_SETTINGS": str(path)},
                 stdout=log,
                 stderr=log,
@@ -155,6 +162,7 @@
 
     def __init__(self, log_dir: Path, random: Random) -> None:
         self.log_dir = log_dir
+        self.program = PROGRAM
         self.random = random
         self.store = PlatformStoreStandIn("127.0.0.1:0")
         self.servers: dict[str, PlatformServerStandIn] = {}
@@ -175,7 +183,7 @@
             for index in range(servers):
                 await self._add_server(f"{service}-{index}", service, keyed)
         for index in range(hosts):
-            self.gateways.append(Gateway(index, self.log_dir, self.store))
+            self.gateways.append(Gateway(index, self.log_dir, self.store, self.program))
         for gateway in self.gateways:
             await gateway.store_proxy.start()
             for name, server in self.servers.items():
