Suspect only requests that were in flight when a server behind a proxy ended

Cause: each request that was sent to the server while it was down lost its connection, and was reported as in flight at the crash. It was there at each crash, as the cause was.

Change: a request sent after the server had closed others, with no response since, is no suspect; a suspect that another server answers before the crash is known is not reported; and the crash is known as soon as the entry is, not 2 s after the connection was lost.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -68,10 +68,19 @@
         self._log(attempt, result)
         self._record_notice(backend, result.notice)
         self._record_limit(backend, result)
+        self._record_crash_evidence(backend, result, boottime_s() - elapsed_s)
+
+    def _record_crash_evidence(
+        self, backend: Backend, result: AttemptResult, sent_s: float
+    ) -> None:
+        """Record whether the server may have crashed under the request."""
+        detector = self._dependencies.crash_detector
         if result.connection_lost and not result.relayed_by:
-            self._dependencies.crash_detector.suspect(self._request, backend)
-        elif result.outcome is Outcome.ANSWERED:
-            self._dependencies.crash_detector.record_answered(self._request)
+            detector.suspect(self._request, backend, sent_s)
+        if result.outcome in _RESPONSES:
+            detector.record_response(backend, sent_s)
+        if result.outcome is Outcome.ANSWERED:
+            detector.record_answered(self._request)
 
     def _count(self, backend: Backend, result: AttemptResult) -> None:
         """Count the attempt by what this host knew of the server before it ended."""
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -5,7 +5,7 @@
 __all__ = ["CrashDetector", "CrashEvidence"]
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -30,9 +30,11 @@
 PROBE_DELAY_S = 0.05
 """A process that crashes closes its connections and its listener in any order."""
 
-RECHECK_DELAY_S = 2.0
+MAX_RESTART_S = 2.0
 """A server that restarted at once under its id has written its entry by then."""
 
+MAX_LOSSES = 512
+
 MAX_OWN_REPORTS = 512
 
 
@@ -72,6 +74,9 @@
         self._metrics = metrics
         self._events = events
         self._checks: dict[tuple[str, int], asyncio.Task[bool]] = {}
+        self._lost_s: dict[tuple[str, int], float] = {}
+        self._unchecked: Counter[int] = Counter()
+        self._answered_s: dict[int, float] = {}
         self._own_reports: deque[CrashReport] = deque(maxlen=MAX_OWN_REPORTS)
         self._own_suspects: set[int] = set()
         self._unreported: list[CrashReport] = []
@@ -87,30 +92,58 @@
         if self._judging is not None:
             self._judging.cancel()
 
-    def suspect(self, request: CallerRequest, backend: Backend) -> None:
-        """Check whether a server that closed a request's connection has crashed."""
+    def suspect(self, request: CallerRequest, backend: Backend, sent_s: float) -> None:
+        """Check whether a server that closed a request's connection has crashed.
+
+        A request that was sent after the server had closed others, and had responded to
+        none since, is no suspect: the server was down already, behind something that
+        accepts connections for it.
+
+        :param sent_s: time on the boot clock at which the request was sent.
+        """
         if backend.draining:
             return
+        now_s = boottime_s()
+        crash_id = backend.server, backend.started_ms
+        if sent_s > self._lost_s.setdefault(crash_id, now_s):
+            return
         report = CrashReport(
-            fingerprint_of(request), backend.server, backend.started_ms, boottime_s()
+            fingerprint_of(request), backend.server, backend.started_ms, now_s
         )
-        crash_id = backend.server, backend.started_ms
         task = self._checks.get(crash_id)
         if task is None or task.done():
             task = self._checks[crash_id] = asyncio.create_task(
                 self._has_crashed(backend)
             )
             task.add_done_callback(lambda _task: self._checks.pop(crash_id, None))
-        task.add_done_callback(lambda done: self._report_crash(report, done))
+        self._unchecked[report.fingerprint] += 1
+        task.add_done_callback(lambda done: self._finish_check(report, done))
+        if len(self._lost_s) > MAX_LOSSES:
+            del self._lost_s[next(iter(self._lost_s))]
+
+    def record_response(self, backend: Backend, sent_s: float) -> None:
+        """Record that a server has responded to a request sent at ``sent_s``."""
+        if not self._lost_s:
+            return
+        crash_id = backend.server, backend.started_ms
+        lost_s = self._lost_s.get(crash_id)
+        if lost_s is not None and sent_s > lost_s:
+            del self._lost_s[crash_id]
 
     def record_answered(self, request: CallerRequest) -> None:
-        """Clear a request of the crashes that this host has reported it for."""
-        if not self._own_reports:
+        """Clear a request of the crashes before, reported or not."""
+        if not self._own_reports and not self._unchecked:
             return
         now_s = boottime_s()
+        fingerprint = fingerprint_of(request)
+        if fingerprint in self._unchecked:
+            self._answered_s[fingerprint] = now_s
+        if self._own_reports:
+            self._clear_reported(fingerprint, now_s)
+
+    def _clear_reported(self, fingerprint: int, now_s: float) -> None:
         if now_s - self._own_reports[0].observed_s > EVIDENCE_S:
             self._own_suspects.discard(self._own_reports.popleft().fingerprint)
-        fingerprint = fingerprint_of(request)
         if fingerprint not in self._own_suspects:
             return
         answered = AnsweredRequest(fingerprint, now_s)
@@ -156,9 +189,20 @@
             del self._unreported[: len(evidence.crashes)]
             del self._unreported_answers[: len(evidence.answered)]
 
-    def _report_crash(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
+    def _finish_check(self, report: CrashReport, task: asyncio.Task[bool]) -> None:
+        """Report a request if the server has crashed and no other has run it since."""
+        fingerprint = report.fingerprint
+        answered_s = self._answered_s.get(fingerprint, float("-inf"))
+        self._unchecked[fingerprint] -= 1
+        if not self._unchecked[fingerprint]:
+            del self._unchecked[fingerprint]
+            self._answered_s.pop(fingerprint, None)
         if task.cancelled() or task.exception() is not None or not task.result():
             return
+        if answered_s < report.observed_s:
+            self._report_crash(report)
+
+    def _report_crash(self, report: CrashReport) -> None:
         self._metrics.count("requests_at_crashes_total")
         self._events.log_failure(
             "server_crashed",
@@ -186,7 +230,19 @@
             return False
         if await self._backend_client.refuses_connections(backend):
             return True
-        await asyncio.sleep(RECHECK_DELAY_S)
+        return await self._restarts_soon(backend)
+
+    async def _restarts_soon(self, backend: Backend) -> bool:
+        """Return whether the server's entry names a later incarnation soon."""
+        try:
+            async with asyncio.timeout(MAX_RESTART_S):
+                while not self._has_restarted(backend):
+                    await self._view.changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _has_restarted(self, backend: Backend) -> bool:
         current = self._view.directory.find(backend.server)
         return current is not None and current.started_ms > backend.started_ms
 
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -9,6 +9,7 @@
 from jacinthpath.gateway.fingerprints import fingerprint_of
 
 from .gateway_system import GatewaySystem
+from .host_paths import HostPath
 
 CRASHING_PATH = "/read/crash"
 SETTLING_S = 3.0
@@ -54,10 +55,16 @@
     assert fingerprint_of(make_request(**change)) != fingerprint_of(make_request())
 
 
-@pytest.fixture
-async def fleet(tmp_path):
+@pytest.fixture(params=["direct", "proxied"])
+async def fleet(tmp_path, request):
+    """Three hosts; proxies accept connections also while their server is down."""
     system = GatewaySystem(tmp_path)
-    await system.start(plain=6, gateways=3)
+    await system.start(plain=6, gateways=0)
+    paths = []
+    for index in range(3):
+        path = HostPath() if request.param == "proxied" else None
+        await system.add_gateway(index, path)
+        paths += [path] if path else []
     for server in system.servers.values():
         server.crashing_path = CRASHING_PATH
         server.handle_return = lambda one: system.store.put(
@@ -65,6 +72,8 @@
         )
     await system.wait_until_ready()
     yield system
+    for path in paths:
+        await path.close()
     await system.close()
 
 
