--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -33,6 +33,7 @@
 from .revisions import era_of_revision, minimum_fence
 from .server_commands import CommandSender
 from .store import ConflictingWrite, Store
+from .waiting import wait_for_event
 
 TICK_S = 0.1
 IDLE_TICK_S = 0.3
@@ -133,15 +134,7 @@
             if self._election.authority is not None:
                 await asyncio.sleep(TICK_S)
             else:
-                await self._wait_for_leadership()
-
-    async def _wait_for_leadership(self) -> None:
-        gained = self._election.gained
-        try:
-            async with asyncio.timeout(IDLE_TICK_S):
-                await gained.wait()
-        except TimeoutError:
-            return
+                await wait_for_event(self._election.gained, IDLE_TICK_S)
 
     async def run_once(self) -> None:
         """Do everything that is due now.
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -26,6 +26,7 @@
 from .fingerprints import fingerprint_of
 from .model import Backend
 from .reach_monitor import ReachMonitor
+from .waiting import wait_for_event
 
 PROBE_DELAY_S = 0.05
 """A process that crashes closes its connections and its listener in any order."""
@@ -168,11 +169,7 @@
     async def wait_for_report(self, timeout_s: float) -> None:
         """Wait until this host has a new report, for at most ``timeout_s``."""
         self._has_unreported.clear()
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._has_unreported.wait()
-        except TimeoutError:
-            return
+        await wait_for_event(self._has_unreported, timeout_s)
 
     def unreported(self, leader: str) -> CrashEvidence:
         """Return what a leader has not been told by this host yet.
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -18,6 +18,7 @@
 from .events import EventLog
 from .reach_monitor import ReachMonitor
 from .store import Condition, ConflictingWrite, LeaseEnded, Store, Write
+from .waiting import wait_for_event
 
 LEASE_TTL_S = 1.2
 RENEWAL_INTERVAL_S = 0.3
@@ -124,14 +125,9 @@
 
     async def _wait_for_leader_change(self) -> None:
         """Wait for the leader record to change, or for the first list of servers."""
-        changed = self._view.leader_changed
         servers_known = self._view.servers_known
         wait_s = MAX_WAIT_FOR_VACANCY_S if servers_known else POLL_INTERVAL_S
-        try:
-            async with asyncio.timeout(wait_s):
-                await changed.wait()
-        except TimeoutError:
-            return
+        await wait_for_event(self._view.leader_changed, wait_s)
 
     def _cannot_grant(self) -> bool:
         """Return whether another host could grant keys and this one cannot."""
@@ -250,13 +246,8 @@
 
     async def _wait_for_renewal(self, sent_s: float) -> None:
         """Wait until the next renewal is due, or until the path is lost or back."""
-        changed = self._reach.changed
         wait_s = max(0.05, RENEWAL_INTERVAL_S - (boottime_s() - sent_s))
-        try:
-            async with asyncio.timeout(wait_s):
-                await changed.wait()
-        except TimeoutError:
-            return
+        await wait_for_event(self._reach.changed, wait_s)
 
     async def _run_resignation(self) -> None:
         """Run one step from the resignation until this host stops leading."""
--- a/src/jacinthpath/gateway/owner_lookup.py
+++ b/src/jacinthpath/gateway/owner_lookup.py
@@ -13,6 +13,7 @@
 from .cluster_view import ClusterView
 from .model import Backend
 from .pool import ServerPool
+from .waiting import wait_for_event
 
 MOVE_WAIT_S = 0.3
 """A range that moves with a handover is served again within this time; requests for a
@@ -77,12 +78,7 @@
 
     async def wait_for_update(self, timeout_s: float) -> None:
         """Wait until the view of the cluster changes, for at most ``timeout_s``."""
-        changed = self._view.changed
-        try:
-            async with asyncio.timeout(timeout_s):
-                await changed.wait()
-        except TimeoutError:
-            return
+        await wait_for_event(self._view.changed, timeout_s)
 
     def _check_owner(self, owned: OwnedRange) -> ServerChoice:
         now_s = boottime_s()
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -33,6 +33,7 @@
 from .permit_exchange import PermitExchange
 from .reach_monitor import ReachMonitor
 from .server_reach import Reach
+from .waiting import wait_for_event
 
 REQUEST_TIMEOUT_S = 0.4
 LONG_POLL_WAIT_S = 0.5
@@ -273,12 +274,7 @@
             and self._permits.is_confirmed()
             and loop.time() < deadline_s
         ):
-            changed = self._view.changed
-            try:
-                async with asyncio.timeout_at(deadline_s):
-                    await changed.wait()
-            except TimeoutError:
-                break
+            await wait_for_event(self._view.changed, deadline_s - loop.time())
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -17,6 +17,7 @@
 from .events import EventLog
 from .store import Change, HistoryLost, Store
 from .store_health import RETRY_DELAY_S, StoreHealth
+from .waiting import wait_for_event
 
 GATEWAY_PREFIX = "jacinthpath/"
 """Prefix of the keys that the gateways themselves write."""
@@ -201,11 +202,7 @@
         timeout_s = LEADER_RECORD_TIMEOUT_S
         if self._first_start:
             timeout_s += 2 * FIRST_START_HEAD_START_S
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._leader_record_read.wait()
-        except TimeoutError:
-            return
+        await wait_for_event(self._leader_record_read, timeout_s)
         if self._first_start:
             deadline_s = boottime_s() + FIRST_START_JITTER_S * self._random.random()
             while self._view.leader is None and boottime_s() < deadline_s:
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -17,6 +17,14 @@
 
 @pytest.fixture
 async def fleet(tmp_path):
+    system = await start_fleet(tmp_path)
+    yield system
+    await system.path.close()
+    await system.close()
+
+
+async def start_fleet(tmp_path):
+    """Start two hosts, and cut the first off."""
     system = GatewaySystem(tmp_path)
     await system.start(plain=3, keyed=1, gateways=0)
     system.path = HostPath()
@@ -24,9 +32,7 @@
     await system.add_gateway(RELAYING)
     await system.wait_until_ready()
     await cut(system)
-    yield system
-    await system.path.close()
-    await system.close()
+    return system
 
 
 async def cut(system):
@@ -139,13 +145,7 @@
 async def test_host_of_an_earlier_release_is_not_asked_to_relay(tmp_path, monkeypatch):
     """It would drop the frame without a response, and the caller would wait."""
     monkeypatch.setattr(peer_connections, "PROTOCOL_RELEASE", 1)
-    system = GatewaySystem(tmp_path)
-    await system.start(plain=3, keyed=1, gateways=0)
-    system.path = HostPath()
-    await system.add_gateway(CUT, system.path)
-    await system.add_gateway(RELAYING)
-    await system.wait_until_ready()
-    await cut(system)
+    system = await start_fleet(tmp_path)
     status, _, _ = await system.send("/order/x", "n1", CUT)
     assert status == 503
     assert executed(system) == []
