Take no crash of a whole service for a lost path

Servers of two services have to fail now, if there are two; probes go first to services of which none has failed. test_failure_of_a_whole_service_is_no_lost_path failed before; 70 tests of the cut, relays, crashes and the fleet pass.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -101,7 +101,7 @@
         if result.outcome in _RESPONSES:
             reach.record_response()
         elif result.outcome in _NO_RESPONSE or result.connection_lost:
-            reach.record_failure(backend.server)
+            reach.record_failure(backend.server, backend.service)
 
     def _record_notice(self, backend: Backend, notice: ServerNotice) -> None:
         """Stop sending to a server that leaves or has asked for a pause."""
--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -113,7 +113,7 @@
             state.command_pending = False
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=response.result.value)
-        self._record_reach(owned.server, response)
+        self._record_reach(service, owned.server, response)
         if response.result is CommandResult.DONE:
             is_first = not state.granted
             state.record_grant(now_s, hold_s)
@@ -166,12 +166,14 @@
             detail=response.detail,
         )
 
-    def _record_reach(self, server: str, response: CommandResponse) -> None:
+    def _record_reach(
+        self, service: str, server: str, response: CommandResponse
+    ) -> None:
         """Record whether this host has a path to the server."""
         if response.responded:
             self._reach.record_response()
         else:
-            self._reach.record_failure(server)
+            self._reach.record_failure(server, service)
 
     def _address(self, state: RangeState) -> str:
         """Return the holder's address for commands, from its entry or as written."""
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -103,10 +103,12 @@
         if self._was_cut_off:
             self._handle_change()
 
-    def record_failure(self, server: str) -> None:
-        """Record that a server did not respond to this host."""
-        self._reach.set_known_servers(len(self._view.directory.all()))
-        self._reach.record_failure(server, self._clock())
+    def record_failure(self, server: str, service: str) -> None:
+        """Record that a server of a service did not respond to this host."""
+        backends = self._view.directory.all().values()
+        services = {backend.service for backend in backends}
+        self._reach.set_known(len(backends), len(services))
+        self._reach.record_failure(server, service, self._clock())
         if self.is_cut_off() != self._was_cut_off:
             self._handle_change()
 
@@ -143,9 +145,14 @@
             and not self._pool.pause_left_s(backend, now_s)
             and limits.find(backend.server, backend.started_ms, now_s) is None
         ]
-        untried = [b for b in unburdened if b.server not in self._reach.failing]
-        candidates = untried or unburdened
-        return self._random.sample(candidates, min(count, len(candidates)))
+        failing = self._reach.failing
+        failing_services = self._reach.failing_services
+        self._random.shuffle(unburdened)
+        # Those that tell most come first: no server of their service has failed.
+        unburdened.sort(
+            key=lambda b: (b.service in failing_services, b.server in failing)
+        )
+        return unburdened[:count]
 
     async def _probe_server(self, backend: Backend) -> None:
         health_path = self._health_path(backend)
@@ -156,7 +163,7 @@
         if responds:
             self.record_response()
         else:
-            self.record_failure(backend.server)
+            self.record_failure(backend.server, backend.service)
 
     def _health_path(self, backend: Backend) -> str:
         routes = self._view.routes
--- a/src/jacinthpath/gateway/server_reach.py
+++ b/src/jacinthpath/gateway/server_reach.py
@@ -15,6 +15,9 @@
 """Servers that fail one after the other, without a response of any server between, from
 which on the path of this host is the likely cause."""
 
+MIN_FAILING_SERVICES = 2
+"""The servers of one service may fail together for a cause of their own."""
+
 FRESH_RESPONSE_S = 2.0
 """A response younger than this shows that this host had a path."""
 
@@ -43,20 +46,23 @@
     """Counts the servers that have failed to respond since the last response of any.
 
     :ivar failing: these servers, and when each of them failed first.
+    :ivar failing_services: their services.
     :ivar last_response_s: when a server last responded.
     """
 
     def __init__(self) -> None:
         self.failing: dict[str, float] = {}
+        self.failing_services: set[str] = set()
         self.last_response_s = float("-inf")
         self._pending_since_s: dict[int, float] = {}
         self._next_token = 0
         self._known_servers = 0
+        self._known_services = 0
         self._last_probe_s = float("-inf")
 
-    def set_known_servers(self, count: int) -> None:
-        """Set how many servers there are: of fewer than three, all have to fail."""
-        self._known_servers = count
+    def set_known(self, servers: int, services: int) -> None:
+        """Set how many servers and services there are: of fewer, all have to fail."""
+        self._known_servers, self._known_services = servers, services
 
     def record_sent(self, now_s: float) -> int:
         """Record the start of an attempt; return a token for its end."""
@@ -72,20 +78,26 @@
         """Record that bytes of any server have arrived."""
         self.last_response_s = max(self.last_response_s, now_s)
         self.failing.clear()
+        self.failing_services.clear()
 
-    def record_failure(self, server: str, now_s: float) -> None:
+    def record_failure(self, server: str, service: str, now_s: float) -> None:
         """Record that a server did not respond, or that no connection was opened."""
         self.failing.setdefault(server, now_s)
+        self.failing_services.add(service)
 
     def state(self, now_s: float) -> Reach:
         """Return what is known of the path."""
-        needed = max(1, min(MIN_FAILING_SERVERS, self._known_servers))
-        if len(self.failing) >= needed:
+        if self._has_enough_failing():
             return Reach.CUT_OFF
         if now_s - self.last_response_s < FRESH_RESPONSE_S:
             return Reach.REACHED
         return Reach.UNKNOWN
 
+    def _has_enough_failing(self) -> bool:
+        servers = max(1, min(MIN_FAILING_SERVERS, self._known_servers))
+        services = min(MIN_FAILING_SERVICES, self._known_services)
+        return len(self.failing) >= servers and len(self.failing_services) >= services
+
     def is_cut_off(self, now_s: float) -> bool:
         """Return whether this host has lost its path to all servers."""
         return self.state(now_s) is Reach.CUT_OFF
