Count a relay's remaining time on the boot clock

A host suspended between its own attempt and the relay would have sent the request with the time that was left before, and a server could have run it after its caller's deadline. The loop's clock stops meanwhile; RequestExecution uses the boot clock for this reason.

--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -71,22 +71,27 @@
     async def _send_by_a_path(
         self, backend: Backend, remaining_s: float
     ) -> AttemptResult:
-        dependencies = self._dependencies
-        started_s = self._loop.time()
-        relay = dependencies.relay if self._may_relay else None
-        if relay is None or not (dependencies.reach.is_cut_off() and relay.has_peers()):
+        """Send on this host's own path unless it is lost, else by way of another host.
+
+        The boot clock counts here, since a caller's deadline goes on while the host is
+        suspended.
+        """
+        if not self._is_path_lost():
+            started_s = boottime_s()
             result = await self._send_directly(backend, remaining_s)
-            elapsed_s = self._loop.time() - started_s
+            elapsed_s = boottime_s() - started_s
             remaining_s -= elapsed_s
-            if (
-                relay is None
-                or result.outcome is not Outcome.UNREACHABLE
-                or remaining_s < MIN_RELAYED_S
-                or not relay.may_help(backend)
-                or not self._is_relay_worthwhile(elapsed_s)
-            ):
+            if not self._should_relay(backend, result, elapsed_s, remaining_s):
                 return result
-        return await relay.send(self._request, backend, remaining_s)
+        return await self._dependencies.relay.send(self._request, backend, remaining_s)
+
+    def _is_path_lost(self) -> bool:
+        """Return whether only another host may reach the servers."""
+        return (
+            self._may_relay
+            and self._dependencies.reach.is_cut_off()
+            and self._dependencies.relay.has_peers()
+        )
 
     async def _send_directly(
         self, backend: Backend, remaining_s: float
@@ -103,8 +108,20 @@
         self._recorder.record_reach(backend, result)
         return result
 
-    def _is_relay_worthwhile(self, elapsed_s: float) -> bool:
-        """Return whether to relay a request that found no connection to a server."""
+    def _should_relay(
+        self,
+        backend: Backend,
+        result: AttemptResult,
+        elapsed_s: float,
+        remaining_s: float,
+    ) -> bool:
+        """Return whether to relay a request after an attempt on the own path."""
+        if not self._may_relay or result.outcome is not Outcome.UNREACHABLE:
+            return False
+        if remaining_s < MIN_RELAYED_S:
+            return False
+        if not self._dependencies.relay.may_help(backend):
+            return False
         return (
             self._service.keyed
             or elapsed_s < MAX_DIRECT_CONNECT_S
--- a/src/jacinthpath/gateway/relay_client.py
+++ b/src/jacinthpath/gateway/relay_client.py
@@ -66,13 +66,12 @@
         """
         if len(request.body) > MAX_RELAYED_BODY_BYTES:
             return AttemptResult(Outcome.UNREACHABLE, "body too large to relay")
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + remaining_s
+        deadline_s = boottime_s() + remaining_s
         detail = "no host to relay"
         candidates = self._peer_addresses()
         for _ in range(MAX_HOSTS_ASKED):
             address = self._hosts.choose(candidates, boottime_s())
-            if address is None or deadline_s - loop.time() < MIN_REMAINING_S:
+            if address is None or deadline_s - boottime_s() < MIN_REMAINING_S:
                 break
             candidates.discard(address)
             self._hosts.record_start(address)
@@ -145,13 +144,13 @@
 class _Relay:
     """One request at the host that relays it.
 
-    :param deadline_s: loop time at which the caller gives up.
+    :param deadline_s: time on the boot clock at which the caller gives up.
     """
 
     def __init__(
         self, connection: PeerConnection, relay_id: int, deadline_s: float
     ) -> None:
-        self.deadline_s = deadline_s
+        self._deadline_s = deadline_s
         self._connection = connection
         self._relay_id = relay_id
 
@@ -191,7 +190,7 @@
             self._connection.send(frame)
 
     def _remaining_s(self) -> float:
-        return max(0.001, self.deadline_s - asyncio.get_running_loop().time())
+        return max(0.001, self._deadline_s - boottime_s())
 
 
 class _RelayedBody:
