--- a/review/deployment.py
+++ b/review/deployment.py
@@ -148,6 +148,7 @@
         self._log_dir = log_dir
         self._tasks: list[asyncio.Task[None]] = []
         self._next_attempt = 0
+        self._closing = False
         self._ports = _free_ports(4)
         self._session: aiohttp.ClientSession | None = None
 
@@ -201,17 +202,18 @@
         self.log("ready")
 
     async def close(self) -> None:
-        """End all processes and stand-ins."""
+        """End all processes and stand-ins, the processes first."""
+        self._closing = True
         for task in self._tasks:
             task.cancel()
-        if self._session is not None:
-            await self._session.close()
         for machine in self.machines:
             await self.kill(machine)
+        self._record.flush()
+        if self._session is not None:
+            await self._session.close()
         for server in self.servers.values():
             await server.close()
         await self.store.close()
-        self._record.close()
 
     async def add_server(self, name: str, service: str, keyed: bool) -> ServerStandIn:
         """Start a server and let it register."""
@@ -383,7 +385,8 @@
                     )
 
     def _restart(self, machine: Machine) -> None:
-        self._tasks.append(asyncio.create_task(self.start_machine(machine)))
+        if not self._closing:
+            self._tasks.append(asyncio.create_task(self.start_machine(machine)))
 
 
 def run_case(
@@ -410,7 +413,8 @@
             print(f"The case could not run: {error!r}")
             return NOT_RUN
         finally:
-            await deployment.close()
+            with suppress(Exception):
+                await deployment.close()
             if keep := os.environ.get("KEEP_LOGS"):
                 for path in Path(log_dir).glob("*.log"):
                     (Path(keep) / path.name).write_bytes(path.read_bytes())
