--- a/review/deployment.py
+++ b/review/deployment.py
@@ -34,6 +34,8 @@
 RESTART_DELAY_S = 0.5
 GRACE_S = 6.0
 MEMORY_MB = 300
+MAX_MACHINES = 3
+MAX_PORT_TRIES = 100
 
 SETTINGS = """
 node_name = "{name}"
@@ -106,7 +108,7 @@
 
     def __init__(self, index: int, log_dir: Path) -> None:
         self.name = f"front-a-{index + 1}"
-        self.ip = f"{address_block()}.{index + 1}"
+        self.ip = _machine_ip(index)
         self.process: asyncio.subprocess.Process | None = None
         self.ready = False
         self.log_path = log_dir / f"{self.name}.log"
@@ -423,11 +425,33 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    """Return ports that are free on all loopback addresses."""
-    probes = [socket.socket() for _ in range(count)]
-    for probe in probes:
-        probe.bind(("0.0.0.0", 0))
-    ports = [probe.getsockname()[1] for probe in probes]
-    for probe in probes:
-        probe.close()
-    return ports
+    """Return ports that are free on the addresses of all machines of a case."""
+    ports: list[int] = []
+    for _ in range(MAX_PORT_TRIES):
+        with socket.socket() as probe:
+            probe.bind((_machine_ip(0), 0))
+            port = probe.getsockname()[1]
+        if port not in ports and _is_free_on_all(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError("there are too few free ports")
+
+
+def _is_free_on_all(port: int) -> bool:
+    return all(_is_free(index, port) for index in range(MAX_MACHINES))
+
+
+def _is_free(index: int, port: int) -> bool:
+    """Return whether a port is free on the address of a machine."""
+    with socket.socket() as probe:
+        try:
+            probe.bind((_machine_ip(index), port))
+        except OSError:
+            return False
+    return True
+
+
+def _machine_ip(index: int) -> str:
+    """Return the loopback address of a machine."""
+    return f"{address_block()}.{index + 1}"
