Start a loop again that an exception has ended, and leave the others running

Cause: mode marks every service of a process as crashed when one future raises. All loops test should_stop and end; daemon.py waits for signals alone.

Change: LoopSupervisor runs each loop and task of the gateway. An exception is logged with its traceback and counted (unexpected_errors_total), and the loop starts again after 0.1 s, doubled up to 3 s. A host with a vital loop that has failed three times in a row is not ready. Exceptions of callbacks and of tasks nobody waits for are logged the same way. In the other daemons, whose loops mode runs, a crash now drains and ends the process.

Why it works: no exception of a loop reaches mode any more.

--- a/src/jacinthpath/daemon.py
+++ b/src/jacinthpath/daemon.py
@@ -19,6 +19,9 @@
     async def start(self) -> None:
         """Start the service."""
 
+    async def wait(self) -> object:
+        """Wait until the service stops or has crashed."""
+
     async def drain(self) -> int:
         """Finish the work in progress; return how much could not be finished."""
 
@@ -29,9 +32,10 @@
 def run_daemon(service: Drainable) -> int:
     """Run ``service`` until SIGTERM or SIGINT; return the exit status.
 
-    The first signal starts the drain; a second one cancels it.
+    The first signal starts the drain; a second one cancels it. A service that has
+    crashed is drained too: a process whose loops have ended recovers only by a restart.
 
-    :return: 0 after a complete drain, 1 when work was lost.
+    :return: 0 after a complete drain, 1 when work was lost or the service had crashed.
     """
     return asyncio.run(_run(service))
 
@@ -45,7 +49,7 @@
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
     await service.start()
-    await signals.get()
+    crashed = await _wait_for_end(service, signals)
     draining = asyncio.create_task(service.drain())
     second_signal = asyncio.create_task(signals.get())
     await asyncio.wait({draining, second_signal}, return_when=asyncio.FIRST_COMPLETED)
@@ -58,4 +62,17 @@
         _log.warning("draining_cut_short")
     await service.stop()
     _log.info("stopped", work_lost=bool(unfinished))
-    return 1 if unfinished else 0
+    return 1 if unfinished or crashed else 0
+
+
+async def _wait_for_end(service: Drainable, signals: asyncio.Queue[int]) -> bool:
+    """Wait for a signal or a crash of the service; return whether it has crashed."""
+    signalled = asyncio.create_task(signals.get())
+    crashed = asyncio.create_task(service.wait())
+    await asyncio.wait({signalled, crashed}, return_when=asyncio.FIRST_COMPLETED)
+    for waiting in (signalled, crashed):
+        waiting.cancel()
+    if signalled.done() and not signalled.cancelled():
+        return False
+    _log.error("crashed", remedy="See the log before this line, and report it.")
+    return True
--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -25,6 +25,7 @@
 from .fence_sweep import FenceSweep
 from .leader_election import LeaderElection
 from .loads import LoadAggregator
+from .loops import LoopSupervisor
 from .model import Timing
 from .move_planning import MovePlanner
 from .ownership import Ownership, RangeState, adopt_assignment
@@ -90,6 +91,7 @@
         metrics: Metrics,
         own_process: LeaderProcess,
         has_stopped_leading: Callable[[LeaderProcess], Awaitable[bool]],
+        loops: LoopSupervisor,
         clock: Callable[[], float] = boottime_s,
     ) -> None:
         super().__init__()
@@ -101,15 +103,16 @@
         self._events = events
         self._own_process = own_process
         self._has_stopped_leading = has_stopped_leading
+        self._loops = loops
         self._clock = clock
         self._leader_state: _LeaderState | None = None
         self._command_runner = CommandRunner(
-            commands, view, reach, events, metrics, self._handle_fenced, clock
+            commands, view, reach, events, metrics, self._handle_fenced, loops, clock
         )
 
     async def on_start(self) -> None:
         """Start to assign keys whenever this host leads."""
-        self.add_future(self._run())
+        self.add_future(self._loops.run("assigner", self._run))
 
     def shortest_hold_s(self) -> float:
         """Return the shortest remaining hold time of all grants, or 0 without any."""
--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -13,6 +13,7 @@
 from .cluster_view import ClusterView
 from .events import EventLog
 from .fence_sweep import FenceSweep, SweepRelease
+from .loops import LoopSupervisor
 from .model import Backend
 from .ownership import Ownership, RangeState
 from .reach_monitor import ReachMonitor
@@ -47,6 +48,7 @@
         events: EventLog,
         metrics: Metrics,
         handle_fenced: Callable[[LeaderAuthority], None],
+        loops: LoopSupervisor,
         clock: Callable[[], float],
     ) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
@@ -56,6 +58,7 @@
         self._events = events
         self._metrics = metrics
         self._handle_fenced = handle_fenced
+        self._loops = loops
         self._clock = clock
 
     def send_due_grants(
@@ -90,7 +93,7 @@
 
     def start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a task beside the commands."""
-        task = asyncio.create_task(coroutine)
+        task = self._loops.start_task("command", coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/src/jacinthpath/gateway/host_reports.py
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -18,6 +18,7 @@
 from .crash_messages import read_answered, read_crash_reports, write_crash_evidence
 from .events import EventLog
 from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
+from .loops import LoopSupervisor
 from .peer_messages import read_report, write_report
 
 REPORT_INTERVAL_S = 0.3
@@ -42,6 +43,7 @@
         crash_detector: CrashDetector,
         events: EventLog,
         random: Random,
+        loops: LoopSupervisor,
     ) -> None:
         super().__init__()
         self._host = host
@@ -53,10 +55,11 @@
         self._crash_detector = crash_detector
         self._events = events
         self._random = random
+        self._loops = loops
 
     async def on_start(self) -> None:
         """Start to report."""
-        self.add_future(self._report_periodically())
+        self.add_future(self._loops.run("host-report", self._report_periodically))
 
     async def _report_periodically(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -16,6 +16,7 @@
 from .clock import boottime_s
 from .cluster_view import LEADER_KEY, ClusterView
 from .events import EventLog
+from .loops import LoopSupervisor
 from .reach_monitor import ReachMonitor
 from .store import Condition, ConflictingWrite, LeaseEnded, Store, Write
 from .waiting import wait_for_event
@@ -56,6 +57,7 @@
         address: str,
         process_id: str,
         min_lease_s: float,
+        loops: LoopSupervisor,
     ) -> None:
         super().__init__()
         self.authority: LeaderAuthority | None = None
@@ -67,6 +69,7 @@
         self._reach = reach
         self._events = events
         self._random = random
+        self._loops = loops
         self._host = host
         self._address = address
         self._process_id = process_id
@@ -78,7 +81,7 @@
 
     async def on_start(self) -> None:
         """Start to take part in the election."""
-        self.add_future(self._run())
+        self.add_future(self._loops.run("leader-election", self._run))
 
     async def resign(self) -> None:
         """Revoke the lease, so that a successor need not wait for its end.
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -24,6 +24,7 @@
 from .crash_messages import has_other_blocked, read_blocked, write_blocked
 from .events import EventLog
 from .limit_messages import has_other_limits
+from .loops import LoopSupervisor
 from .peer_messages import (
     apply_documents,
     has_newer_assignment,
@@ -91,6 +92,7 @@
         metrics: Metrics,
         events: EventLog,
         random: Random,
+        loops: LoopSupervisor,
     ) -> None:
         super().__init__()
         self._identity = identity
@@ -99,6 +101,7 @@
         self._view = view
         self._events = events
         self._random = random
+        self._loops = loops
         self._followed_at_s = float("-inf")
         self._followed_process_id = ""
         self._unresponsive_process_id = ""
@@ -115,7 +118,7 @@
     async def on_start(self) -> None:
         """Listen to peers, and start following the leader."""
         await self._server.start()
-        self.add_future(self._follow_leader())
+        self.add_future(self._loops.run("follow-leader", self._follow_leader))
 
     async def on_stop(self) -> None:
         """Close all connections."""
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -15,6 +15,7 @@
 from .cluster_view import ClusterView
 from .events import EventLog
 from .exchange import BackendClient
+from .loops import LoopSupervisor
 from .model import Backend
 from .pool import ServerPool
 from .server_reach import Reach, ServerReach
@@ -41,6 +42,7 @@
         metrics: Metrics,
         events: EventLog,
         random: Random,
+        loops: LoopSupervisor,
         clock: Callable[[], float] = boottime_s,
     ) -> None:
         super().__init__()
@@ -50,6 +52,7 @@
         self._metrics = metrics
         self._events = events
         self._random = random
+        self._loops = loops
         self._clock = clock
         self._reach = ServerReach()
         self._was_cut_off = False
@@ -57,7 +60,7 @@
 
     async def on_start(self) -> None:
         """Start to probe servers whenever the path is in doubt."""
-        self.add_future(self._probe_in_doubt())
+        self.add_future(self._loops.run("reach-probes", self._probe_in_doubt))
 
     def state(self) -> Reach:
         """Return what is known of the path to the servers."""
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -24,6 +24,7 @@
 from .forwarder import Forwarder
 from .host_reports import HostReporter
 from .leader_election import LeaderElection
+from .loops import LoopSupervisor
 from .model import GatewaySettings
 from .peering import Peering
 from .reach_monitor import ReachMonitor
@@ -45,6 +46,18 @@
 EXIT_MARGIN_S = 0.5
 """Time before the end of the grace period at which unfinished requests are given up."""
 
+VITAL_LOOPS = (
+    "assigner",
+    "follow-leader",
+    "leader-election",
+    "track-following",
+    "watch-configuration",
+    "watch-leader",
+    "watch-own",
+    "watch-servers",
+)
+"""Loops without which a host does not learn what is in force."""
+
 DRAIN_POLL_S = 0.02
 LOG_FLUSH_INTERVAL_S = 0.5
 
@@ -95,6 +108,7 @@
         events: EventLog,
         read_settings: Callable[[], GatewaySettings],
         random: Random,
+        loops: LoopSupervisor,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -119,12 +133,15 @@
         self._was_ready = False
         self._peer_secret = b""
         self._random = random
+        self._loops = loops
         self._admin = AdminServer(
             settings.metrics_address, metrics, self.unready_reason, self.status
         )
 
     async def on_start(self) -> None:
         """Start the components; listen for callers last."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._loops.handle_loop_error)
         self._events.log_process_event("starting", pid=os.getpid(), role="gateway")
         for client in self._clients:
             await client.start()
@@ -136,9 +153,12 @@
         await self.add_runtime_dependency(self._watcher)
         await self.add_runtime_dependency(self._election)
         await self.add_runtime_dependency(self._assigner)
-        self.add_future(self._register())
-        self.add_future(self._publish_gauges())
-        self.add_future(self._flush_logs())
+        for name, loop in (
+            ("register", self._register),
+            ("publish-gauges", self._publish_gauges),
+            ("flush-logs", self._flush_logs),
+        ):
+            self.add_future(self._loops.run(name, loop))
         await self.listener.start()
         self._events.log_process_event(
             "listening", callers=self.settings.callers_address
@@ -228,6 +248,8 @@
             return "no-configuration"
         if not self._view.servers_known:
             return "no-servers"
+        if any(map(self._loops.is_failing, VITAL_LOOPS)):
+            return "failing-loop"
         if self._was_ready:
             return ""
         return "no-owners" if self._lacks_owners() else ""
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -15,6 +16,7 @@
 from .clock import boottime_s
 from .cluster_view import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, ClusterView
 from .events import EventLog
+from .loops import LoopSupervisor
 from .store import Change, HistoryLost, Store
 from .store_health import RETRY_DELAY_S, StoreHealth
 from .waiting import wait_for_event
@@ -100,6 +102,7 @@
 
     :param first_start: whether all hosts start for the first time, before any caller
         waits.
+    :param loops: runs the loops of this service.
     """
 
     def __init__(
@@ -111,6 +114,7 @@
         events: EventLog,
         random: Random,
         first_start: bool,
+        loops: LoopSupervisor,
     ) -> None:
         super().__init__()
         self._first_start = first_start
@@ -120,24 +124,31 @@
         self._peers = peers
         self._events = events
         self._random = random
+        self._loops = loops
         self._health = StoreHealth(view, events, random)
         self._leader_record_read = asyncio.Event()
         self._follows = False
         self._follows_no_longer = asyncio.Event()
 
     async def on_start(self) -> None:
-        """Start a task for each watched part of the store."""
-        self.add_future(self._track_following())
-        self.add_future(self._watch_leader_record())
+        """Start a loop for each watched part of the store."""
+        loops = {
+            "track-following": self._track_following,
+            "watch-leader": self._watch_leader_record,
+            "expire-servers": self._expire_servers,
+            "fetch-from-peers": self._fetch_from_peers,
+            "log-store-calls": self._log_store_calls,
+        }
         for part, list_and_watch in (
             ("configuration", self._list_and_watch_configuration),
             ("own", self._list_and_watch_gateway_keys),
             ("servers", self._list_and_watch_servers),
         ):
-            self.add_future(self._watch_unless_following(part, list_and_watch))
-        self.add_future(self._expire_servers())
-        self.add_future(self._fetch_from_peers())
-        self.add_future(self._log_store_calls())
+            loops[f"watch-{part}"] = partial(
+                self._watch_unless_following, part, list_and_watch
+            )
+        for name, loop in loops.items():
+            self.add_future(self._loops.run(name, loop))
 
     async def _watch_leader_record(self) -> None:
         if self._first_start and not self._peers.is_seed:
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -18,6 +18,7 @@
 from .gateway.host_reports import HostReporter
 from .gateway.leader_election import LeaderElection
 from .gateway.loads import LoadAggregator, LoadRecorder
+from .gateway.loops import LoopSupervisor
 from .gateway.model import CallerLimits
 from .gateway.owner_lookup import OwnerLookup
 from .gateway.peering import Peering
@@ -53,6 +54,7 @@
     metrics = Metrics()
     events = EventLog(settings.host, count=metrics.count)
     events.capture_library_logs()
+    loops = LoopSupervisor(metrics, events, random)
     store = PlatformStore(settings.store_address)
     commands = CommandClient()
     memory = BodyMemory()
@@ -62,7 +64,7 @@
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
-    reach = ReachMonitor(view, pool, servers, metrics, events, random)
+    reach = ReachMonitor(view, pool, servers, metrics, events, random, loops)
     identity = PeerIdentity(settings.host, settings.data_centre, "gateway", process_id)
     peer_pool = PeerPool(identity, keys, {}, metrics, random)
     crash_ledger = CrashLedger()
@@ -78,6 +80,7 @@
         crash_detector,
         events,
         random,
+        loops,
     )
     owner_lookup = OwnerLookup(view, pool, settings.timing.drain_s)
     dependencies = RequestDependencies(
@@ -116,6 +119,7 @@
         metrics,
         events,
         random,
+        loops,
     )
     watcher = StoreWatcher(
         store,
@@ -125,6 +129,7 @@
         events,
         random,
         settings.first_start,
+        loops,
     )
     election = LeaderElection(
         store,
@@ -136,6 +141,7 @@
         settings.peer_address,
         process_id,
         settings.lease_min_s,
+        loops,
     )
     election.knows_better_host = peering.knows_host_with_path
     crash_detector.is_following = peering.is_following
@@ -152,6 +158,7 @@
         metrics,
         LeaderProcess(process_id, settings.peer_address),
         peering.has_stopped_leading,
+        loops,
     )
     forwarder = Forwarder(dependencies, settings.timing)
     gateway = GatewayService(
@@ -173,6 +180,7 @@
         events,
         lambda: load_settings(path),
         random,
+        loops,
     )
     relay_server.draining = lambda: gateway.draining
     gateway.listener = CallerServer(
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -80,6 +80,9 @@
     "topics_refused_total": (
         "Topics that were refused: unreadable, conflicting or beyond a limit."
     ),
+    "unexpected_errors_total": (
+        "Exceptions that nothing else handled, by the loop or task that they ended."
+    ),
 }
 """Description of each metric; the reference page is generated from it."""
 
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -20,6 +20,7 @@
 from jacinthpath.gateway.authority import LeaderAuthority
 from jacinthpath.gateway.cluster_view import ASSIGNMENT_KEY, LEADER_KEY
 from jacinthpath.gateway.loads import LoadAggregator
+from jacinthpath.gateway.loops import LoopSupervisor
 from jacinthpath.gateway.model import KEY_COUNT, Backend, RouteTable, Service, Timing
 from jacinthpath.gateway.reach_monitor import ReachMonitor
 from jacinthpath.gateway.revisions import (
@@ -291,6 +292,7 @@
         self.process_end_s = 0.0
         self.election = SimulatedElection()
         self.view = LeaderView(simulation, first_era)
+        loops = LoopSupervisor(NullEventLog(), NullEventLog(), simulation.random)
         self.assigner = Assigner(
             LeaderStore(simulation, self),
             self.view,
@@ -304,6 +306,7 @@
                 NullEventLog(),
                 NullEventLog(),
                 simulation.random,
+                loops,
                 lambda: simulation.now_s,
             ),
             TIMING,
@@ -311,6 +314,7 @@
             NullEventLog(),
             LeaderProcess(name, name),
             self.has_stopped_leading,
+            loops,
             lambda: simulation.now_s,
         )
 
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -8,6 +8,7 @@
 from jacinthpath.errors import StoreUnavailable
 from jacinthpath.gateway.clock import boottime_s
 from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.loops import LoopSupervisor
 from jacinthpath.gateway.model import Backend
 from jacinthpath.gateway.store import Listing
 from jacinthpath.gateway.store_health import FOLLOWER_RETRY_DELAY_S
@@ -39,7 +40,9 @@
     view.directory.put(backend, boottime_s())
     keys = WatchedKeys("configuration", "servers/")
     peers = Peers()
-    return StoreWatcher(None, keys, view, peers, NullEventLog(), Random(1), False)
+    events = NullEventLog()
+    loops = LoopSupervisor(events, events, Random(1))
+    return StoreWatcher(None, keys, view, peers, events, Random(1), False, loops)
 
 
 class FailingStore:
