Refuse a document that nests too deep as one that cannot be read

With loops that start again, an entry of nested brackets still kept every listing of the servers from being applied: no host learned of servers, and after a restart of all processes none got ready.

Cause: json.loads raises RecursionError, which is no ValueError; decode_backend, the decoders of the configuration, the assignment and the leader record, and the store client caught only what they expected. repr() of a nested value in an error message raises it too.

Change: parse_json takes UTF-8 alone, counts the levels before it parses, and raises one declared error. All readers of JSON from outside use it, those of the control daemon too (roster, host list, topics, store). Errors describe a value in bounded length. Responses of the daemon's store that cannot be read are store errors.

Why it works: the depth that is refused doesn't depend on the caller's stack any more, and every reader declares what it raises.

--- a/src/jacinthpath/coordinator_service.py
+++ b/src/jacinthpath/coordinator_service.py
@@ -5,7 +5,6 @@
 __all__ = ["CoordinatorService"]
 
 import asyncio
-import json
 import random
 import time
 from collections.abc import Iterable, Mapping
@@ -28,6 +27,7 @@
 from .gossip_service import CONFIGURATION_TOPIC, GossipService
 from .hashing import rendezvous_rank
 from .hosts import HostList, ListedHost
+from .json_documents import parse_json
 from .load_reports import read_report
 from .logs import get_logger
 from .peers import Handler, PeerConnection, PeerPool
@@ -177,7 +177,7 @@
         if topic.name != CONFIGURATION_TOPIC:
             return
         try:
-            configuration = parse_configuration(json.loads(topic.content)["content"])
+            configuration = parse_configuration(parse_json(topic.content)["content"])
         except (ConfigurationError, ValueError, KeyError):
             return
         services = configuration.services()
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -24,6 +24,7 @@
 from typing import NamedTuple
 
 from ..errors import JacinthpathError
+from ..json_documents import UNREADABLE, describe, parse_json
 from .model import KEY_COUNT
 
 
@@ -163,7 +164,7 @@
     :raises JacinthpathError: it is malformed, or its ranges overlap.
     """
     try:
-        document = json.loads(content)
+        document = parse_json(content)
         ranges = decode_ranges(document["lives"], document["ranges"])
         leaders = tuple(LeaderProcess(*row) for row in document["leaders"])
         assignment = Assignment(
@@ -171,9 +172,9 @@
         )
         for owned in ranges.values():
             check_order(owned)
-    except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise JacinthpathError(
-            f"The assignment cannot be decoded: {error!r}.",
+            f"The assignment cannot be decoded: {describe(error)}.",
             "Remove the key jacinthpath/assignment once no server holds a grant.",
         ) from error
     return assignment
--- a/src/jacinthpath/gateway/assignment_delta.py
+++ b/src/jacinthpath/gateway/assignment_delta.py
@@ -11,6 +11,7 @@
 import json
 
 from ..errors import JacinthpathError
+from ..json_documents import UNREADABLE, describe, parse_json
 from .assignment import (
     Assignment,
     LeaderProcess,
@@ -83,7 +84,7 @@
     :raises JacinthpathError: the delta is malformed or does not apply to ``older``.
     """
     try:
-        document = json.loads(content)
+        document = parse_json(content)
         added = decode_ranges(document["lives"], document["ranges"])
         ranges = dict(older.ranges)
         for service, firsts in document["removed"].items():
@@ -93,9 +94,9 @@
         leaders = tuple(LeaderProcess(*row) for row in document["leaders"])
         fence = int(document["fence"])
         confirmed_era = int(document.get("era", 0))
-    except (IndexError, KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise JacinthpathError(
-            f"The assignment delta cannot be applied: {error!r}.",
+            f"The assignment delta cannot be applied: {describe(error)}.",
             "The whole assignment is requested next.",
         ) from error
     non_empty = {service: owned for service, owned in ranges.items() if owned}
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -5,11 +5,11 @@
 __all__ = ["ClusterView", "LeaderRecord"]
 
 import asyncio
-import json
 from collections.abc import Callable
 from typing import NamedTuple
 
 from ..errors import JacinthpathError
+from ..json_documents import UNREADABLE, parse_json
 from .assignment import (
     EMPTY_ASSIGNMENT,
     Assignment,
@@ -285,11 +285,11 @@
             self.leader = None
         else:
             try:
-                record = json.loads(content)
+                record = parse_json(content)
                 self.leader = LeaderRecord(
                     record["host"], record["address"], record["process"], revision
                 )
-            except (KeyError, TypeError, ValueError) as error:
+            except UNREADABLE as error:
                 self._log_refused("leader", revision, error)
                 return
         if (previous and previous.process_id) != (
--- a/src/jacinthpath/gossip_service.py
+++ b/src/jacinthpath/gossip_service.py
@@ -44,6 +44,7 @@
     read_topics,
 )
 from .hosts import HostList
+from .json_documents import parse_json
 from .logs import get_logger
 from .metrics import Metrics
 from .peers import Handler, PeerConnection, PeerPool
@@ -302,7 +303,7 @@
 
     def _apply_hosts_topic(self, topic: Topic) -> None:
         try:
-            entries = json.loads(topic.content)
+            entries = parse_json(topic.content)
             hosts = [(str(h), str(d), str(a), bool(x)) for h, d, a, x in entries]
         except (ValueError, TypeError) as error:
             _log.error("host_list_refused", error=str(error))
--- /dev/null
+++ b/src/jacinthpath/json_documents.py
@@ -0,0 +1,76 @@
+"""Parses JSON that another program wrote, within bounds that hold for all of it.
+
+A document may nest deeper than the parser's stack allows, be written in an encoding of
+which its reader does not think, or hold numbers that are none. Each raises the one
+declared error, so that it costs no more than the document.
+"""
+
+from __future__ import annotations
+
+__all__ = ["MAX_DEPTH", "UNREADABLE", "MalformedDocument", "describe", "parse_json"]
+
+import json
+import re
+from typing import Any, NoReturn
+
+MAX_DEPTH = 32
+"""Levels of arrays and objects; no document of the system has more than eight."""
+
+MAX_DESCRIBED_CHARS = 60
+
+UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+"""What code raises that takes a value out of a parsed document which has another form
+than the code expects."""
+
+_STRING = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)', re.DOTALL)
+"""A string, or the rest of the document if the string does not end in it."""
+
+_BRACKET = re.compile(r"[\[\]{}]")
+
+
+class MalformedDocument(ValueError):
+    """A document is no JSON, or exceeds a bound."""
+
+
+def parse_json(content: bytes | str) -> Any:
+    """Parse a document in UTF-8.
+
+    :raises MalformedDocument: it is not valid, or nests deeper than :data:`MAX_DEPTH`.
+    """
+    try:
+        text = content if isinstance(content, str) else content.decode()
+        if text.count("[") + text.count("{") > MAX_DEPTH:
+            _check_depth(text)
+        return json.loads(text, parse_constant=_refuse_constant)
+    except MalformedDocument:
+        raise
+    except ValueError as error:
+        raise MalformedDocument(f"not JSON: {describe(str(error))}") from error
+
+
+def describe(value: object) -> str:
+    """Return a short form of a value of any size and depth, for errors and logs."""
+    if isinstance(value, str):
+        return ascii(value[:MAX_DESCRIBED_CHARS])
+    if isinstance(value, int) and abs(value) < 2**64 or isinstance(value, float):
+        return repr(value)
+    if isinstance(value, BaseException):
+        name, message = type(value).__name__, str(value)
+        return f"{name}: {message[: 3 * MAX_DESCRIBED_CHARS]}"
+    return f"a value of type {type(value).__name__}"
+
+
+def _check_depth(text: str) -> None:
+    """Check the depth before parsing; the parser recurses on the stack of its caller.
+
+    :raises MalformedDocument: the document nests too deep.
+    """
+    depth = 0
+    for bracket in _BRACKET.findall(_STRING.sub("", text)):
+        depth += 1 if bracket in "[{" else -1
+        if depth > MAX_DEPTH:
+            raise MalformedDocument(f"nested deeper than {MAX_DEPTH} levels")
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    raise MalformedDocument(f"{name} is not a number in JSON")
--- a/src/jacinthpath/operator_cli.py
+++ b/src/jacinthpath/operator_cli.py
@@ -18,6 +18,7 @@
 from .configuration import parse_configuration
 from .configuration_merge import changed_units
 from .errors import JacinthpathError
+from .json_documents import parse_json
 from .operator_connections import Connections
 from .queries import (
     HostStatus,
@@ -302,7 +303,7 @@
             "The control process has no configuration.",
             "Apply one, or check `jacinthpath configuration status`.",
         )
-    value = json.loads(content)
+    value = parse_json(content)
     parsed = parse_configuration(value["content"], value["version"])
     table = decode_table(encoded) if encoded else None
     steps = explain_request(parsed, table, account, service, key, method, path)
--- a/src/jacinthpath/platform/documents.py
+++ b/src/jacinthpath/platform/documents.py
@@ -4,7 +4,6 @@
 
 __all__ = ["decode_backend", "decode_route_table"]
 
-import json
 import math
 from collections.abc import Collection, Iterator
 from typing import Any
@@ -17,6 +16,7 @@
     Service,
     WeightedService,
 )
+from ..json_documents import UNREADABLE, describe, parse_json
 from .values import MalformedValue, parse_duration_s, parse_version
 
 SERVER_STATES = frozenset({"ready", "draining"})
@@ -34,7 +34,7 @@
     :raises MalformedValue: it cannot be decoded.
     """
     try:
-        document = json.loads(content)
+        document = parse_json(content)
         services = {
             row["name"]: _decode_service(row)
             for row in _iter_rows(document["services"])
@@ -48,9 +48,9 @@
             services,
             _decode_limits(document.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise MalformedValue(
-            f"The configuration cannot be decoded: {error!r}.",
+            f"The configuration cannot be decoded: {describe(error)}.",
             "Correct the document in the store.",
         ) from error
 
@@ -61,7 +61,7 @@
     :raises MalformedValue: the entry does not describe a usable server.
     """
     try:
-        entry = json.loads(content)
+        entry = parse_json(content)
         info = entry["info"]
         status = entry["status"]
         backend = Backend(
@@ -76,9 +76,10 @@
             started_ms=_check_integer(entry.get("born", 0), 0, 2**53),
             revision=revision,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         raise MalformedValue(
-            f"The entry of server {server!r} cannot be decoded: {error!r}.",
+            f"The entry of server {describe(server)} cannot be decoded: "
+            f"{describe(error)}.",
             "Correct the server or other writer of the entry.",
         ) from error
     return backend
@@ -135,9 +136,13 @@
     split = tuple(WeightedService(p["service"], float(p["weight"])) for p in parts)
     for service, weight in split:
         if service not in services:
-            raise ValueError(f"the traffic split names the unknown service {service!r}")
+            raise ValueError(
+                f"the traffic split names the unknown service {describe(service)}"
+            )
         if not (math.isfinite(weight) and weight >= 0):
-            raise ValueError(f"the weight of {service!r} in a split is {weight}")
+            raise ValueError(
+                f"the weight of {describe(service)} in a split is {weight}"
+            )
     if not any(weight for _, weight in split):
         raise ValueError("all weights of a traffic split are 0")
     return split
@@ -163,26 +168,26 @@
 
 def _check_name(value: Any) -> str:
     if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a non-empty string")
+        raise ValueError(f"{describe(value)} is not a non-empty string")
     return value
 
 
 def _check_address(value: Any) -> str:
     host, _, port = _check_name(value).rpartition(":")
     if not host or not 0 < int(port) < 65_536:
-        raise ValueError(f"{value!r} is not an IP:port address")
+        raise ValueError(f"{describe(value)} is not an IP:port address")
     return value
 
 
 def _check_integer(value: Any, minimum: int, maximum: int) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is not an integer")
+        raise ValueError(f"{describe(value)} is not an integer")
     if not minimum <= value <= maximum:
-        raise ValueError(f"{value!r} is out of range")
+        raise ValueError(f"{describe(value)} is out of range")
     return value
 
 
 def _check_state(value: Any) -> str:
     if value not in SERVER_STATES:
-        raise ValueError(f"{value!r} is not a server state")
+        raise ValueError(f"{describe(value)} is not a server state")
     return value
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -34,6 +34,7 @@
     Write,
 )
 from ..gateway.store_watcher import WatchedKeys
+from ..json_documents import parse_json
 from .headers import STORE_ERA
 from .http import open_session
 from .values import format_duration, parse_duration_s
@@ -297,7 +298,7 @@
             f"{name}: status {status}: {content[:200]!r}.", "Report this error."
         )
     try:
-        body = json.loads(content) if content else {}
+        body = parse_json(content) if content else {}
     except ValueError as error:
         raise _unknown_outcome_error(method, name, error) from error
     return _StoreResponse(status, body, era)
--- a/src/jacinthpath/platform/values.py
+++ b/src/jacinthpath/platform/values.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from ..errors import JacinthpathError
+from ..json_documents import describe
 
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 _VERSION = re.compile(r"r(\d+)")
@@ -25,7 +26,8 @@
     match = _DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
         raise MalformedValue(
-            f"{value!r} is not a duration.", "Write a number with its unit, ms or s."
+            f"{describe(value)} is not a duration.",
+            "Write a number with its unit, ms or s.",
         )
     number = float(match[1])
     return number / 1000 if match[2] == "ms" else number
@@ -43,5 +45,7 @@
     """
     match = _VERSION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
-        raise MalformedValue(f"{value!r} is not a version.", "Write r and a number.")
+        raise MalformedValue(
+            f"{describe(value)} is not a version.", "Write r and a number."
+        )
     return int(match[1])
--- a/src/jacinthpath/record_roster.py
+++ b/src/jacinthpath/record_roster.py
@@ -30,6 +30,7 @@
 
 from .errors import FrameError
 from .hashing import rendezvous_rank
+from .json_documents import parse_json
 
 HOLDER_COUNT = 3
 QUORUM = 2
@@ -169,7 +170,7 @@
     :raises FrameError: the content is not a valid roster.
     """
     try:
-        version, members, changes = json.loads(content)
+        version, members, changes = parse_json(content)
         return Roster(
             int(version),
             tuple(Member(*fields) for fields in members),
--- a/src/jacinthpath/routing.py
+++ b/src/jacinthpath/routing.py
@@ -5,11 +5,11 @@
 __all__ = ["CONFIGURATION_TOPIC", "TABLE_TOPIC_PREFIX", "RoutingState"]
 
 import asyncio
-import json
 from collections.abc import Callable
 
 from .configuration import Configuration, parse_configuration
 from .errors import ConfigurationError, FrameError
+from .json_documents import parse_json
 from .logs import get_logger
 from .metrics import Metrics
 from .slices import SliceTable, decode_table
@@ -72,7 +72,7 @@
         await self._changed.wait()
 
     def _apply_configuration(self, content: bytes) -> None:
-        value = json.loads(content)
+        value = parse_json(content)
         self.configuration = parse_configuration(
             value["content"], value["version"], value["change_id"]
         )
--- a/src/jacinthpath/store.py
+++ b/src/jacinthpath/store.py
@@ -18,6 +18,7 @@
 
 from .errors import StoreOutcomeUnknown, StoreUnavailable, VersionConflict
 from .http_sessions import disable_retries
+from .json_documents import UNREADABLE, describe, parse_json
 
 MAX_VALUE_BYTES = 1_000_000
 
@@ -122,10 +123,13 @@
             "lease_id": lease_id,
         }
         result = await self._call("PUT", f"/kv/{quote(key, safe='')}", body)
-        content = json.loads(result.body)
+        try:
+            version = _read_field(result, "version")
+        except StoreUnavailable as error:
+            raise StoreOutcomeUnknown(error.message, error.remedy) from error
         if result.status == 409:
-            raise VersionConflict(key, expected_version, content["version"])
-        return content["version"]
+            raise VersionConflict(key, expected_version, version)
+        return version
 
     async def watch(
         self, key: str, after_version: int, wait_s: float
@@ -139,7 +143,7 @@
     async def grant_lease(self, ttl_ms: int) -> str:
         """See :meth:`KeyValueStore.grant_lease`."""
         result = await self._call("POST", "/leases", {"ttl_ms": ttl_ms})
-        return json.loads(result.body)["lease_id"]
+        return _read_field(result, "lease_id")
 
     async def keep_lease(self, lease_id: str) -> bool:
         """See :meth:`KeyValueStore.keep_lease`."""
@@ -193,5 +197,27 @@
 
 
 def _read_value(result: StoreCallResult) -> StoredValue:
-    content = json.loads(result.body)
-    return StoredValue(content["version"], base64.b64decode(content["data"]))
+    version = _read_field(result, "version")
+    try:
+        data = base64.b64decode(_read_field(result, "data"))
+    except UNREADABLE as error:
+        raise _unreadable_error(error) from error
+    return StoredValue(version, data)
+
+
+def _read_field(result: StoreCallResult, name: str) -> Any:
+    """Return a field of a response.
+
+    :raises StoreUnavailable: the response cannot be read.
+    """
+    try:
+        return parse_json(result.body)[name]
+    except UNREADABLE as error:
+        raise _unreadable_error(error) from error
+
+
+def _unreadable_error(error: Exception) -> StoreUnavailable:
+    return StoreUnavailable(
+        f"The store's response cannot be read: {describe(error)}.",
+        "Check store_url and the platform.",
+    )
--- a/src/jacinthpath/store_leases.py
+++ b/src/jacinthpath/store_leases.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 from .errors import FrameError, StoreError, StoreUnavailable, VersionConflict
+from .json_documents import parse_json
 from .leases import LEASE_TTL_S, LeaseCall, LeaseResult, LeaseView
 from .slices import SliceTable, decode_table, encode_table
 from .store import HttpKeyValueStore, KeyValueStore, StoreCallResult
@@ -116,7 +117,7 @@
         # before it frees the lease.
         lease = await store.get(self._lease_key)
         value = await store.get(self._record_key)
-        record = json.loads(value.data) if value else {}
+        record = parse_json(value.data) if value else {}
         return LeaseResult(
             "done",
             LeaseView(
@@ -148,7 +149,7 @@
     async def _release(self, store: KeyValueStore, call: LeaseCall) -> LeaseResult:
         lease_id = self._lease_ids.get(call.identity)
         value = await store.get(self._record_key)
-        record = json.loads(value.data) if value else {}
+        record = parse_json(value.data) if value else {}
         if lease_id is None:
             return LeaseResult("done")
         if record.get("raised_by") == call.identity:
