Send documents that are too large for one frame one after the other

Callers: with some thousand entries of long names, no follower of the leader would get a configuration or an assignment: the response failed after its handler had returned, where nothing told the follower.

Cause: encode_frame raised outside of the handler's error handling in PeerConnection._handle.

Change: a response leaves out the servers, then the assignment, if it does not fit; they are wanted again in the next message. One without the servers says that its list is old, so that a follower reads the store instead. Any response that does not fit is answered with an error. A part of the documents that a host cannot apply keeps back no other.

--- a/src/jacinthpath/codec.py
+++ b/src/jacinthpath/codec.py
@@ -8,7 +8,14 @@
 
 from __future__ import annotations
 
-__all__ = ["MAX_FRAME_BYTES", "decode_frame", "encode_frame", "new_frame", "schema"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "decode_frame",
+    "encode_frame",
+    "fits_frame",
+    "new_frame",
+    "schema",
+]
 
 from pathlib import Path
 from typing import Any
@@ -18,6 +25,8 @@
 from .errors import FrameError
 
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+MAX_PACKED_WORD_BYTES = 10
+"""The packed encoding adds up to two bytes to a word of eight."""
 
 # Limits how much data a hostile message can make the decoder traverse, in 8-byte
 # words.
@@ -50,6 +59,11 @@
     return encoded
 
 
+def fits_frame(frame: Any) -> bool:
+    """Return whether a frame is certainly within :data:`MAX_FRAME_BYTES`."""
+    return frame.total_size.word_count * MAX_PACKED_WORD_BYTES <= MAX_FRAME_BYTES
+
+
 def decode_frame(encoded: bytes) -> Any:
     """Return the frame in ``encoded``.
 
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "DocumentParts",
     "apply_documents",
     "has_newer_assignment",
     "has_newer_configuration",
@@ -11,6 +12,7 @@
     "write_report",
 ]
 
+import enum
 from typing import Any
 
 from ..errors import FrameError
@@ -22,23 +24,50 @@
 
 MAX_REPORTED_KEYS = 4_096
 
+MAX_AGE_MS = 4_000_000_000
+"""Largest age that fits into a message; also sent when the age is not known."""
+
 MAX_SERVERS_AGE_S = 2.0
 """A list of servers of this age or older is not applied: its sender may have lost the
 store. A younger list is applied if it is newer than the list of this host."""
 
 
-def write_documents(content: Any, wanted: Any, view: ClusterView) -> None:
+class DocumentParts(enum.IntEnum):
+    """How much a response with documents contains, for those that are too large."""
+
+    CONFIGURATION = 1
+    ASSIGNMENT = 2
+    """Also the configuration."""
+    ALL = 3
+
+
+def write_documents(
+    content: Any,
+    wanted: Any,
+    view: ClusterView,
+    parts: DocumentParts = DocumentParts.ALL,
+) -> None:
     """Write the documents of which the requester has an older version.
 
     The assignment and the servers are written as deltas if the requester's version is
-    still known and it accepts deltas, and whole otherwise.
+    still known and it accepts deltas, and whole otherwise. What is left out is wanted
+    again in the requester's next message. One that does not get the servers must not
+    take its own list for fresh.
     """
+    content.ageMs = MAX_AGE_MS
+    if parts is DocumentParts.ALL:
+        content.ageMs = int(min(MAX_AGE_MS, view.servers_age_s() * 1000))
+        _write_cluster(content, wanted, view)
     newest = view.newest_documents()
     if has_newer_configuration(newest, wanted):
         content.configuration = newest.configuration
         content.configurationRevision = newest.configuration_revision
-    if has_newer_assignment(newest, wanted):
+    if parts > DocumentParts.CONFIGURATION and has_newer_assignment(newest, wanted):
         _write_assignment(content, wanted, view)
+
+
+def _write_cluster(content: Any, wanted: Any, view: ClusterView) -> None:
+    """Write the servers, their limits and the hosts."""
     if view.directory.digest() != wanted.serversDigest:
         _write_servers(content, wanted, view)
     if len(view.peer_addresses) != wanted.hosts:
@@ -104,24 +133,41 @@
 
 def apply_documents(content: Any, view: ClusterView, source: str) -> None:
     """Apply the documents that a peer has sent."""
+    for name, apply in (
+        ("configuration", _apply_configuration),
+        ("assignment", _apply_assignment),
+        ("hosts", _apply_hosts),
+        ("servers", _apply_servers),
+        ("limits", _apply_limits),
+    ):
+        try:
+            apply(content, view, source)
+        except Exception as error:
+            # One part that cannot be applied must not keep back the others.
+            view.record_refused(f"{name} of {source}", 0, error)
+
+
+def _apply_configuration(content: Any, view: ClusterView, source: str) -> None:
     if content.configuration:
         view.apply_configuration(
             bytes(content.configuration), content.configurationRevision, source
         )
-    if content.assignment:
-        _apply_assignment(content, view, source)
+
+
+def _apply_hosts(content: Any, view: ClusterView, _source: str) -> None:
     for entry in content.hosts:
         view.apply_peer_address(entry.host, entry.address.encode())
-    age_s = content.ageMs / 1000
-    if age_s < min(MAX_SERVERS_AGE_S, view.servers_age_s()):
-        _apply_servers(content, view)
-    view.record_peer_store_contact(age_s)
+
+
+def _apply_limits(content: Any, view: ClusterView, source: str) -> None:
     for entry in content.limits:
         view.record_limit(read_limit(entry), source)
 
 
 def _apply_assignment(content: Any, view: ClusterView, source: str) -> None:
     encoded, revision = bytes(content.assignment), content.assignmentRevision
+    if not encoded:
+        return
     if content.assignmentBase:
         base = content.assignmentBase
         view.apply_assignment_delta(encoded, base, revision, source)
@@ -129,7 +175,14 @@
         view.apply_assignment(encoded, revision, source)
 
 
-def _apply_servers(content: Any, view: ClusterView) -> None:
+def _apply_servers(content: Any, view: ClusterView, _source: str) -> None:
+    age_s = content.ageMs / 1000
+    if age_s < min(MAX_SERVERS_AGE_S, view.servers_age_s()):
+        _apply_server_list(content, view)
+    view.record_peer_store_contact(age_s)
+
+
+def _apply_server_list(content: Any, view: ClusterView) -> None:
     backends = [_read_server(entry) for entry in content.servers]
     if content.serversBase:
         delta = ServerDelta(tuple(backends), tuple(content.serversGone))
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -11,7 +11,7 @@
 
 from mode import Service
 
-from ..codec import new_frame
+from ..codec import fits_frame, new_frame
 from ..errors import JacinthpathError, PeerUnavailable
 from ..keyring import SharedKey
 from ..metrics import Metrics
@@ -26,6 +26,7 @@
 from .limit_messages import has_other_limits
 from .loops import LoopSupervisor
 from .peer_messages import (
+    DocumentParts,
     apply_documents,
     has_newer_assignment,
     has_newer_configuration,
@@ -57,9 +58,6 @@
 """How long a follower that reaches servers is taken to do so; it asks the leader for
 documents twice as often."""
 
-MAX_ENCODED_AGE_S = 4_000_000.0
-"""Largest age that fits into a message; also sent when the age is not known."""
-
 
 class Peering(Service):
     """Serves documents to the other gateways, and fetches theirs.
@@ -293,13 +291,20 @@
         )
 
     def _make_documents_frame(self, wanted: Any) -> Any:
-        view = self._view
+        """Return the response, with as many of the documents as fit into a frame."""
+        for parts in sorted(DocumentParts, reverse=True):
+            response = self._make_frame_with(parts, wanted)
+            if fits_frame(response):
+                break
+            self._events.log_process_event("documents_too_large", parts=parts.name)
+        return response
+
+    def _make_frame_with(self, parts: DocumentParts, wanted: Any) -> Any:
         response = new_frame()
         content = response.body.init("documents")
-        content.ageMs = int(min(MAX_ENCODED_AGE_S, view.servers_age_s()) * 1000)
         content.leading = self.authority() is not None
         content.confirmed = self._permits.is_confirmed()
-        write_documents(content, wanted, view)
+        write_documents(content, wanted, self._view, parts)
         if has_other_blocked(self._ledger, wanted):
             write_blocked(content, self._ledger)
         return response
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -281,6 +281,10 @@
             pass
         except (FrameError, AuthenticationError) as error:
             self._record_refusal("invalid", error)
+        except Exception as error:
+            self._metrics.count("peer_handler_errors_total", kind="receive")
+            _log.exception("peer_connection_failed", peer=self.remote.host)
+            self._record_refusal("invalid", error)
         finally:
             self._shut_down()
 
@@ -321,7 +325,19 @@
             response = new_frame()
             response.body.done = None
         response.id = frame.id
-        self._write(encode_frame(response))
+        self._respond(kind, response)
+
+    def _respond(self, kind: str, response: Any) -> None:
+        """Send a response, or an error if it is too large for a frame."""
+        try:
+            encoded = encode_frame(response)
+        except FrameError as error:
+            self._record_refusal(kind, error)
+            refusal = new_frame(response.id)
+            content = refusal.body.init("error")
+            content.kind, content.message = "too-large", str(error)
+            encoded = encode_frame(refusal)
+        self._write(encoded)
 
     def _record_refusal(self, reason: str, error: Exception) -> None:
         self._metrics.count("peer_frames_refused_total", reason=reason)
--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -19,7 +20,9 @@
 )
 from jacinthpath.gateway.assignment_delta import apply_delta
 from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.crash_ledger import CrashLedger
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
+from jacinthpath.gateway.peering import Peering
 from jacinthpath.gateway.route_index import SmoothWeightedRoundRobin
 from jacinthpath.gateway.store import Item
 from jacinthpath.json_documents import (
@@ -281,3 +284,31 @@
     view.apply_peer_address("h", str(address).encode(errors="surrogatepass"))
     for peer_address in view.peer_addresses.values():
         split_address(peer_address)
+
+
+def test_documents_too_large_for_a_frame_are_sent_one_after_the_other():
+    """Entries whose sum is large must not keep the configuration from followers."""
+    leader = new_view()
+    leader.apply_configuration(configuration(3, ROUTES), 1, "store")
+    name = "x" * 180
+    items = tuple(
+        Item(
+            f"servers/{name}-{number}",
+            json.dumps(replace_at(ENTRY, ("info", "service"), name)).encode(),
+            1,
+        )
+        for number in range(5_000)
+    )
+    leader.replace_servers(items, 2)
+    leader.record_servers_contact()
+    wanted = new_frame().body.init("documentsWanted")
+    peering = Peering.__new__(Peering)
+    peering._view, peering._events = leader, NullEventLog()
+    peering._ledger = CrashLedger()
+    peering._permits = SimpleNamespace(is_confirmed=lambda: True)
+    peering.authority = lambda: None
+    frame = peering._make_documents_frame(wanted)
+    content = decode_frame(encode_frame(frame)).body.documents
+    assert content.configuration
+    assert not len(content.servers)
+    assert content.ageMs > 1_000_000
