Turn every malformed response of the store into an error of the store

Callers: an item of a listing that is no base64 or has no revision, or a body that is no object, ended the loop that read it: of the servers, the configuration or the election.

Cause: the store client took fields out of responses outside of its error handling, and a listing failed as a whole for one item.

A page whose last items cannot be read is still followed by the next one.

--- a/src/jacinthpath/gateway/revisions.py
+++ b/src/jacinthpath/gateway/revisions.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MAX_ERA",
+    "MAX_STORE_REVISION",
     "era_of_revision",
     "make_revision",
     "minimum_fence",
@@ -19,6 +20,7 @@
 
 REVISION_BITS = 48
 FENCE_BITS = 32
+MAX_STORE_REVISION = (1 << REVISION_BITS) - 1
 MAX_ERA = 2**15 - 1
 """Revisions fit into 63 bits, and fencing tokens into the integers that JSON readers
 represent exactly."""
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -7,7 +7,9 @@
 import base64
 import json
 from collections import defaultdict
-from typing import Any, NamedTuple
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, NamedTuple, TypeVar
 from urllib.parse import quote
 
 import aiohttp
@@ -15,6 +17,7 @@
 from ..errors import StoreError, StoreOutcomeUnknown, StoreUnavailable
 from ..gateway.revisions import (
     MAX_ERA,
+    MAX_STORE_REVISION,
     era_of_revision,
     make_revision,
     store_revision_of,
@@ -34,10 +37,16 @@
     Write,
 )
 from ..gateway.store_watcher import WatchedKeys
-from ..json_documents import parse_json
+from ..json_documents import (
+    UNREADABLE,
+    check_integer,
+    describe,
+    parse_json,
+)
+from ..logs import get_logger
 from .headers import STORE_ERA
 from .http import open_session
-from .values import format_duration, parse_duration_s
+from .values import MalformedValue, format_duration, parse_duration_s
 
 WATCHED_KEYS = WatchedKeys(configuration="op/config", servers_prefix="servers/")
 
@@ -52,6 +61,10 @@
 
 KEEPALIVE_TIMEOUT_S = 30.0
 
+Decoded = TypeVar("Decoded")
+
+_log = get_logger()
+
 
 class _StoreResponse(NamedTuple):
     """A response of the store.
@@ -65,15 +78,21 @@
 
     def revision(self, field: str) -> int:
         """Return a revision in the body, with the era."""
-        return make_revision(self.era, self.body[field])
+        return _make_revision(self.era, self.body[field])
 
     def items(self) -> list[Item]:
-        """Return the items in the body; a missing item has no value."""
-        return [
-            _decode_item(item, self.era)
-            for item in self.body["items"]
-            if "value" in item
-        ]
+        """Return the items in the body that can be read; a missing one has no value."""
+        present = [item for item in self.body["items"] if "value" in item]
+        return _decode_each(_decode_item, present, self.era)
+
+    def last_key(self) -> str | None:
+        """Return the key after which the next page begins."""
+        keys = [item.get("key") for item in self.body["items"]]
+        return next((key for key in reversed(keys) if isinstance(key, str)), None)
+
+    def changes(self) -> list[Change]:
+        """Return the events in the body that can be read."""
+        return _decode_each(_decode_change, self.body["events"], self.era)
 
 
 class PlatformStore:
@@ -115,7 +134,8 @@
         response = await self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
         if response.status == 404:
             return None
-        return _decode_item(response.body, response.era)
+        with _reading("GET", "kv-key"):
+            return _decode_item(response.body, response.era)
 
     async def list(self, prefix: str) -> Listing:
         """See :meth:`Store.list`."""
@@ -125,16 +145,17 @@
         cursor = ""
         while True:
             page = await self._call("GET", path + cursor)
-            page_items = page.items()
-            # Later pages may hold newer items. A watch from the revision of the first
-            # page delivers these changes again.
-            revision = revision or page.revision("current_rev")
+            with _reading("GET", "kv-range"):
+                items.extend(page.items())
+                last_key = page.last_key()
+                # Later pages may hold newer items. A watch from the revision of the
+                # first page delivers these changes again.
+                revision = revision or page.revision("current_rev")
             if page.era != era_of_revision(revision):
                 raise _unavailable_error("kv-range", "the store was restored")
-            items.extend(page_items)
-            if not page.body.get("has_more") or not page_items:
+            if not page.body.get("has_more") or last_key is None:
                 return Listing(tuple(items), revision)
-            cursor = f"&after={quote(page_items[-1].key, safe='')}"
+            cursor = f"&after={quote(last_key, safe='', errors='replace')}"
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> ChangeBatch:
         """See :meth:`Store.watch`."""
@@ -149,8 +170,9 @@
         # In another era the same number stands for another change.
         if response.status == 410 or response.era != era:
             raise _history_lost_error(after)
-        changes = tuple(_decode_change(event, era) for event in response.body["events"])
-        return ChangeBatch(changes, response.revision("current_rev"))
+        with _reading("GET", "kv-watch"):
+            changes = tuple(response.changes())
+            return ChangeBatch(changes, response.revision("current_rev"))
 
     async def write(
         self, conditions: tuple[Condition, ...], writes: tuple[Write, ...]
@@ -176,19 +198,20 @@
             "deletes": [],
         }
         response = await self._call("POST", "/-/kv-txn", body)
-        if response.status == 412:
-            raise ConflictingWrite(tuple(response.items()))
         if response.status == 404:
             raise _lease_ended_error()
-        return response.revision("revision")
+        with _reading("POST", "kv-txn"):
+            if response.status == 412:
+                raise ConflictingWrite(tuple(response.items()))
+            return response.revision("revision")
 
     async def create_lease(self, ttl_s: float) -> Lease:
         """See :meth:`Store.create_lease`."""
         body = {"ttl_time": format_duration(ttl_s)}
         response = await self._call("POST", "/-/kv-lease", body)
-        return Lease(
-            response.revision("lease"), parse_duration_s(response.body["ttl_time"])
-        )
+        with _reading("POST", "kv-lease"):
+            ttl_s = parse_duration_s(response.body["ttl_time"])
+            return Lease(response.revision("lease"), ttl_s)
 
     async def renew_lease(self, lease_id: int) -> None:
         """See :meth:`Store.renew_lease`."""
@@ -301,9 +324,24 @@
         body = parse_json(content) if content else {}
     except ValueError as error:
         raise _unknown_outcome_error(method, name, error) from error
+    if not isinstance(body, dict):
+        raise _unknown_outcome_error(method, name, "the body is no object")
     return _StoreResponse(status, body, era)
 
 
+@contextmanager
+def _reading(method: str, name: str) -> Iterator[None]:
+    """Turn an error in reading a response into one of the store.
+
+    :raises StoreUnavailable: nothing was done by the call, which reads only.
+    :raises StoreOutcomeUnknown: a write may have been done.
+    """
+    try:
+        yield
+    except (*UNREADABLE, MalformedValue) as error:
+        raise _unknown_outcome_error(method, name, describe(error)) from error
+
+
 def _unavailable_error(name: str, cause: object) -> StoreUnavailable:
     return StoreUnavailable(
         f"{name}: the store did not execute the call: {cause}.",
@@ -332,13 +370,42 @@
 
 
 def _decode_item(item: dict[str, Any], era: int) -> Item:
-    value = base64.b64decode(item.get("value") or "")
-    return Item(item["key"], value, make_revision(era, item["revision"]))
+    value = _decode_value(item.get("value") or "")
+    revision = _make_revision(era, item["revision"])
+    return Item(_check_key(item["key"]), value, revision)
 
 
 def _decode_change(event: dict[str, Any], era: int) -> Change:
-    value = None if event.get("removed") else base64.b64decode(event["value"])
-    return Change(event["key"], value, make_revision(era, event["revision"]))
+    value = None if event.get("removed") else _decode_value(event["value"])
+    revision = _make_revision(era, event["revision"])
+    return Change(_check_key(event["key"]), value, revision)
+
+
+def _decode_value(value: Any) -> bytes:
+    return base64.b64decode(value, validate=True)
+
+
+def _check_key(key: Any) -> str:
+    if not isinstance(key, str):
+        raise TypeError("a key is not a string")
+    return key
+
+
+def _make_revision(era: int, store_revision: Any) -> int:
+    return make_revision(era, check_integer(store_revision, 0, MAX_STORE_REVISION))
+
+
+def _decode_each(
+    decode: Callable[[Any, int], Decoded], rows: list[Any], era: int
+) -> list[Decoded]:
+    """Return the rows that can be read; one that cannot costs no other."""
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode(row, era))
+        except UNREADABLE as error:
+            _log.warning("store_item_refused", error=describe(error))
+    return decoded
 
 
 def _encode_write(write: Write) -> dict[str, Any]:
