Answer a malformed attempt id or deadline with 400, and log any text

Callers: an attempt id with a byte beyond ASCII got a 500 after its request had run; a deadline of 400 digits got a 500 with a traceback on standard error.

Cause: the event log encoded a lone surrogate strictly, in the middle of recording an attempt; an integer too large for a float raised OverflowError. Found by sending such bytes to a gateway.

Change: the event log escapes what cannot be encoded and bounds its fields; an id that cannot be sent on unchanged and a number of over 18 digits are refused. What libraries log is one line in the event log. Settings of a wrong form or depth raise SettingsError, also at SIGHUP.

--- a/src/jacinthpath/gateway/events.py
+++ b/src/jacinthpath/gateway/events.py
@@ -5,6 +5,7 @@
 __all__ = ["EventKind", "EventLog"]
 
 import enum
+import logging
 import os
 import time
 from collections import defaultdict
@@ -13,12 +14,17 @@
 
 import structlog
 
+from ..json_documents import describe
+
 MAX_PENDING_BYTES = 256 * 1024
 """Output that may wait in memory for a stalled reader; beyond it lines are dropped."""
 
 SUMMARY_INTERVAL_S = 5.0
 
 
+MAX_FIELD_CHARS = 2_000
+
+
 class EventKind(enum.Enum):
     """Kinds of events, with their limits of lines per second."""
 
@@ -99,6 +105,9 @@
             raise structlog.DropEvent
 
         structlog.configure(processors=[write], cache_logger_on_first_use=True)
+        handler = _LibraryHandler(self)
+        handler.setLevel(logging.WARNING)
+        logging.getLogger().addHandler(handler)
 
     def _write(self, kind: EventKind, event: str, fields: dict[str, Any]) -> None:
         now_s = self._clock()
@@ -124,7 +133,10 @@
     def _append(self, event: str, fields: dict[str, Any]) -> None:
         entry = {"at": f"{time.time():.3f}", "host": self._host, "event": event}
         entry.update(fields)
-        self._pending += (self._render(None, "", entry) + "\n").encode()
+        bounded = {name: _bound(value) for name, value in entry.items()}
+        line = self._render(None, "", bounded) + "\n"
+        # Callers and servers choose some of the values, and not all can be encoded.
+        self._pending += line.encode(errors="backslashreplace")
         self.flush()
 
     def _write_dropped_counts(self, now_s: float) -> None:
@@ -138,3 +150,27 @@
         self._dropped.clear()
         if len(self._pending) <= MAX_PENDING_BYTES:
             self._append("lines_left_out", counts)
+
+
+class _LibraryHandler(logging.Handler):
+    """Writes the records of libraries to the event log, one line each."""
+
+    def __init__(self, events: EventLog) -> None:
+        super().__init__()
+        self._events = events
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record with the name of the exception that it reports."""
+        error = record.exc_info[1] if record.exc_info else None
+        self._events.log_process_event(
+            "library_log",
+            logger=record.name,
+            level=record.levelname.lower(),
+            message=record.getMessage(),
+            error=describe(error) if error is not None else "",
+        )
+
+
+def _bound(value: Any) -> Any:
+    """Return a value of a field, a long string cut to :data:`MAX_FIELD_CHARS`."""
+    return value[:MAX_FIELD_CHARS] if isinstance(value, str) else value
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -31,6 +31,10 @@
 DEFAULT_BODY_TIMEOUT_S = 30.0
 """Longest wait for the body of a request whose caller set no deadline."""
 
+MAX_DIGITS = 18
+MAX_DEADLINE_MS = 24 * 60 * 60 * 1000
+"""A caller that waits longer is taken to wait for this long."""
+
 IDLE_CLOSE_DELAY_S = 0.3
 """Time for which a connection has to be idle before a stopping host closes it: the
 request on one that was just accepted may still be on its way."""
@@ -194,6 +198,7 @@
     ) -> CallerRequest | Response:
         """Return the request, or the response to one that cannot be read."""
         try:
+            attempt_id = _parse_attempt_id(request)
             timeout_s = _parse_timeout_s(request)
             key = _parse_key(request)
         except ValueError as error:
@@ -206,7 +211,7 @@
         if body is None:
             return local_response(413, "body-too-large")
         return CallerRequest(
-            request_id=request.headers.get(ATTEMPT_ID, ""),
+            request_id=attempt_id,
             method=request.method,
             host=request.headers.get("Host", ""),
             target=request._message.path,
@@ -254,24 +259,36 @@
         await writing
 
 
+def _parse_attempt_id(request: web.BaseRequest) -> str:
+    """Return the id; one that cannot be sent on unchanged would not be recognized."""
+    value = request.headers.get(ATTEMPT_ID, "")
+    if not (value.isascii() and value.isprintable()):
+        raise ValueError(ATTEMPT_ID)
+    return value
+
+
 def _parse_timeout_s(request: web.BaseRequest) -> float | None:
     value = request.headers.get(DEADLINE_MS)
     if value is None:
         return None
-    if not value.isdigit():
+    if not _is_number(value):
         raise ValueError(DEADLINE_MS)
-    return int(value) / 1000
+    return min(int(value), MAX_DEADLINE_MS) / 1000
 
 
 def _parse_key(request: web.BaseRequest) -> int | None:
     value = request.headers.get(SHARD_KEY)
     if value is None:
         return None
-    if not value.isdigit() or int(value) >= KEY_COUNT:
+    if not _is_number(value) or int(value) >= KEY_COUNT:
         raise ValueError(SHARD_KEY)
     return int(value)
 
 
+def _is_number(value: str) -> bool:
+    return value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
+
+
 async def _listen(runner: web.ServerRunner, address: str) -> web.TCPSite:
     host, _, port = address.rpartition(":")
     site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
--- a/src/jacinthpath/platform/settings.py
+++ b/src/jacinthpath/platform/settings.py
@@ -11,6 +11,7 @@
 
 from ..errors import SettingsError
 from ..gateway.model import GatewaySettings, Timing
+from ..json_documents import UNREADABLE, describe
 from .values import MalformedValue, parse_duration_s
 
 SETTINGS_VARIABLE = "JACINTHPATH_SETTINGS"
@@ -29,11 +30,14 @@
         raise SettingsError(
             path, "", f"cannot be read: {error.strerror}", "Check the path."
         ) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(
             path, "", f"is not valid TOML: {error}", "Correct the file."
         ) from error
-    return _SettingsReader(path, content).read()
+    try:
+        return _SettingsReader(path, content).read()
+    except UNREADABLE as error:
+        raise SettingsError(path, "", describe(error), "Correct the file.") from error
 
 
 class _SettingsReader:
@@ -80,7 +84,7 @@
         except (TypeError, ValueError):
             raise self._error(
                 "internal_port_range",
-                f"is {value!r}",
+                f"is {describe(value)}",
                 "Write the first and the last port.",
             ) from None
         return int(first)
@@ -104,14 +108,14 @@
     def _get_string(self, key: str) -> str:
         value = self._get_value(key)
         if not isinstance(value, str) or not value:
-            raise self._error(key, f"is {value!r}", "Write a non-empty string.")
+            raise self._error(key, f"is {describe(value)}", "Write a non-empty string.")
         return value
 
     def _get_address(self, key: str) -> str:
         value = self._get_string(key)
         host, _, port = value.rpartition(":")
         if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-            raise self._error(key, f"is {value!r}", "Write IP:PORT.")
+            raise self._error(key, f"is {describe(value)}", "Write IP:PORT.")
         return value
 
     def _get_duration_s(self, key: str, default: str | None = None) -> float:
@@ -128,7 +132,7 @@
             return convert(value)
         except (MalformedValue, TypeError, ValueError):
             remedy = "Write a number; a duration needs the unit ms or s."
-            raise self._error(key, f"is {value!r}", remedy) from None
+            raise self._error(key, f"is {describe(value)}", remedy) from None
 
     def _error(self, key: str, found: str, remedy: str) -> SettingsError:
         return SettingsError(self._path, key, found, remedy)
