Refuse at once what may outlast a process that is to stop

Cause: after SIGTERM a gateway took every request until 0.5 s before the end of the grace period, whatever its deadline, and then closed all connections.

Change: ShutdownWindow knows the end. A request is sent to a server only if its deadline lies before it; idempotent ones also in the first half of the grace period, since most end long before their deadline. Others get 503 with Retry-After; so do requests whose body has not arrived 0.1 s before the end.

Why it works: whatever was sent to a server has its answer, or has used up its own time, before the connections are closed.

--- a/src/jacinthpath/gateway/request_dependencies.py
+++ b/src/jacinthpath/gateway/request_dependencies.py
@@ -20,6 +20,7 @@
 from .rate_limiter import RateLimiter
 from .reach_monitor import ReachMonitor
 from .relay_client import RelayClient
+from .shutdown_window import ShutdownWindow
 
 
 class RequestDependencies(NamedTuple):
@@ -38,6 +39,7 @@
     events: EventLog
     metrics: Metrics
     random: Random
+    shutdown_window: ShutdownWindow
 
     def respond_unavailable(
         self, request: CallerRequest, service: str, reason: str, wait_s: float
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -71,6 +71,8 @@
 
     async def run(self) -> Response:
         """Return the response."""
+        if not self._may_end_in_time():
+            return self._respond_unavailable("leaving", 0.0)
         self._retry_budget.record_request(self._loop.time())
         if self._service.keyed:
             if self._request.key is None:
@@ -98,6 +100,15 @@
                 self._retry_budget.record_retry(self._loop.time())
             await self._back_off(result)
 
+    def _may_end_in_time(self) -> bool:
+        """Return whether the request ends before a process that is to stop."""
+        window = self._dependencies.shutdown_window
+        return not window.is_open or window.admits(
+            self._deadline_s,
+            idempotent=self._route.idempotent,
+            now_s=self._loop.time(),
+        )
+
     def _blocked_left_s(self) -> float:
         """Return for how much longer the request is sent to no server, mostly 0."""
         ledger = self._dependencies.crash_ledger
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -29,6 +29,7 @@
 from .peering import Peering
 from .reach_monitor import ReachMonitor
 from .relay_server import RelayServer
+from .shutdown_window import ShutdownWindow
 from .store import Condition, ConflictingWrite, Store, Write
 from .store_watcher import StoreWatcher
 
@@ -43,9 +44,6 @@
 """Two failed readiness checks, a second apart, take a host out of the rotation
 (according to the platform's documentation)."""
 
-EXIT_MARGIN_S = 0.5
-"""Time before the end of the grace period at which unfinished requests are given up."""
-
 VITAL_LOOPS = (
     "assigner",
     "follow-leader",
@@ -71,6 +69,9 @@
     async def stop_listening(self) -> None:
         """Accept no new connections."""
 
+    def limit_uploads(self) -> None:
+        """Refuse the requests whose bodies do not arrive before the process ends."""
+
     def close_idle_connections(self) -> int:
         """Close connections that wait for a request.
 
@@ -109,10 +110,10 @@
         read_settings: Callable[[], GatewaySettings],
         random: Random,
         loops: LoopSupervisor,
+        shutdown_window: ShutdownWindow,
     ) -> None:
         super().__init__()
         self.settings = settings
-        self.draining = False
         self.listener: CallerListener | None = None
         self._store = store
         self._keys = keys
@@ -134,6 +135,7 @@
         self._peer_secret = b""
         self._random = random
         self._loops = loops
+        self._shutdown_window = shutdown_window
         self._admin = AdminServer(
             settings.metrics_address, metrics, self.unready_reason, self.status
         )
@@ -170,15 +172,16 @@
         :return: number of requests that were not finished in time.
         """
         loop = asyncio.get_running_loop()
-        self.draining = True
-        deadline_s = loop.time() + self.settings.timing.grace_s - EXIT_MARGIN_S
+        self._shutdown_window.open(loop.time(), self.settings.timing.grace_s)
+        self.listener.limit_uploads()
         self._events.log_process_event("draining", in_flight=self._forwarder.in_flight)
         await self._election.resign()
         await asyncio.sleep(LEAVE_ROTATION_S)
         await self.listener.stop_listening()
         # Connections are counted, because a request that is still being received is
         # not in flight yet.
-        while self._close_idle_and_check_work() and loop.time() < deadline_s:
+        end_s = self._shutdown_window.end_s
+        while self._close_idle_and_check_work() and loop.time() < end_s:
             await asyncio.sleep(DRAIN_POLL_S)
         return self._forwarder.in_flight
 
@@ -242,7 +245,7 @@
         }
 
     def _unready_reason(self) -> str:
-        if self.draining:
+        if self._shutdown_window.is_open:
             return "leaving"
         if self._view.routes is None:
             return "no-configuration"
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -30,6 +30,7 @@
 from .gateway.relay_server import RelayServer
 from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
+from .gateway.shutdown_window import ShutdownWindow
 from .gateway.store_watcher import StoreWatcher
 from .keyring import SharedKey
 from .metrics import Metrics
@@ -58,6 +59,7 @@
     store = PlatformStore(settings.store_address)
     commands = CommandClient()
     memory = BodyMemory()
+    shutdown_window = ShutdownWindow()
     servers = ServerClient(memory)
     keys = SharedKey()
     view = ClusterView(events, decode_route_table, decode_backend)
@@ -97,6 +99,7 @@
         events,
         metrics,
         random,
+        shutdown_window,
     )
     relay_server = RelayServer(dependencies, settings.timing.drain_s)
     peering = Peering(
@@ -181,15 +184,16 @@
         lambda: load_settings(path),
         random,
         loops,
+        shutdown_window,
     )
-    relay_server.draining = lambda: gateway.draining
+    relay_server.draining = lambda: shutdown_window.is_open
     gateway.listener = CallerServer(
         settings.callers_address,
         settings.ready_address,
         forwarder.handle,
         gateway.unready_reason,
         lambda: _limits(view),
-        lambda: gateway.draining,
+        shutdown_window,
         memory,
     )
     return gateway
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -14,6 +14,7 @@
 from ..gateway.body_memory import BodyMemory
 from ..gateway.exchange import BodyBroken, CallerRequest, Response, local_response
 from ..gateway.model import KEY_COUNT, CallerLimits
+from ..gateway.shutdown_window import ShutdownWindow
 from ..headers import forwarded_fields
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, SHARD_KEY
 from .http import HOP_BY_HOP_FIELDS
@@ -31,6 +32,9 @@
 DEFAULT_BODY_TIMEOUT_S = 30.0
 """Longest wait for the body of a request whose caller set no deadline."""
 
+LEAVING_RETRY_S = 0.1
+"""When a caller should send a request again that another host can take at once."""
+
 MAX_DIGITS = 18
 MAX_DEADLINE_MS = 24 * 60 * 60 * 1000
 """A caller that waits longer is taken to wait for this long."""
@@ -50,7 +54,7 @@
 
     :param unready_reason: returns why the gateway is not ready; empty when it is.
     :param limits: returns the limits in force.
-    :param draining: returns whether responses should close their connections.
+    :param shutdown_window: whether the process is to stop, and when.
     :param memory: counts the bodies that this host holds.
     """
 
@@ -61,7 +65,7 @@
         handle: HandleRequest,
         unready_reason: Callable[[], str],
         limits: Callable[[], CallerLimits],
-        draining: Callable[[], bool],
+        shutdown_window: ShutdownWindow,
         memory: BodyMemory,
     ) -> None:
         self._callers_address = callers_address
@@ -69,7 +73,8 @@
         self._handle = handle
         self._unready_reason = unready_reason
         self._limits = limits
-        self._draining = draining
+        self._shutdown_window = shutdown_window
+        self._uploads: set[asyncio.Timeout] = set()
         self._memory = memory
         self._callers_runner: web.ServerRunner | None = None
         self._callers_site: web.TCPSite | None = None
@@ -101,6 +106,11 @@
         if self._callers_site is not None:
             await self._callers_site.stop()
 
+    def limit_uploads(self) -> None:
+        """Refuse the requests whose bodies do not arrive before the process ends."""
+        for upload in self._uploads:
+            upload.reschedule(self._upload_end_s(upload.when()))
+
     async def close(self) -> None:
         """Close all connections."""
         for runner in (self._callers_runner, self._readiness_runner):
@@ -145,7 +155,7 @@
         response = web.Response(
             status=result.status, headers=result.headers, body=result.body
         )
-        if self._draining():
+        if self._shutdown_window.is_open:
             response.force_close()
         return response
 
@@ -164,7 +174,7 @@
             response.content_length = length
         elif request.version >= HttpVersion11:
             response.enable_chunked_encoding()
-        if self._draining():
+        if self._shutdown_window.is_open:
             response.force_close()
         self._memory.add(len(result.body))
         try:
@@ -203,11 +213,18 @@
             key = _parse_key(request)
         except ValueError as error:
             return local_response(400, f"malformed-field: {error}")
+        end_s = received_s + (timeout_s or DEFAULT_BODY_TIMEOUT_S)
+        upload = asyncio.timeout_at(self._upload_end_s(end_s))
+        self._uploads.add(upload)
         try:
-            async with asyncio.timeout(timeout_s or DEFAULT_BODY_TIMEOUT_S):
+            async with upload:
                 body = await _read_body(request, self._limits().max_body_bytes)
         except TimeoutError:
+            if self._shutdown_window.is_open:
+                return local_response(503, "leaving", LEAVING_RETRY_S)
             return local_response(408, "body-timeout")
+        finally:
+            self._uploads.discard(upload)
         if body is None:
             return local_response(413, "body-too-large")
         return CallerRequest(
@@ -224,6 +241,10 @@
             caller=request.remote or "",
         )
 
+    def _upload_end_s(self, end_s: float) -> float:
+        """Return until when a body may arrive, given the end by its own timeout."""
+        return min(end_s, self._shutdown_window.last_response_s)
+
 
 def _is_idle(connection: Any) -> bool:
     """Return whether the handler of a connection waits for the next request.
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -48,7 +48,7 @@
     - ``reset``: like ``no-length``, but truncates the body and ends with a TCP reset.
     - ``truncated``: truncates the body and closes the connection.
     - ``no-response``: executes the request, then closes the connection.
-    - ``silent`` and ``slow``: respond after 30 s and 0.5 s.
+    - ``silent`` and ``slow``: respond after 30 s and :attr:`work_s`.
     - ``large`` and ``large-truncated``: send :data:`LARGE_BODY`, or half of it.
     - ``endless-body``, ``endless-chunks``, ``endless-interim``, ``endless-trailer``:
       send a body without a length, a chunked body, interim responses, or a chunk header
@@ -57,6 +57,7 @@
     - ``error-twice``: like ``refused-twice``, without the attempt id.
     - ``paused``: refuses with 503 and a Retry-After of ``pause``.
 
+    :ivar work_s: how long a request takes with the fault ``slow``.
     :ivar crashing_path: a request whose target begins so ends the server when it begins
         to run; the server is back at its address after ``down_s``.
     :ivar ends: targets of these requests, and the monotonic times of the ends.
@@ -70,6 +71,7 @@
         self.keyed = keyed
         self.fault = ""
         self.pause = "1.5"
+        self.work_s = 0.5
         self.leaving = False
         self.crashing_path = ""
         self.down_s = 1.0
@@ -283,7 +285,7 @@
             body = LARGE_BODY
         message = _message(200, fields, body)
         if self.fault == "slow":
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(self.work_s)
         if self.fault == "silent":
             await asyncio.sleep(30)
         if self.fault == "no-response":
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -32,6 +32,7 @@
     "route_index",
     "server_limits",
     "server_reach",
+    "shutdown_window",
 ]
 
 IO_MODULES = {"aiohttp", "asyncio", "mode", "os", "socket", "time"}
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -122,7 +122,8 @@
 
 async def test_host_that_leaves_takes_no_relays(fleet):
     """The caller learns at once that the request has not run, and when to return."""
-    fleet.gateways[RELAYING].draining = True
+    loop = asyncio.get_running_loop()
+    fleet.gateways[RELAYING]._shutdown_window.open(loop.time(), 6.0)
     async with asyncio.timeout(0.3):
         status, headers, _ = await fleet.send("/read/x", "n1", CUT)
     assert status == 503
