Let a release and a refused grant count only on a connection of their own

Callers: a faulty server wrote its answer to a grant once more, late. A copy of an earlier refusal would have let it move keys that a server held.

Cause: commands went over a plain connector, which reuses a connection on which bytes have arrived, and have no id by which a foreign answer could be told.

Change: ServerConnector now opens all connections to servers, so bytes without a request close a connection everywhere. Releases have connections of their own. A grant that is refused on a shared one is sent again on another, whose answer counts; renewals go on sharing. At most 64 KB of an answer to a command are read.

Why it works: on a connection without an earlier exchange no copy can arrive. A copy that passes for a confirmation of a renewal lengthens the hold that the leader assumes.

--- a/src/jacinthpath/platform/server_commands.py
+++ b/src/jacinthpath/platform/server_commands.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from typing import Any, NamedTuple
 
 import aiohttp
 
@@ -18,10 +19,12 @@
 from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from .headers import EXPECTED_SERVER, HANDOVER
 from .http import open_session
+from .server_connections import ServerConnector
 from .values import format_duration
 
 CONNECT_TIMEOUT_S = 0.4
 KEEPALIVE_TIMEOUT_S = 8.0
+MAX_RESPONSE_BYTES = 64 * 1024
 
 _RESULT_BY_STATUS = {
     200: CommandResult.DONE,
@@ -30,35 +33,52 @@
 }
 
 
+class _Call(NamedTuple):
+    """A command as it is sent to a server."""
+
+    server: str
+    address: str
+    path: str
+    body: dict[str, Any]
+
+
 class CommandClient:
     """Sends grants and releases to servers.
 
     The connection is reset when a command is given up, so the end of the call bounds
     the time at which the command can arrive.
 
+    A faulty server may send the response to an earlier command once more, and nothing
+    in it tells the two apart. So a release, and a refusal of a grant, count only on a
+    connection of their own. Renewals, which are many, share connections: a response to
+    an earlier grant that passes for one of theirs only makes the leader wait longer
+    before it moves the keys.
+
     :param open_socket: opens the socket of a connection to an ``addrinfo`` tuple.
     """
 
     def __init__(self, open_socket: OpenSocket = open_reset_on_close_socket) -> None:
         self._open_socket = open_socket
-        self._session: aiohttp.ClientSession | None = None
+        self._shared: aiohttp.ClientSession | None = None
+        self._separate: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        """Open the HTTP session."""
-        self._session = open_session(
-            aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                socket_factory=self._open_socket,
-            ),
-            CONNECT_TIMEOUT_S,
+        """Open the HTTP sessions."""
+        self._shared = self._open_session(keepalive_timeout=KEEPALIVE_TIMEOUT_S)
+        self._separate = self._open_session(force_close=True)
+
+    def _open_session(self, **options: Any) -> aiohttp.ClientSession:
+        connector = ServerConnector(
+            limit=0, socket_factory=self._open_socket, identified=False, **options
         )
+        return open_session(connector, CONNECT_TIMEOUT_S)
 
     async def close(self) -> None:
-        """Close the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the HTTP sessions."""
+        for session in (self._shared, self._separate):
+            if session is not None:
+                await session.close()
+        self._shared = self._separate = None
 
     async def grant(
         self, server: str, address: str, command: GrantCommand, timeout_s: float
@@ -72,35 +92,58 @@
         }
         if command.handover:
             body["handover"] = command.handover
-        return await self._send(server, address, "/-/grant", body, timeout_s)
+        call = _Call(server, address, "/-/grant", body)
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        response = await self._send(self._shared, call, deadline_s)
+        if not response.responded or response.result is CommandResult.DONE:
+            return response
+        confirmed = await self._send(self._separate, call, deadline_s)
+        if confirmed.responded:
+            return confirmed
+        # The first response may have been to an earlier grant, and this one executed.
+        return confirmed._replace(result=CommandResult.UNKNOWN)
 
     async def release(
         self, server: str, address: str, command: ReleaseCommand, timeout_s: float
     ) -> CommandResponse:
         """Release a range of keys; the server responds after its work on them ends."""
         body = {"from": command.first, "to": command.last, "fence": command.fence}
-        return await self._send(server, address, "/-/release", body, timeout_s)
+        call = _Call(server, address, "/-/release", body)
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        return await self._send(self._separate, call, deadline_s)
 
     async def _send(
-        self, server: str, address: str, path: str, body: dict, timeout_s: float
+        self, session: aiohttp.ClientSession, call: _Call, deadline_s: float
     ) -> CommandResponse:
         try:
             async with (
-                asyncio.timeout(timeout_s),
-                self._session.post(
-                    f"http://{address}{path}",
-                    data=json.dumps(body).encode(),
+                asyncio.timeout_at(deadline_s),
+                session.post(
+                    f"http://{call.address}{call.path}",
+                    data=json.dumps(call.body).encode(),
                     headers={
                         "Content-Type": "application/json",
-                        EXPECTED_SERVER: server,
+                        EXPECTED_SERVER: call.server,
                     },
                 ) as response,
             ):
-                await response.read()
+                await _discard_body(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return CommandResponse(CommandResult.NOT_RUN, "", repr(error))
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return CommandResponse(CommandResult.UNKNOWN, "", repr(error))
         result = _RESULT_BY_STATUS.get(response.status, CommandResult.UNKNOWN)
         handover = response.headers.get(HANDOVER, "")
         return CommandResponse(result, handover, f"status {response.status}", True)
+
+
+async def _discard_body(response: aiohttp.ClientResponse) -> None:
+    """Read the body of a response, so that its connection may be used again.
+
+    :raises aiohttp.ClientPayloadError: it is longer than any response to a command.
+    """
+    size_bytes = 0
+    async for part in response.content.iter_any():
+        size_bytes += len(part)
+        if size_bytes > MAX_RESPONSE_BYTES:
+            raise aiohttp.ClientPayloadError("The response is too long.")
--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -29,10 +29,18 @@
 
 
 class ServerConnector(aiohttp.TCPConnector):
-    """Reuses only connections on which nothing unexpected can still arrive."""
+    """Reuses only connections on which nothing unexpected can still arrive.
 
-    def __init__(self, **options: Any) -> None:
+    All connections to servers are opened by this class: for callers' requests, commands
+    and health checks.
+
+    :param identified: whether each request has an attempt id that its response repeats.
+        Without one, a response is known to be due only on a connection of its own.
+    """
+
+    def __init__(self, *, identified: bool = True, **options: Any) -> None:
         super().__init__(**options)
+        self._identified = identified
         self._factory = partial(_ServerProtocol, loop=self._loop)
 
     async def connect(self, request: Any, *args: Any, **options: Any) -> Any:
@@ -51,7 +59,9 @@
         idle = self._conns.get(key)
         for entry in [*idle] if idle else ():
             protocol = entry[0]
-            if protocol.should_close or protocol.was_used_for(attempt_id):
+            if protocol.should_close or (
+                self._identified and protocol.was_used_for(attempt_id)
+            ):
                 idle.remove(entry)
                 protocol.close()
 
