Send a request without an attempt id on a connection of its own

Cause: without an id nothing tells the response that is due from an earlier one on a kept connection. Evidence: test_request_without_an_id_does_not_take_the_copy_of_a_refusal fails on the code before. With ids no form was found that passes: copies with and without the id, on first exchanges, at retries and idle, are covered by the tests before it.

--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 import aiohttp
 from yarl import URL
@@ -51,15 +52,16 @@
         self._memory = memory
         self._open_socket = open_socket
         self._session: aiohttp.ClientSession | None = None
+        self._separate: aiohttp.ClientSession | None = None
 
     async def start(self) -> None:
-        """Open the HTTP session."""
-        self._session = open_session(
-            ServerConnector(
-                limit=0,
-                keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-                socket_factory=self._open_socket,
-            ),
+        """Open the HTTP sessions."""
+        self._session = self._open_session(keepalive_timeout=KEEPALIVE_TIMEOUT_S)
+        self._separate = self._open_session(force_close=True)
+
+    def _open_session(self, **options: Any) -> aiohttp.ClientSession:
+        return open_session(
+            ServerConnector(limit=0, socket_factory=self._open_socket, **options),
             CONNECT_TIMEOUT_S,
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
@@ -67,10 +69,11 @@
         )
 
     async def close(self) -> None:
-        """Close the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
-            self._session = None
+        """Close the HTTP sessions."""
+        for session in (self._session, self._separate):
+            if session is not None:
+                await session.close()
+        self._session = self._separate = None
 
     async def send(
         self, request: CallerRequest, backend: Backend, remaining_s: float
@@ -83,12 +86,14 @@
         headers[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
         headers[EXPECTED_SERVER] = backend.server
         url = URL(f"http://{backend.address}{request.target}", encoded=True)
+        # A response to a request without an id cannot be told from an earlier one.
+        session = self._session if request.request_id else self._separate
         deadline_s = asyncio.get_running_loop().time() + remaining_s
         response: aiohttp.ClientResponse | None = None
         result: AttemptResult | None = None
         try:
             async with asyncio.timeout_at(deadline_s):
-                response = await self._session.request(
+                response = await session.request(
                     request.method,
                     url,
                     headers=headers,
--- a/tests/test_gateway_responses.py
+++ b/tests/test_gateway_responses.py
@@ -184,6 +184,17 @@
     assert all(statuses[attempt] != 503 for attempt in executed)
 
 
+async def test_request_without_an_id_does_not_take_the_copy_of_a_refusal(system):
+    """Report 1 of issue 37, for a caller that sets no attempt id: nothing tells the
+    response to its request from an earlier one on the same connection."""
+    plain_servers(system)[1].fault = "overloaded"
+    server = plain_servers(system)[0]
+    server.fault = "error-twice"
+    assert (await system.send("/order/x", "n1", method="POST"))[0] == 503
+    status, _, _ = await system.send("/order/x", "", method="POST")
+    assert status != 503 or "" not in server.executed_attempts
+
+
 async def test_retry_at_the_owner_does_not_take_the_copy_of_its_refusal(system):
     """A refused keyed order is sent to its owner again under the same attempt id; the
     copy of the refusal made it run a second time."""
