Let a leader whose assigner keeps failing leave the role, and contain attempts

Callers: with a leader whose assigner raised at every step no key would have been granted, while no other host could lead; a server at which an attempt raised looked busy for good. Found by asking of each loop and task what a failure in it costs.

Evidence: test_leader_whose_assigner_keeps_failing_leaves_the_role and test_attempt_that_fails_unexpectedly_is_counted_no_longer fail on the code before.

An attempt is no longer counted whatever ends it; an error that the HTTP library does not declare is a broken response, an address that is none an unreachable server. A check for a crash that fails is logged.

--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -54,8 +54,10 @@
         pool.record_start(backend, boottime_s())
         try:
             result = await self._send_by_a_path(backend, remaining_s)
-        except asyncio.CancelledError:
+        except BaseException as error:
             pool.record_inconclusive(backend, boottime_s())
+            if not isinstance(error, asyncio.CancelledError):
+                raise
             self._dependencies.events.log_failure(
                 "attempt_cancelled",
                 id=self._request.request_id,
--- a/src/jacinthpath/gateway/crash_detector.py
+++ b/src/jacinthpath/gateway/crash_detector.py
@@ -11,6 +11,7 @@
 
 from mode import Service
 
+from ..json_documents import describe
 from ..metrics import Metrics
 from .clock import boottime_s
 from .cluster_view import ClusterView
@@ -194,7 +195,16 @@
         if not self._unchecked[fingerprint]:
             del self._unchecked[fingerprint]
             self._answered_s.pop(fingerprint, None)
-        if task.cancelled() or task.exception() is not None or not task.result():
+        if task.cancelled():
+            return
+        if task.exception() is not None:
+            self._events.log_failure(
+                "crash_check_failed",
+                server=report.server,
+                error=describe(task.exception()),
+            )
+            return
+        if not task.result():
             return
         if answered_s < report.observed_s:
             self._report_crash(report)
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -28,8 +28,11 @@
 
 DOUBTFUL_CANDIDACY_DELAY_S = 0.25
 CUT_OFF_CANDIDACY_DELAY_S = 1.0
-"""A host that has no path to the servers leaves the others this much time: it could
-grant nothing. It leads if they do not, since a leader has other duties too."""
+"""A host that has no path to the servers, or whose assigner keeps failing, leaves the
+others this much time: it could grant nothing. It leads if they do not, since a leader
+has other duties too."""
+
+ASSIGNER_LOOP = "assigner"
 
 POLL_INTERVAL_S = 0.1
 MAX_WAIT_FOR_VACANCY_S = 1.0
@@ -134,10 +137,12 @@
 
     def _cannot_grant(self) -> bool:
         """Return whether another host could grant keys and this one cannot."""
+        if self._loops.is_failing(ASSIGNER_LOOP):
+            return True
         return self._reach.is_cut_off() and self.knows_better_host()
 
     async def _step_aside(self) -> None:
-        """Leave the leadership to a host that has a path to the servers."""
+        """Leave the leadership to a host that can grant keys."""
         lease_id = self._lease_id
         try:
             await self._store.revoke_lease(lease_id)
@@ -148,7 +153,7 @@
             await self._renew()
             return
         if self.authority is not None and self._lease_id == lease_id:
-            self._stop_leading("cut off from the servers")
+            self._stop_leading("this host cannot grant keys")
 
     def _owns_record(self) -> bool:
         """Return whether a claim whose response was lost has taken effect."""
@@ -201,7 +206,7 @@
 
     def _candidacy_delay_s(self) -> float:
         delay_s = MAX_CANDIDACY_DELAY_S * self._random.random()
-        if self._reach.is_cut_off():
+        if self._reach.is_cut_off() or self._loops.is_failing(ASSIGNER_LOOP):
             return delay_s + CUT_OFF_CANDIDACY_DELAY_S
         if self._reach.has_failures():
             return delay_s + DOUBTFUL_CANDIDACY_DELAY_S
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -17,6 +17,7 @@
 from ..gateway.model import Backend
 from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from ..headers import forwarded_fields
+from ..json_documents import describe
 from .headers import DEADLINE_MS, EXPECTED_SERVER, NOT_EXECUTED, SIGNATURE
 from .http import HOP_BY_HOP_FIELDS, open_session
 from .response_body import ServerBodyStream, read_body
@@ -85,7 +86,10 @@
         headers = request.headers.copy()
         headers[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
         headers[EXPECTED_SERVER] = backend.server
-        url = URL(f"http://{backend.address}{request.target}", encoded=True)
+        try:
+            url = URL(f"http://{backend.address}{request.target}", encoded=True)
+        except ValueError as error:
+            return AttemptResult(Outcome.UNREACHABLE, describe(error))
         # A response to a request without an id cannot be told from an earlier one.
         session = self._session if request.request_id else self._separate
         deadline_s = asyncio.get_running_loop().time() + remaining_s
@@ -115,6 +119,9 @@
                 connection_reset=response is None and isinstance(error, OSError),
                 connection_lost=response is None and isinstance(error, _LOST),
             )
+        except Exception as error:
+            # What the library does not declare costs this attempt alone.
+            return AttemptResult(Outcome.BROKEN, describe(error))
         finally:
             if response is not None and not _is_streaming(result):
                 response.close()
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -103,6 +103,24 @@
     assert (await system.send("/keyed/a", key=7))[0] == 200
 
 
+async def test_leader_whose_assigner_keeps_failing_leaves_the_role(system):
+    """Such a leader granted nothing, and kept the others from leading."""
+    leader, other = system.gateways
+    if leader._election.authority is None:
+        leader, other = other, leader
+
+    async def fail():
+        raise RuntimeError("failed")
+
+    leader._assigner.run_once = fail
+    async with asyncio.timeout(8.0):
+        while other._election.authority is None:
+            await asyncio.sleep(0.05)
+    assert leader.unready_reason() == "failing-loop"
+    assert other.unready_reason() == ""
+    assert (await system.send("/keyed/a", key=7))[0] == 200
+
+
 @pytest.fixture
 def supervisor():
     supervisor = LoopSupervisor(Metrics(), NullEventLog(), Random(1), lambda: now_s[0])
--- a/tests/test_malformed_requests.py
+++ b/tests/test_malformed_requests.py
@@ -44,6 +44,26 @@
         await system.close()
 
 
+async def test_attempt_that_fails_unexpectedly_is_counted_no_longer(tmp_path):
+    """A server looked busy for good after an error that nothing foresaw."""
+    system = await GatewaySystem(tmp_path).start()
+    try:
+        await system.wait_until_ready()
+        dependencies = system.gateways[0]._forwarder._dependencies
+
+        async def fail(*_args):
+            raise RuntimeError("failed")
+
+        dependencies.backend_client.send = fail
+        await system.send("/read/a")
+        backends = dependencies.view.directory.all().values()
+        assert not any(map(dependencies.pool.in_flight, backends))
+        del dependencies.backend_client.send
+        assert (await system.send("/read/a"))[0] == 200
+    finally:
+        await system.close()
+
+
 @pytest.mark.parametrize(
     "content",
     [
