Probe only servers of services that the configuration knows

Cause: ReachMonitor chose servers to probe among all entries, those of unknown services first, since none of these had failed. They have no health path and are sent no probe, so no path was found and no crash believed; a host that was cut off did not find its path.

Change: only servers of known services are chosen and counted.

--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -88,7 +88,7 @@
             return True
         others = [b for b in self._choose_probed(PROBED_SERVERS + 1) if b != backend]
         if not others:
-            return len(self._view.directory.all()) < 2
+            return len(self._usable_servers()) < 2
         await self._probe(others[:PROBED_SERVERS])
         return self._reach.last_response_s > since_s
 
@@ -108,7 +108,7 @@
 
     def record_failure(self, server: str, service: str) -> None:
         """Record that a server of a service did not respond to this host."""
-        backends = self._view.directory.all().values()
+        backends = self._usable_servers()
         services = {backend.service for backend in backends}
         self._reach.set_known(len(backends), len(services))
         self._reach.record_failure(server, service, self._clock())
@@ -140,10 +140,10 @@
     def _choose_probed(self, count: int) -> list[Backend]:
         """Return servers that have not failed yet, and whom a probe does not burden."""
         now_s = self._clock()
-        directory, limits = self._view.directory, self._view.limits
+        limits = self._view.limits
         unburdened = [
             backend
-            for backend in directory.all().values()
+            for backend in self._usable_servers()
             if not backend.draining
             and not self._pool.pause_left_s(backend, now_s)
             and limits.find(backend.server, backend.started_ms, now_s) is None
@@ -168,6 +168,15 @@
         else:
             self.record_failure(backend.server, backend.service)
 
+    def _usable_servers(self) -> list[Backend]:
+        """Return the servers of services that the configuration knows.
+
+        Entries of other services may come from another writer, with nothing at their
+        addresses.
+        """
+        backends = self._view.directory.all().values()
+        return [backend for backend in backends if self._health_path(backend)]
+
     def _health_path(self, backend: Backend) -> str:
         routes = self._view.routes
         service = routes.table.services.get(backend.service) if routes else None
