Stop hosts under slow uploads, and write unreadable entries, in the soak

Two faults: a host is stopped while 16 orders arrive whose last byte follows late, at servers that work up to 2.5 s; another writer puts entries that cannot be read. A new guarantee: an upload at such a host that got no response or a 503 was not executed.

One check was wrong: a version that is written while the store is down was due 2 s later, though no host can read it and the operator would get no ack. It is due as before once the store is back, whose return counts as a disturbance.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -147,6 +147,10 @@
             self._checker.record_violation(
                 "configuration", f"{gateway.name} reverted version {version}"
             )
+        if self._system.store.mode != "up":
+            # The operator's write would not have been acknowledged, and no host can
+            # read it. The end of the outage is a disturbance.
+            return
         last_disturbance_s = max(
             self._system.last_disturbance_s, gateway.last_disturbance_s
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 from .system import CRASHING_PATH, GRACE_PERIOD_S, Gateway, System
+from .uploads import send_uploads
 
 Fault = Callable[[System, float], Awaitable[None]]
 
@@ -46,6 +47,20 @@
 RESTART_DELAY_S = 0.5
 MAX_COPY_AGE_S = 3.0
 INTERPRETER_START_S = 0.2
+CONTACT_S = 3.0
+"""A process that was started later may get the signal before it handles signals."""
+
+UNREADABLE_ENTRIES = [
+    b"[" * 5_000,
+    b"\xff\xfe",
+    b'{"info": {"service": "\\ud800", "version": "v", "zone": "a", "slots": 1},'
+    b' "status": {"state": "ready", "sequence": 1}, "address": "10.0.0.1:1"}',
+    b'{"info": {"service": "plain", "version": "v", "zone": "a", "slots": 1},'
+    b' "status": {"state": "ready", "warmup_left": "' + b"9" * 400 + b's"},'
+    b' "address": "10.0.0.1:1"}',
+    b'{"info": {"service": "unknown", "version": "v", "zone": "a", "slots": 1},'
+    b' "status": {"state": "ready", "sequence": 1}, "address": "127.0.0.1:1"}',
+]
 
 
 def fault(name: str) -> Callable[[Fault], Fault]:
@@ -108,6 +123,35 @@
     await gateway.restart()
 
 
+@fault("host-terminated-under-uploads")
+async def _terminate_under_uploads(system: System, _duration_s: float) -> None:
+    """A host is stopped while uploads arrive slowly, for servers that work for long."""
+    gateway = _random_gateway(system)
+    system.upload_rounds += 1
+    prefix = f"order-upload-{system.upload_rounds}"
+    address = f"{gateway.ip}:{gateway.front_port}"
+    signals = gateway.signals
+    has_settled = time.monotonic() - gateway.started_s > CONTACT_S
+    uploads = asyncio.create_task(send_uploads(address, prefix, system.random))
+    await _terminate_and_restart(gateway)
+    outcomes = await uploads
+    # Other faults may have stopped or killed the process too.
+    if has_settled and gateway.signals == signals + 1:
+        system.upload_outcomes += outcomes
+
+
+@fault("unreadable-entries")
+async def _write_unreadable_entries(system: System, duration_s: float) -> None:
+    """Another writer puts entries that cannot be read beside those of the servers."""
+    keys = []
+    for number, content in enumerate(UNREADABLE_ENTRIES):
+        keys.append(f"servers/unreadable-{number}")
+        system.store.put(keys[-1], content)
+    await asyncio.sleep(duration_s)
+    for key in keys:
+        system.store.delete(key)
+
+
 @fault("host-paused")
 async def _pause_host(system: System, duration_s: float) -> None:
     gateway = _random_gateway(system)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -89,6 +89,7 @@
             self._check_processes()
             self._check_limits()
             self._check_crashing_requests()
+            self._check_uploads()
             sleep_started_s = time.monotonic()
             await asyncio.sleep(CHECK_INTERVAL_S)
             if time.monotonic() - sleep_started_s > CHECK_INTERVAL_S + MAX_LOOP_DELAY_S:
@@ -227,6 +228,17 @@
                     f"{target} ended {len(times_s)} servers, {len(later)} of them late",
                 )
 
+    def _check_uploads(self) -> None:
+        """Check the uploads at hosts that were stopped while nothing else happened."""
+        while self._system.upload_outcomes:
+            request_id, status = self._system.upload_outcomes.pop()
+            self.response_counts[f"upload {status or 'no response'}"] += 1
+            if status in (0, 503) and self._executions[request_id]:
+                self.record_violation(
+                    "planned stop",
+                    f"{request_id} was executed and got {status or 'no response'}",
+                )
+
     def _last_disturbance_s(self) -> float:
         return max(
             self._system.last_disturbance_s,
--- a/soak/system.py
+++ b/soak/system.py
@@ -31,6 +31,7 @@
 from standins.platform_store import PlatformStoreStandIn
 
 from .proxy import Proxy
+from .uploads import SLOW_PATH, UploadOutcome
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "jacinthpath.py"
 HOST_PROGRAM = Path(__file__).parent / "host_program.py"
@@ -41,12 +42,15 @@
 CRASHING_PATH = "/read/crash-"
 CRASH_RESPONSE_TIMEOUT_S = 2.0
 ROUTE_TIMEOUT = "1500ms"
+SLOW_TIMEOUT = "4000ms"
+MAX_WORK_S = 2.5
 
 
 class Gateway:
     """One host: its gateway process, and its proxies to the store and the servers.
 
     :ivar cut_mode: mode of all its paths to servers, ``pass`` unless it is cut off.
+    :ivar signals: signals that were sent to its processes.
     :ivar cut_since_s: monotonic time since when it is cut off, ``None`` if it is not.
     """
 
@@ -67,6 +71,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.is_exit_expected = True
         self.killed_after_grace = False
+        self.signals = 0
         self.last_disturbance_s = 0.0
         self.started_s = 0.0
         self.paused_until_s = 0.0
@@ -128,6 +133,7 @@
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         self.record_disturbance()
+        self.signals += 1
         if signal_number is signal.SIGTERM:
             self.is_exit_expected = True
         if self.is_running():
@@ -148,6 +154,7 @@
 
     async def kill(self) -> None:
         """Kill the process, also a paused one, and wait until it has exited."""
+        self.signals += 1
         self.is_exit_expected = True
         if self.is_running():
             with suppress(ProcessLookupError):
@@ -174,6 +181,8 @@
         self.draining_since_s: dict[str, float] = {}
         self.limited_since_s: dict[str, float] = {}
         self.crashing_requests = 0
+        self.upload_rounds = 0
+        self.upload_outcomes: list[UploadOutcome] = []
 
     async def start(self, hosts: int, servers: int) -> None:
         """Start the store, ``servers`` servers per service and ``hosts`` gateways."""
@@ -296,16 +305,22 @@
             ("read", "/read/", "plain", "idempotent"),
             ("order", "/order/", "plain", "non_idempotent"),
             ("keyed", "/keyed/", "keys", "idempotent"),
+            ("slow", SLOW_PATH, "plain", "non_idempotent"),
             *(
                 (f"v{version}", f"{VERSION_PREFIX}{version}/", "plain", "idempotent")
                 for version in range(2, self.version + 1)
             ),
         ]
-        return [route(*row, timeout=ROUTE_TIMEOUT) for row in rows]
+        return [
+            route(*row, timeout=SLOW_TIMEOUT if row[0] == "slow" else ROUTE_TIMEOUT)
+            for row in rows
+        ]
 
     async def _add_server(self, name: str, service: str, keyed: bool) -> None:
         server = PlatformServerStandIn(name, service, keyed)
         server.crashing_path = CRASHING_PATH
+        server.slow_path = SLOW_PATH
+        server.work_s = self.random.uniform(0.3, MAX_WORK_S)
         server.handle_return = lambda _server: self.put_entry(name)
         await server.start()
         self.servers[name] = server
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -58,6 +58,7 @@
     - ``paused``: refuses with 503 and a Retry-After of ``pause``.
 
     :ivar work_s: how long a request takes with the fault ``slow``.
+    :ivar slow_path: a request whose target begins so takes as long without a fault.
     :ivar crashing_path: a request whose target begins so ends the server when it begins
         to run; the server is back at its address after ``down_s``.
     :ivar ends: targets of these requests, and the monotonic times of the ends.
@@ -72,6 +73,7 @@
         self.fault = ""
         self.pause = "1.5"
         self.work_s = 0.5
+        self.slow_path = ""
         self.leaving = False
         self.crashing_path = ""
         self.down_s = 1.0
@@ -233,6 +235,8 @@
         self.executed_attempts.append(attempt)
         self.executed_requests.append((request.method, request.target, request.body))
         self.received_deadlines_ms.append(int(request.headers["x-request-deadline-ms"]))
+        if self.slow_path and request.target.startswith(self.slow_path):
+            await asyncio.sleep(self.work_s)
         return await self._respond(attempt, writer)
 
     def _own_fields(self, executed: bool = False) -> dict[str, str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.guarantees import CallerResponse, GuaranteeChecker
 from soak.proxy import Proxy
 from soak.system import Gateway, System
+from soak.uploads import UploadOutcome
 from standins.platform_server import HeldRange, PlatformServerStandIn
 
 
@@ -108,6 +109,19 @@
     assert ["ended 10 servers, 4" in line for line in checker.violations] == [True]
 
 
+@pytest.mark.parametrize("status", [0, 503])
+def test_upload_that_a_stop_cut_is_detected(system, checker, status):
+    """Guards against a soak that lets the loss of report 3 of issue 37 pass."""
+    system.upload_outcomes.append(UploadOutcome("order-upload-1", status))
+    checker._check_uploads()
+    assert check(checker) == []
+    system.servers["keys-0"].executed_attempts.append("order-upload-2")
+    checker._check_executions()
+    system.upload_outcomes.append(UploadOutcome("order-upload-2", status))
+    checker._check_uploads()
+    assert check(checker) == ["planned stop"]
+
+
 def test_unexpected_process_exit_is_detected(system, checker):
     system.gateways[0].process.returncode = 1
     assert check(checker) == ["process"]
