List again when the changes of a watch are too long, and bound the era's digits

Callers: eight entries of 1 MB, written by another writer within 0.4 s, made the leader's watch of the servers fail until the store forgot its history, 20 s later; an era of 5,000 digits in a response's header raised ValueError, which no caller of the store expects.

Cause: a response over 8 MB was a failure of the call, and the same watch was sent again; int() refuses more than 4,300 digits. Evidence: two tests of test_store_responses.py fail on the code before.

Change: a watch whose response is too long counts as one whose history is lost, so that the keys are listed, in bounded pages; a write whose response is too long has an unknown outcome. An era has at most six digits.

--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -6,6 +6,7 @@
 
 import base64
 import json
+import re
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -61,11 +62,17 @@
 
 KEEPALIVE_TIMEOUT_S = 30.0
 
+_ERA = re.compile(r"[0-9]{1,6}")
+
 Decoded = TypeVar("Decoded")
 
 _log = get_logger()
 
 
+class _ResponseTooLong(StoreUnavailable):
+    """A response is longer than a host may hold."""
+
+
 class _StoreResponse(NamedTuple):
     """A response of the store.
 
@@ -166,7 +173,11 @@
             f"/-/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={store_revision_of(after)}&wait_ms={int(wait_s * 1000)}"
         )
-        response = await self._call("GET", path, extra_wait_s=wait_s)
+        try:
+            response = await self._call("GET", path, extra_wait_s=wait_s)
+        except _ResponseTooLong as error:
+            # The same watch would fail again; pages of a list are bounded.
+            raise _history_lost_error(after) from error
         # In another era the same number stands for another change.
         if response.status == 410 or response.era != era:
             raise _history_lost_error(after)
@@ -273,8 +284,12 @@
             async with self._session.request(
                 method, self._base + path, data=data, headers=headers, timeout=timeout
             ) as response:
-                content = await _read_content(response)
+                content = await _read_content(response, name)
                 era = self._read_era(response.headers.get(STORE_ERA))
+        except _ResponseTooLong as error:
+            if method == "GET":
+                raise
+            raise _unknown_outcome_error(method, name, error) from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise _unavailable_error(name, repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -289,23 +304,26 @@
         """
         if value is None:
             return self.era
-        if not (value.isascii() and value.isdigit() and int(value) <= MAX_ERA):
+        if not (_ERA.fullmatch(value) and int(value) <= MAX_ERA):
             self.malformed_eras += 1
             return self.era
         self.era = max(self.era, int(value))
         return int(value)
 
 
-async def _read_content(response: aiohttp.ClientResponse) -> bytes:
-    """Return the body of a response.
+async def _read_content(response: aiohttp.ClientResponse, name: str) -> bytes:
+    """Return the body of a response to the call ``name``.
 
-    :raises aiohttp.ClientPayloadError: it is longer than any body of the store.
+    :raises _ResponseTooLong: it is longer than a host may hold.
     """
     content = bytearray()
     async for part in response.content.iter_any():
         content += part
         if len(content) > MAX_RESPONSE_BYTES:
-            raise aiohttp.ClientPayloadError("The response is too long.")
+            raise _ResponseTooLong(
+                f"{name}: the response has over {MAX_RESPONSE_BYTES} bytes.",
+                "Look for large values under the prefix that is read.",
+            )
     return bytes(content)
 
 
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from jacinthpath.errors import JacinthpathError, StoreError, StoreOutcomeUnknown
-from jacinthpath.gateway.store import Write
+from jacinthpath.gateway.store import HistoryLost, Write
 from jacinthpath.platform import PlatformStore
 from jacinthpath.platform.store import _check_response
 
@@ -72,6 +72,23 @@
         await store.write((), (Write("a", b""),))
 
 
+async def test_changes_that_are_too_long_are_listed_again(store):
+    """Large entries of another writer made the same watch fail again and again."""
+    value = base64.b64encode(bytes(1024 * 1024)).decode()
+    events = [{**GOOD, "value": value} for _ in range(8)]
+    store.answer["body"] = json.dumps({"events": events, "current_rev": 9}).encode()
+    with pytest.raises(HistoryLost):
+        await store.watch("servers/", 5, 0.1)
+    with pytest.raises(StoreOutcomeUnknown):
+        await store.write((), (Write("a", b""),))
+
+
+@pytest.mark.parametrize("era", ["9" * 5_000, "²", "-1", "", "1.5"])
+async def test_malformed_era_is_taken_for_the_current_one(store, era):
+    assert store._read_era(era) == 0
+    assert store.malformed_eras == 1
+
+
 @settings(derandomize=True, deadline=None)
 @given(st.binary(max_size=60), st.integers(100, 599))
 def test_arbitrary_response_raises_only_declared_errors(content, status):
