Refuse at an entry process, too, what may outlast it

Cause: the drain took every request. Evidence: the new test fails on the code before (the request is passed on, status 200 in place of 503).

Change: the forwarder knows the end of a drain and refuses such requests as not run, before a claim of their idempotency key. The drain now ends at the limit, counted from the signal, not at the limit after its first pause.

--- a/src/jacinthpath/entry.py
+++ b/src/jacinthpath/entry.py
@@ -96,10 +96,12 @@
         self.draining = True
         limit_s = self.settings.limits.shutdown_limit_s
         _log.info("draining", in_flight=self._forwarder.in_flight)
+        loop = asyncio.get_running_loop()
+        end_s = self._forwarder.end_s = loop.time() + limit_s
         await asyncio.sleep(min(LISTENER_CLOSE_DELAY_S, limit_s / 2))
         await self._site.stop()
         try:
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout_at(end_s):
                 while self._forwarder.in_flight:
                     await asyncio.sleep(0.01)
                 await self._forwarder.drain()
--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -51,6 +51,7 @@
 
     :param records: at-most-once records, or ``None`` where no service has any
         non-idempotent requests.
+    :ivar end_s: loop time at which a process that is to stop ends.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self._random = randomness or random.Random()
         self._shielded_runs: set[asyncio.Task[Attempt]] = set()
         self.in_flight = 0
+        self.end_s = float("inf")
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one HTTP request."""
@@ -123,6 +125,8 @@
     async def _execute(
         self, exchange: HttpExchange, response: CallerResponse
     ) -> Attempt:
+        if exchange.deadline_s > self.end_s:
+            raise self._leaving_error()
         if exchange.policy.priority == "deferrable" and exchange.policy.defer_limit_s:
             await self._defer(exchange)
         if exchange.policy.idempotent:
@@ -328,6 +332,14 @@
             kind="deadline-exceeded",
         )
 
+    def _leaving_error(self) -> NotRun:
+        return NotRun(
+            "This host stops before the request's deadline.",
+            "Retry the request at another host.",
+            retry_after_s=self._random.random(),
+            kind="leaving",
+        )
+
     def _overloaded_error(self) -> NotRun:
         return NotRun(
             "This host has too many requests in flight.",
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,7 +10,11 @@
 
 @pytest_asyncio.fixture
 async def fleet(tmp_path):
-    services = [ServiceSpec("publish", servers=4, fields=("slots_per_server = 8",))]
+    slow = ServiceSpec("archive", servers=1, fields=("deadline_ms = 60000",))
+    services = [
+        ServiceSpec("publish", servers=4, fields=("slots_per_server = 8",)),
+        slow,
+    ]
     async with Fleet(tmp_path, services, hosts=1) as fleet:
         await fleet.wait_until_ready()
         yield fleet
@@ -63,6 +67,22 @@
     assert "event=requests_cut_off" in log
 
 
+async def test_request_that_may_outlast_the_process_is_refused(fleet):
+    """Report 3 of issue 37: such a request was passed on and cut at the end."""
+    entry = fleet.entries[0]
+    pending = asyncio.create_task(fleet.request("publish", "/p?ms=3000", entry=entry))
+    assert (await fleet.request("archive", "/a?ms=1", entry=entry))[0] == 200
+    entry.signal(signal.SIGTERM)
+    while b"draining" not in entry.output.read_bytes():
+        await asyncio.sleep(0.01)
+    async with asyncio.timeout(2):
+        status, headers, body = await fleet.request("archive", "/a?ms=1", entry=entry)
+    assert (status, headers["jacinthpath-outcome"]) == (503, "not-run")
+    assert b"leaving" in body
+    assert (await fleet.request("publish", "/p?ms=1", entry=entry))[0] == 200
+    assert (await pending)[0] == 200
+
+
 async def sum_runs(fleet):
     stats = [await fleet.server_stats(f"publish-{index}") for index in range(1, 4)]
     return sum(entry["counts"]["runs"] for entry in stats)
