--- a/src/jacinthpath/gateway/attempts.py
+++ b/src/jacinthpath/gateway/attempts.py
@@ -102,7 +102,10 @@
 
     One without a connection adds no load to any server.
     """
-    return any(result.outcome is not Outcome.UNREACHABLE for result in results)
+    return any(
+        result.was_sent and result.outcome is not Outcome.UNREACHABLE
+        for result in results
+    )
 
 
 def jittered_retry_after_s(wait_s: float, random: Random) -> float:
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -148,6 +148,8 @@
     :param relayed_by: host that has sent the request to the server, empty for this one.
     :param relay_lost: whether the path to that host broke, so that the result says
         nothing about the server.
+    :param was_sent: whether the request may have reached the server; a host that was to
+        relay it may know that the server would refuse it.
     """
 
     outcome: Outcome
@@ -158,6 +160,7 @@
     connection_lost: bool = False
     relayed_by: str = ""
     relay_lost: bool = False
+    was_sent: bool = True
 
 
 class BackendClient(Protocol):
--- a/src/jacinthpath/gateway/relay_messages.py
+++ b/src/jacinthpath/gateway/relay_messages.py
@@ -167,7 +167,11 @@
     result = None
     if notice.pause_s:
         result = AttemptResult(
-            Outcome.REFUSED, content.refusal, notice=notice, relayed_by=host
+            Outcome.REFUSED,
+            content.refusal,
+            notice=notice,
+            relayed_by=host,
+            was_sent=False,
         )
     return RelayReply(
         content.refusal,
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -147,7 +147,7 @@
         )
         self._chooser.tried.append(backend.server)
         self._results.append(result)
-        if result.outcome is not Outcome.UNREACHABLE:
+        if was_received([result]):
             self._receivers.add(backend.server)
         return result
 
