Move the store's responses and the leader record into modules of their own

The leader record was encoded in the election and decoded in the view; both are in leader_record.py. No change of behaviour: test_store_responses, test_gateway_restore, test_unreadable_documents, test_gateway_fleet, test_gateway_layers and test_gateway_ownership pass. One test patches the bound on a response where it now is.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -2,18 +2,16 @@
 
 from __future__ import annotations
 
-__all__ = ["ClusterView", "LeaderRecord"]
+__all__ = ["ClusterView"]
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 from ..json_documents import (
     UNREADABLE,
     check_address,
     check_text,
     describe,
-    parse_json,
 )
 from .assignment import (
     EMPTY_ASSIGNMENT,
@@ -28,6 +26,7 @@
 from .clock import boottime_s
 from .directory import ServerDelta, ServerDirectory
 from .events import EventLog
+from .leader_record import LeaderRecord, decode_leader_record
 from .model import Backend, Documents, RouteTable
 from .revisions import era_of_revision
 from .route_index import RouteIndex
@@ -42,18 +41,6 @@
 HOSTS_PREFIX = "jacinthpath/hosts/"
 
 
-class LeaderRecord(NamedTuple):
-    """The leader's record in the store.
-
-    :param process_id: random id of the process, new at each start.
-    """
-
-    host: str
-    address: str
-    process_id: str
-    revision: int
-
-
 class ClusterView:
     """Applies documents in order of their versions and never returns to an older one.
 
@@ -291,7 +278,7 @@
             self.leader = None
         else:
             try:
-                self.leader = _decode_leader(content, revision)
+                self.leader = decode_leader_record(content, revision)
             except UNREADABLE as error:
                 self.record_refused("leader", revision, error)
                 return
@@ -438,13 +425,3 @@
         """Wake all tasks that wait for a change."""
         self.changed.set()
         self.changed = asyncio.Event()
-
-
-def _decode_leader(content: bytes, revision: int) -> LeaderRecord:
-    record = parse_json(content)
-    return LeaderRecord(
-        check_text(record["host"]),
-        check_address(record["address"]),
-        check_text(record["process"]),
-        revision,
-    )
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -5,7 +5,6 @@
 __all__ = ["LeaderElection"]
 
 import asyncio
-import json
 from collections.abc import Callable
 from random import Random
 
@@ -16,6 +15,7 @@
 from .clock import boottime_s
 from .cluster_view import LEADER_KEY, ClusterView
 from .events import EventLog
+from .leader_record import encode_leader_record
 from .loops import LoopSupervisor
 from .reach_monitor import ReachMonitor
 from .store import Condition, ConflictingWrite, LeaseEnded, Store, Write
@@ -222,11 +222,9 @@
         self.gained = asyncio.Event()
 
     async def _claim_leadership(self, lease_id: int) -> None:
-        record = json.dumps(
-            {"host": self._host, "address": self._address, "process": self._process_id}
-        )
+        record = encode_leader_record(self._host, self._address, self._process_id)
         self.record_revision = await self._store.write(
-            (Condition(LEADER_KEY, 0),), (Write(LEADER_KEY, record.encode(), lease_id),)
+            (Condition(LEADER_KEY, 0),), (Write(LEADER_KEY, record, lease_id),)
         )
 
     async def _renew(self) -> None:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -19,10 +19,11 @@
 from .assignment import LeaderProcess
 from .authority import LeaderAuthority
 from .clock import boottime_s
-from .cluster_view import ClusterView, LeaderRecord
+from .cluster_view import ClusterView
 from .crash_ledger import BlockedRequest, CrashLedger
 from .crash_messages import has_other_blocked, read_blocked, write_blocked
 from .events import EventLog
+from .leader_record import LeaderRecord
 from .limit_messages import has_other_limits
 from .loops import LoopSupervisor
 from .peer_messages import (
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -8,46 +8,43 @@
 import json
 import re
 from collections import defaultdict
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
-from typing import Any, NamedTuple, TypeVar
+from typing import Any
 from urllib.parse import quote
 
 import aiohttp
 
-from ..errors import StoreError, StoreOutcomeUnknown, StoreUnavailable
+from ..errors import StoreOutcomeUnknown, StoreUnavailable
 from ..gateway.revisions import (
     MAX_ERA,
-    MAX_STORE_REVISION,
     era_of_revision,
-    make_revision,
     store_revision_of,
 )
 from ..gateway.sockets import open_keepalive_socket
 from ..gateway.store import (
     CallFailure,
-    Change,
     ChangeBatch,
     Condition,
     ConflictingWrite,
-    HistoryLost,
     Item,
     Lease,
-    LeaseEnded,
     Listing,
     Write,
 )
 from ..gateway.store_watcher import WatchedKeys
-from ..json_documents import (
-    UNREADABLE,
-    check_integer,
-    describe,
-    parse_json,
-)
-from ..logs import get_logger
 from .headers import STORE_ERA
 from .http import open_session
-from .values import MalformedValue, format_duration, parse_duration_s
+from .store_responses import (
+    ResponseTooLong,
+    StoreResponse,
+    check_response,
+    history_lost_error,
+    lease_ended_error,
+    read_content,
+    reading,
+    unavailable_error,
+    unknown_outcome_error,
+)
+from .values import format_duration, parse_duration_s
 
 WATCHED_KEYS = WatchedKeys(configuration="op/config", servers_prefix="servers/")
 
@@ -57,50 +54,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECTIONS = 16
-MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-"""A page holds about 1 MB, and a single value 1 MB before its encoding."""
-
 KEEPALIVE_TIMEOUT_S = 30.0
 
 _ERA = re.compile(r"[0-9]{1,6}")
 
-Decoded = TypeVar("Decoded")
-
-_log = get_logger()
-
-
-class _ResponseTooLong(StoreUnavailable):
-    """A response is longer than a host may hold."""
-
-
-class _StoreResponse(NamedTuple):
-    """A response of the store.
-
-    :param era: era that its revisions and leases belong to.
-    """
-
-    status: int
-    body: dict[str, Any]
-    era: int
-
-    def revision(self, field: str) -> int:
-        """Return a revision in the body, with the era."""
-        return _make_revision(self.era, self.body[field])
-
-    def items(self) -> list[Item]:
-        """Return the items in the body that can be read; a missing one has no value."""
-        present = [item for item in self.body["items"] if "value" in item]
-        return _decode_each(_decode_item, present, self.era)
-
-    def last_key(self) -> str | None:
-        """Return the key after which the next page begins."""
-        keys = [item.get("key") for item in self.body["items"]]
-        return next((key for key in reversed(keys) if isinstance(key, str)), None)
-
-    def changes(self) -> list[Change]:
-        """Return the events in the body that can be read."""
-        return _decode_each(_decode_change, self.body["events"], self.era)
-
 
 class PlatformStore:
     """See :class:`jacinthpath.gateway.store.Store`.
@@ -141,8 +98,8 @@
         response = await self._call("GET", f"/-/kv-key?key={quote(key, safe='')}")
         if response.status == 404:
             return None
-        with _reading("GET", "kv-key"):
-            return _decode_item(response.body, response.era)
+        with reading("GET", "kv-key"):
+            return response.item()
 
     async def list(self, prefix: str) -> Listing:
         """See :meth:`Store.list`."""
@@ -152,14 +109,14 @@
         cursor = ""
         while True:
             page = await self._call("GET", path + cursor)
-            with _reading("GET", "kv-range"):
+            with reading("GET", "kv-range"):
                 items.extend(page.items())
                 last_key = page.last_key()
                 # Later pages may hold newer items. A watch from the revision of the
                 # first page delivers these changes again.
                 revision = revision or page.revision("current_rev")
             if page.era != era_of_revision(revision):
-                raise _unavailable_error("kv-range", "the store was restored")
+                raise unavailable_error("kv-range", "the store was restored")
             if not page.body.get("has_more") or last_key is None:
                 return Listing(tuple(items), revision)
             cursor = f"&after={quote(last_key, safe='', errors='replace')}"
@@ -168,20 +125,20 @@
         """See :meth:`Store.watch`."""
         era = era_of_revision(after)
         if era != self.era:
-            raise _history_lost_error(after)
+            raise history_lost_error(after)
         path = (
             f"/-/kv-watch?prefix={quote(prefix, safe='')}"
             f"&after={store_revision_of(after)}&wait_ms={int(wait_s * 1000)}"
         )
         try:
             response = await self._call("GET", path, extra_wait_s=wait_s)
-        except _ResponseTooLong as error:
+        except ResponseTooLong as error:
             # The same watch would fail again; pages of a list are bounded.
-            raise _history_lost_error(after) from error
+            raise history_lost_error(after) from error
         # In another era the same number stands for another change.
         if response.status == 410 or response.era != era:
-            raise _history_lost_error(after)
-        with _reading("GET", "kv-watch"):
+            raise history_lost_error(after)
+        with reading("GET", "kv-watch"):
             changes = tuple(response.changes())
             return ChangeBatch(changes, response.revision("current_rev"))
 
@@ -198,7 +155,7 @@
             write.lease_id and era_of_revision(write.lease_id) != self.era
             for write in writes
         ):
-            raise _lease_ended_error()
+            raise lease_ended_error()
         body = {
             # "expected_revision" is a list of objects with a key and its revision.
             "expected_revision": [
@@ -210,8 +167,8 @@
         }
         response = await self._call("POST", "/-/kv-txn", body)
         if response.status == 404:
-            raise _lease_ended_error()
-        with _reading("POST", "kv-txn"):
+            raise lease_ended_error()
+        with reading("POST", "kv-txn"):
             if response.status == 412:
                 raise ConflictingWrite(tuple(response.items()))
             return response.revision("revision")
@@ -220,7 +177,7 @@
         """See :meth:`Store.create_lease`."""
         body = {"ttl_time": format_duration(ttl_s)}
         response = await self._call("POST", "/-/kv-lease", body)
-        with _reading("POST", "kv-lease"):
+        with reading("POST", "kv-lease"):
             ttl_s = parse_duration_s(response.body["ttl_time"])
             return Lease(response.revision("lease"), ttl_s)
 
@@ -232,7 +189,7 @@
             response = await self._call("POST", f"/-/kv-keep/{number}")
             if response.status != 404 and response.era == era:
                 return
-        raise _lease_ended_error()
+        raise lease_ended_error()
 
     async def revoke_lease(self, lease_id: int) -> None:
         """See :meth:`Store.revoke_lease`."""
@@ -246,7 +203,7 @@
         path: str,
         body: dict[str, Any] | None = None,
         extra_wait_s: float = 0.0,
-    ) -> _StoreResponse:
+    ) -> StoreResponse:
         """Call the store once; return the status and the decoded body.
 
         :raises StoreUnavailable: nothing was done.
@@ -274,7 +231,7 @@
         path: str,
         body: dict[str, Any] | None,
         extra_wait_s: float,
-    ) -> _StoreResponse:
+    ) -> StoreResponse:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + extra_wait_s, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -284,17 +241,17 @@
             async with self._session.request(
                 method, self._base + path, data=data, headers=headers, timeout=timeout
             ) as response:
-                content = await _read_content(response, name)
+                content = await read_content(response, name)
                 era = self._read_era(response.headers.get(STORE_ERA))
-        except _ResponseTooLong as error:
+        except ResponseTooLong as error:
             if method == "GET":
                 raise
-            raise _unknown_outcome_error(method, name, error) from error
+            raise unknown_outcome_error(method, name, error) from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise _unavailable_error(name, repr(error)) from error
+            raise unavailable_error(name, repr(error)) from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            raise _unknown_outcome_error(method, name, error) from error
-        return _check_response(method, name, response.status, content, era)
+            raise unknown_outcome_error(method, name, error) from error
+        return check_response(method, name, response.status, content, era)
 
     def _read_era(self, value: str | None) -> int:
         """Return the era of a response, and remember the highest.
@@ -311,121 +268,6 @@
         return int(value)
 
 
-async def _read_content(response: aiohttp.ClientResponse, name: str) -> bytes:
-    """Return the body of a response to the call ``name``.
-
-    :raises _ResponseTooLong: it is longer than a host may hold.
-    """
-    content = bytearray()
-    async for part in response.content.iter_any():
-        content += part
-        if len(content) > MAX_RESPONSE_BYTES:
-            raise _ResponseTooLong(
-                f"{name}: the response has over {MAX_RESPONSE_BYTES} bytes.",
-                "Look for large values under the prefix that is read.",
-            )
-    return bytes(content)
-
-
-def _check_response(
-    method: str, name: str, status: int, content: bytes, era: int
-) -> _StoreResponse:
-    if status in (429, 503):
-        raise _unavailable_error(name, f"status {status}")
-    if status >= 500:
-        raise _unknown_outcome_error(method, name, f"status {status}")
-    if status in (400, 403):
-        raise StoreError(
-            f"{name}: status {status}: {content[:200]!r}.", "Report this error."
-        )
-    try:
-        body = parse_json(content) if content else {}
-    except ValueError as error:
-        raise _unknown_outcome_error(method, name, error) from error
-    if not isinstance(body, dict):
-        raise _unknown_outcome_error(method, name, "the body is no object")
-    return _StoreResponse(status, body, era)
-
-
-@contextmanager
-def _reading(method: str, name: str) -> Iterator[None]:
-    """Turn an error in reading a response into one of the store.
-
-    :raises StoreUnavailable: nothing was done by the call, which reads only.
-    :raises StoreOutcomeUnknown: a write may have been done.
-    """
-    try:
-        yield
-    except (*UNREADABLE, MalformedValue) as error:
-        raise _unknown_outcome_error(method, name, describe(error)) from error
-
-
-def _unavailable_error(name: str, cause: object) -> StoreUnavailable:
-    return StoreUnavailable(
-        f"{name}: the store did not execute the call: {cause}.",
-        "Check the platform's store.",
-    )
-
-
-def _lease_ended_error() -> LeaseEnded:
-    return LeaseEnded("The lease has ended.", "Create another one.")
-
-
-def _history_lost_error(after: int) -> HistoryLost:
-    return HistoryLost(
-        f"The store no longer has the history after revision {after}.",
-        "List the keys again.",
-    )
-
-
-def _unknown_outcome_error(method: str, name: str, cause: object) -> StoreError:
-    if method == "GET":
-        return _unavailable_error(name, cause)
-    return StoreOutcomeUnknown(
-        f"{name}: the outcome of the call is unknown: {cause!r}.",
-        "Read the value back to see whether it was written.",
-    )
-
-
-def _decode_item(item: dict[str, Any], era: int) -> Item:
-    value = _decode_value(item.get("value") or "")
-    revision = _make_revision(era, item["revision"])
-    return Item(_check_key(item["key"]), value, revision)
-
-
-def _decode_change(event: dict[str, Any], era: int) -> Change:
-    value = None if event.get("removed") else _decode_value(event["value"])
-    revision = _make_revision(era, event["revision"])
-    return Change(_check_key(event["key"]), value, revision)
-
-
-def _decode_value(value: Any) -> bytes:
-    return base64.b64decode(value, validate=True)
-
-
-def _check_key(key: Any) -> str:
-    if not isinstance(key, str):
-        raise TypeError("a key is not a string")
-    return key
-
-
-def _make_revision(era: int, store_revision: Any) -> int:
-    return make_revision(era, check_integer(store_revision, 0, MAX_STORE_REVISION))
-
-
-def _decode_each(
-    decode: Callable[[Any, int], Decoded], rows: list[Any], era: int
-) -> list[Decoded]:
-    """Return the rows that can be read; one that cannot costs no other."""
-    decoded = []
-    for row in rows:
-        try:
-            decoded.append(decode(row, era))
-        except UNREADABLE as error:
-            _log.warning("store_item_refused", error=describe(error))
-    return decoded
-
-
 def _encode_write(write: Write) -> dict[str, Any]:
     value = base64.b64encode(write.value).decode()
     put: dict[str, Any] = {"key": write.key, "value": value}
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -21,6 +21,7 @@
     "exchange",
     "fence_sweep",
     "fingerprints",
+    "leader_record",
     "limit_permits",
     "loads",
     "model",
--- a/tests/test_gateway_restore.py
+++ b/tests/test_gateway_restore.py
@@ -245,7 +245,9 @@
 async def test_response_without_end_is_cut(stores, monkeypatch):
     """Guards against a store whose response exhausts the memory of a host."""
     stand_in, store = stores
-    monkeypatch.setattr("jacinthpath.platform.store.MAX_RESPONSE_BYTES", 1_000)
+    monkeypatch.setattr(
+        "jacinthpath.platform.store_responses.MAX_RESPONSE_BYTES", 1_000
+    )
     stand_in.put("a", b"x" * 2_000)
     with pytest.raises(StoreError):
         await store.read("a")
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -10,7 +10,7 @@
 from jacinthpath.errors import JacinthpathError, StoreError, StoreOutcomeUnknown
 from jacinthpath.gateway.store import HistoryLost, Write
 from jacinthpath.platform import PlatformStore
-from jacinthpath.platform.store import _check_response
+from jacinthpath.platform.store_responses import check_response
 
 GOOD = {"key": "servers/a", "value": base64.b64encode(b"x").decode(), "revision": 5}
 BAD_ITEMS = [
@@ -93,6 +93,6 @@
 @given(st.binary(max_size=60), st.integers(100, 599))
 def test_arbitrary_response_raises_only_declared_errors(content, status):
     try:
-        _check_response("GET", "kv-range", status, content, 0)
+        check_response("GET", "kv-range", status, content, 0)
     except JacinthpathError:
         pass
