Close the connection of a handshake that is cut short

Cause: closing a pool cancels the tasks that open connections, and closing a server those that accept them; both closed the writer on errors, not when they were cancelled.

The new test fails on the code before.

--- a/src/jacinthpath/peers.py
+++ b/src/jacinthpath/peers.py
@@ -36,6 +36,8 @@
 IDLE_TIMEOUT_S = 15.0
 IDLE_CHECK_INTERVAL_S = 5.0
 
+_UNREACHABLE = (OSError, TimeoutError, EOFError, FrameError)
+
 _log = get_logger()
 
 
@@ -99,6 +101,9 @@
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 await connection.accept_handshake(self.identity, self._keys)
+        except asyncio.CancelledError:
+            writer.close()
+            raise
         except Exception as error:
             self._metrics.count("peer_connections_refused_total", reason="handshake")
             _log.warning("peer_connection_refused", error=str(error) or repr(error))
@@ -208,16 +213,18 @@
                     reader, writer, self._handlers, self._metrics, accepting=False
                 )
                 await connection.connect_handshake(self.identity, self._keys)
-        except (OSError, TimeoutError, EOFError, FrameError) as error:
+        except BaseException as error:
+            # Also when the pool is closed meanwhile, which cancels this task.
             if writer is not None:
                 writer.close()
+            if isinstance(error, AuthenticationError):
+                raise PeerUnavailable(str(error)) from error
+            if not isinstance(error, _UNREACHABLE):
+                raise
             raise PeerUnavailable(
                 f"{address} cannot be reached: {error or 'timed out'}.",
                 "Check the host and the network.",
             ) from error
-        except AuthenticationError as error:
-            writer.close()
-            raise PeerUnavailable(str(error)) from error
         self._connections[address] = connection
         connection.start()
         return connection
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -185,3 +185,31 @@
     assert time.monotonic() - started_s < 1.0
     await pool.close()
     silent.close()
+
+
+async def test_handshake_that_is_cut_short_leaves_no_connection_open(key_file):
+    """Its writer was closed by the garbage collector, after its event loop had ended."""
+    opened, ended = asyncio.Event(), asyncio.Event()
+
+    async def accept(reader, writer):
+        opened.set()
+        await reader.read()
+        ended.set()
+        writer.close()
+
+    silent = await asyncio.start_server(accept, "127.0.0.1", 0)
+    host, port = silent.sockets[0].getsockname()
+    pool = make_pool(key_file)
+    connecting = asyncio.create_task(pool.connect(f"{host}:{port}"))
+    await opened.wait()
+    gc.disable()
+    try:
+        held = [*pool._opening.values()]
+        await pool.close()
+        async with asyncio.timeout(1.0):
+            await ended.wait()
+        assert held[0].cancelled()
+    finally:
+        gc.enable()
+    await asyncio.gather(connecting, return_exceptions=True)
+    silent.close()
