Let one event log at a time write what libraries log

In a process with several gateways, as in the tests, each one added a handler to the root logger and none was removed, so that logs of closed gateways went on writing.

--- a/src/jacinthpath/gateway/events.py
+++ b/src/jacinthpath/gateway/events.py
@@ -97,7 +97,7 @@
         del self._pending[:written]
 
     def capture_library_logs(self) -> None:
-        """Redirect the events of the package's other modules to this log."""
+        """Write the events of the other modules and of libraries to this log."""
 
         def write(_logger: object, method: str, event: dict[str, Any]) -> str:
             name = event.pop("event")
@@ -105,9 +105,11 @@
             raise structlog.DropEvent
 
         structlog.configure(processors=[write], cache_logger_on_first_use=True)
-        handler = _LibraryHandler(self)
-        handler.setLevel(logging.WARNING)
-        logging.getLogger().addHandler(handler)
+        root = logging.getLogger()
+        for handler in [*root.handlers]:
+            if isinstance(handler, _LibraryHandler):
+                root.removeHandler(handler)
+        root.addHandler(_LibraryHandler(self))
 
     def _write(self, kind: EventKind, event: str, fields: dict[str, Any]) -> None:
         now_s = self._clock()
@@ -156,7 +158,7 @@
     """Writes the records of libraries to the event log, one line each."""
 
     def __init__(self, events: EventLog) -> None:
-        super().__init__()
+        super().__init__(logging.WARNING)
         self._events = events
 
     def emit(self, record: logging.LogRecord) -> None:
