--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -188,7 +188,7 @@
 
 
 async def test_handshake_that_is_cut_short_leaves_no_connection_open(key_file):
-    """Its writer was closed by the garbage collector, after its event loop had ended."""
+    """Its writer was left to the garbage collector, after the event loop had ended."""
     opened, ended = asyncio.Event(), asyncio.Event()
 
     async def accept(reader, writer):
