Let no upload whose time is up, and no failed drain, keep a process from stopping

Found by reading the change: a timeout that has expired cannot be set again, so a stop that met an upload at that moment raised RuntimeError out of the drain, and the process ended without closing its components.

Evidence: both new tests fail on the code before. Change: such an upload is left alone, and a drain that raises counts as work lost; the service is stopped all the same.

--- a/src/jacinthpath/daemon.py
+++ b/src/jacinthpath/daemon.py
@@ -55,7 +55,7 @@
     await asyncio.wait({draining, second_signal}, return_when=asyncio.FIRST_COMPLETED)
     second_signal.cancel()
     if draining.done():
-        unfinished = draining.result()
+        unfinished = _result_of(draining)
     else:
         draining.cancel()
         unfinished = 1
@@ -65,6 +65,14 @@
     return 1 if unfinished or crashed else 0
 
 
+def _result_of(draining: asyncio.Task[int]) -> int:
+    """Return how much was not finished; a drain that failed must not keep the end."""
+    if draining.exception() is None:
+        return draining.result()
+    _log.error("drain_failed", error=repr(draining.exception()))
+    return 1
+
+
 async def _wait_for_end(service: Drainable, signals: asyncio.Queue[int]) -> bool:
     """Wait for a signal or a crash of the service; return whether it has crashed."""
     signalled = asyncio.create_task(signals.get())
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -44,15 +44,17 @@
 """Two failed readiness checks, a second apart, take a host out of the rotation
 (according to the platform's documentation)."""
 
-VITAL_LOOPS = (
-    "assigner",
-    "follow-leader",
-    "leader-election",
-    "track-following",
-    "watch-configuration",
-    "watch-leader",
-    "watch-own",
-    "watch-servers",
+VITAL_LOOPS = frozenset(
+    {
+        "assigner",
+        "follow-leader",
+        "leader-election",
+        "track-following",
+        "watch-configuration",
+        "watch-leader",
+        "watch-own",
+        "watch-servers",
+    }
 )
 """Loops without which a host does not learn what is in force."""
 
@@ -251,7 +253,7 @@
             return "no-configuration"
         if not self._view.servers_known:
             return "no-servers"
-        if any(map(self._loops.is_failing, VITAL_LOOPS)):
+        if VITAL_LOOPS.intersection(self._loops.failing()):
             return "failing-loop"
         if self._was_ready:
             return ""
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -109,6 +109,8 @@
     def limit_uploads(self) -> None:
         """Refuse the requests whose bodies do not arrive before the process ends."""
         for upload in self._uploads:
+            if upload.expired():
+                continue
             upload.reschedule(self._upload_end_s(upload.when()))
 
     async def close(self) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -28,3 +28,15 @@
     async with asyncio.timeout(5.0):
         assert await daemon._run(service) == 1
     assert service.drained
+
+
+async def test_drain_that_fails_does_not_keep_a_service_from_stopping():
+    service = CrashingService()
+
+    async def fail():
+        raise RuntimeError("failed")
+
+    service.drain = fail
+    async with asyncio.timeout(5.0):
+        assert await daemon._run(service) == 1
+    assert service._stopped.is_set()
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -143,3 +143,14 @@
     assert window.admits(40.0, idempotent=True, now_s=12.9)
     assert not window.admits(40.0, idempotent=True, now_s=13.1)
     assert window.admits(15.0, idempotent=True, now_s=14.0)
+
+
+async def test_upload_whose_time_is_up_does_not_disturb_a_stop(system):
+    """Its timeout could not be set again, and the stop failed."""
+    listener = system.gateways[0].listener
+    upload = asyncio.timeout(0.0)
+    listener._uploads.add(upload)
+    with pytest.raises(TimeoutError):
+        async with upload:
+            await asyncio.sleep(0.01)
+    listener.limit_uploads()
