--- a/src/jacinthpath/change_values.py
+++ b/src/jacinthpath/change_values.py
@@ -27,7 +27,6 @@
 from typing import Any, NamedTuple
 
 from .errors import StoreError
-from .json_documents import parse_json
 
 CONFIGURATION_KEY = "configuration/current"
 HISTORY_LENGTH = 50
@@ -123,7 +122,7 @@
 
     :param data: a value that :func:`decode_value` accepts.
     """
-    fields = parse_json(data)
+    fields = json.loads(data)
     fields.pop("history", None)
     fields.pop("checksum")
     return encode_fields(fields)
@@ -137,7 +136,7 @@
     if len(data) > MAX_VALUE_BYTES:
         raise DamagedValue(key, f"{len(data)} bytes")
     try:
-        fields = parse_json(data)
+        fields = json.loads(data)
         checksum = fields.pop("checksum")
         if checksum != _checksum(fields):
             raise DamagedValue(key, "the checksum does not match")
