Read an assignment in little more time than before its fields were checked

Cause, as far as measured: decoding took twice as long since, an assignment of 700 ranges 4.6 ms in place of 2.1 (each host decodes it when the leader changes, the leader at each write), an entry 21 us in place of 12; half of it was the search for nested brackets.

Change: the system's own records are searched for depth by the parser alone, an IPv4 address by one expression, and rows are taken apart without copies.

--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -174,7 +174,7 @@
     :raises JacinthpathError: it is malformed, or its ranges overlap.
     """
     try:
-        document = parse_json(content)
+        document = parse_json(content, check_depth=False)
         ranges = decode_ranges(document["lives"], document["ranges"])
         assignment = Assignment(
             check_integer(document["fence"], 0, MAX_FENCE),
@@ -211,23 +211,32 @@
     )
 
 
-def _decode_incarnation(row: list) -> ServerIncarnation:
+def _decode_incarnation(row: list) -> tuple[str, str, int]:
+    """Return server, address and start time of a server incarnation."""
     server, address, started_ms = row
-    return ServerIncarnation(
-        check_text(server),
-        check_text(address) if address else "",
-        check_integer(started_ms, 0, MAX_FENCE),
-    )
+    if address:
+        check_text(address)
+    return check_text(server), address or "", check_integer(started_ms, 0, MAX_FENCE)
 
 
-def _decode_range(row: list, incarnations: list[ServerIncarnation]) -> OwnedRange:
+def _decode_range(row: list, incarnations: list[tuple[str, str, int]]) -> OwnedRange:
     first, last, incarnation, fence, *move = row
-    if not type(first) is type(last) is type(fence) is int:
+    if not (type(first) is int and type(last) is int and type(fence) is int):
         raise TypeError("the keys and the fence of a range are not integers")
-    if move:
-        target, remaining_hold_s = move
-        move = [check_text(target), float(remaining_hold_s)]
-    return OwnedRange(first, last, *incarnations[incarnation], fence, *move)
+    server, address, started_ms = incarnations[incarnation]
+    if not move:
+        return OwnedRange(first, last, server, address, started_ms, fence)
+    target, remaining_hold_s = move
+    return OwnedRange(
+        first,
+        last,
+        server,
+        address,
+        started_ms,
+        fence,
+        check_text(target),
+        float(remaining_hold_s),
+    )
 
 
 def set_fence_and_merge(
--- a/src/jacinthpath/gateway/assignment_delta.py
+++ b/src/jacinthpath/gateway/assignment_delta.py
@@ -85,7 +85,7 @@
     :raises JacinthpathError: the delta is malformed or does not apply to ``older``.
     """
     try:
-        document = parse_json(content)
+        document = parse_json(content, check_depth=False)
         added = decode_ranges(document["lives"], document["ranges"])
         ranges = dict(older.ranges)
         for service, firsts in document["removed"].items():
--- a/src/jacinthpath/gateway/loops.py
+++ b/src/jacinthpath/gateway/loops.py
@@ -1,4 +1,4 @@
-"""Runs the loops and tasks of a process, so that an exception ends none for good."""
+"""Runs the loops and tasks of a process, and restarts a loop after an exception."""
 
 from __future__ import annotations
 
@@ -37,10 +37,10 @@
 
 
 class LoopSupervisor:
-    """Starts a loop again that an exception has ended, after a delay.
+    """Restarts a loop that has raised an exception, after a delay.
 
     Without it, ``mode`` marks all services of the process as crashed when one loop
-    ends with an exception, and all other loops end too.
+    raises, and all other loops end too.
 
     :param clock: boot clock.
     """
--- a/src/jacinthpath/json_documents.py
+++ b/src/jacinthpath/json_documents.py
@@ -1,8 +1,8 @@
-"""Parses JSON that another program wrote, within bounds that hold for all of it.
+"""Parses JSON documents of other programs, and checks the fields that are used.
 
-A document may nest deeper than the parser's stack allows, be written in an encoding of
-which its reader does not think, or hold numbers that are none. Each raises the one
-declared error, so that it costs no more than the document.
+A document may nest deeper than the parser's stack allows, have an unexpected encoding,
+or contain text that cannot be encoded and numbers out of range. Each raises the same
+declared error, so that a malformed document affects no other.
 """
 
 from __future__ import annotations
@@ -33,32 +33,38 @@
 MAX_DESCRIBED_CHARS = 60
 
 UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
-"""What code raises that takes a value out of a parsed document which has another form
-than the code expects."""
+"""Errors raised while fields are read from a document of an unexpected structure."""
 
 _STRING = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)', re.DOTALL)
 """A string, or the rest of the document if the string does not end in it."""
 
 _BRACKET = re.compile(r"[\[\]{}]")
-_ADDRESS = re.compile(r"([0-9.]{7,15}|\[[0-9A-Fa-f:.]{2,45}\]):([0-9]{1,5})")
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+_ADDRESS = re.compile(
+    rf"((?:{_OCTET}\.){{3}}{_OCTET}|\[[0-9A-Fa-f:.]{{2,45}}\]):([0-9]{{1,5}})"
+)
 
 
 class MalformedDocument(ValueError):
     """A document is no JSON, or exceeds a bound."""
 
 
-def parse_json(content: bytes | str) -> Any:
+def parse_json(content: bytes | str, *, check_depth: bool = True) -> Any:
     """Parse a document in UTF-8.
 
-    :raises MalformedDocument: it is not valid, or nests deeper than :data:`MAX_DEPTH`.
+    :param check_depth: whether to refuse all documents deeper than :data:`MAX_DEPTH`;
+        otherwise only those that the parser's stack does not allow.
+    :raises MalformedDocument: it is not valid, or nests too deep.
     """
     try:
         text = content if isinstance(content, str) else content.decode()
-        if text.count("[") + text.count("{") > MAX_DEPTH:
+        if check_depth and text.count("[") + text.count("{") > MAX_DEPTH:
             _check_depth(text)
         return json.loads(text, parse_constant=_refuse_constant)
     except MalformedDocument:
         raise
+    except RecursionError:
+        raise MalformedDocument("nested too deep for the parser") from None
     except ValueError as error:
         raise MalformedDocument(f"not JSON: {describe(str(error))}") from error
 
@@ -84,14 +90,15 @@
 
     :raises MalformedDocument: it is not.
     """
-    match = _ADDRESS.fullmatch(check_text(value))
+    match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
     if match is None or not 0 < int(match[2]) < 65_536:
         raise MalformedDocument(f"{describe(value)} is not an IP:port address")
-    try:
-        ipaddress.ip_address(match[1].strip("[]"))
-    except ValueError as error:
-        raise MalformedDocument(describe(error)) from error
-    return match[0]
+    if value.startswith("["):
+        try:
+            ipaddress.IPv6Address(match[1][1:-1])
+        except ValueError as error:
+            raise MalformedDocument(describe(error)) from error
+    return value
 
 
 def check_integer(value: object, minimum: int, maximum: int) -> int:
