Find the servers of known services without a call for each

record_failure counts them at each attempt that fails; with 357 servers the call for each cost more than the rest of it. No change of behaviour: test_reach_monitor and test_hosts_cut_from_servers pass.

--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -174,8 +174,11 @@
         Entries of other services may come from another writer, with nothing at their
         addresses.
         """
+        routes = self._view.routes
+        services = routes.table.services.values() if routes else ()
+        probed = {service.name for service in services if service.health_path}
         backends = self._view.directory.all().values()
-        return [backend for backend in backends if self._health_path(backend)]
+        return [backend for backend in backends if backend.service in probed]
 
     def _health_path(self, backend: Backend) -> str:
         routes = self._view.routes
