--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -50,7 +50,8 @@
         the retry.
         """
         attempt_id = request.headers.get(ATTEMPT_ID, "")
-        self._close_unusable(request.connection_key, attempt_id)
+        if self._identified:
+            self._close_unusable(request.connection_key, attempt_id)
         connection = await super().connect(request, *args, **options)
         connection.protocol.begin_exchange(attempt_id)
         return connection
@@ -59,9 +60,7 @@
         idle = self._conns.get(key)
         for entry in [*idle] if idle else ():
             protocol = entry[0]
-            if protocol.should_close or (
-                self._identified and protocol.was_used_for(attempt_id)
-            ):
+            if protocol.should_close or protocol.was_used_for(attempt_id):
                 idle.remove(entry)
                 protocol.close()
 
