Log late passes of the event loop, and measure the age of requests when sent

Nothing told apart a request that was sent on late because the loop was late, because the close was not seen, or because a relayed frame was read late.

LoopDelay follows the loop's calls to the kernel: since when what a pass reads may have waited, and how long a pass ran. Late passes are logged (event_loop_late) and counted (event_loop_pass_seconds); first_send_age_seconds and relay_age_seconds give the age of a request when it is first sent and when a relayed frame is read. No decision uses them yet.

--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -51,7 +51,12 @@
         """
         pool = self._dependencies.pool
         started_s = self._loop.time()
-        pool.record_start(backend, boottime_s())
+        now_s = boottime_s()
+        pool.record_start(backend, now_s)
+        if number == 1:
+            self._dependencies.metrics.observe(
+                "first_send_age_seconds", now_s - self._request.arrived_s
+            )
         try:
             result = await self._send_by_a_path(backend, remaining_s)
         except BaseException as error:
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -36,6 +36,7 @@
     :param timeout_s: how long the caller waits, or ``None`` if it set no deadline.
     :param headers: header fields to forward.
     :param caller: IP address of the caller.
+    :param arrived_s: earliest time on the boot clock at which it may have arrived.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     headers: CIMultiDict[str]
     body: bytes
     caller: str = ""
+    arrived_s: float = 0.0
 
 
 class Outcome(enum.Enum):
--- a/src/jacinthpath/gateway/relay_messages.py
+++ b/src/jacinthpath/gateway/relay_messages.py
@@ -83,11 +83,12 @@
 
 
 def read_relay_wanted(
-    content: Any, received_s: float
+    content: Any, received_s: float, arrived_s: float
 ) -> tuple[RelayTarget, CallerRequest]:
     """Return the target and the request of a frame.
 
     :param received_s: loop time at which the frame arrived.
+    :param arrived_s: earliest time on the boot clock at which it may have arrived.
     """
     request = CallerRequest(
         request_id=content.attemptId,
@@ -101,6 +102,7 @@
         headers=_read_headers(content),
         body=bytes(content.body),
         caller=content.caller,
+        arrived_s=arrived_s,
     )
     return RelayTarget(content.server, content.bornMs), request
 
--- a/src/jacinthpath/gateway/relay_server.py
+++ b/src/jacinthpath/gateway/relay_server.py
@@ -14,6 +14,7 @@
 from .attempt_sender import AttemptSender
 from .clock import boottime_s
 from .exchange import AttemptResult, BodyBroken, BodyStream, CallerRequest
+from .loop_delay import loop_delay_of
 from .model import Backend, Service
 from .owner_lookup import DRAIN_USE_RATIO
 from .pool import connection_limit
@@ -30,6 +31,9 @@
 MAX_RELAYS = 64
 """Relays in progress at a time; each may hold a part of a body."""
 
+PASSES_UNTIL_HANDLED = 2
+"""Passes of the event loop from reading a frame until its handler starts."""
+
 END_MARGIN_S = 0.2
 """Time after the caller's deadline at which an abandoned relay is ended."""
 
@@ -87,7 +91,11 @@
         """Send a request to its server, and reply with the result."""
         wanted = frame.body.relayWanted
         loop = asyncio.get_running_loop()
-        target, request = read_relay_wanted(wanted, loop.time())
+        arrived_s = loop_delay_of(loop).earliest_arrival_s(PASSES_UNTIL_HANDLED)
+        self._dependencies.metrics.observe(
+            "relay_age_seconds", boottime_s() - arrived_s
+        )
+        target, request = read_relay_wanted(wanted, loop.time(), arrived_s)
         backend = self._dependencies.view.directory.find(target.server)
         refusal = self._find_refusal(target, backend)
         if refusal is not None:
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -24,6 +24,7 @@
 from .forwarder import Forwarder
 from .host_reports import HostReporter
 from .leader_election import LeaderElection
+from .loop_delay import LatePass, LoopDelay, loop_delay_of
 from .loops import LoopSupervisor
 from .model import GatewaySettings
 from .peering import Peering
@@ -138,6 +139,7 @@
         self._random = random
         self._loops = loops
         self._shutdown_window = shutdown_window
+        self._loop_delay: LoopDelay | None = None
         self._admin = AdminServer(
             settings.metrics_address, metrics, self.unready_reason, self.status
         )
@@ -146,6 +148,8 @@
         """Start the components; listen for callers last."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._loops.handle_loop_error)
+        self._loop_delay = loop_delay_of(loop)
+        self._loop_delay.on_late.append(self._record_late_pass)
         self._events.log_process_event("starting", pid=os.getpid(), role="gateway")
         for client in self._clients:
             await client.start()
@@ -161,6 +165,7 @@
             ("register", self._register),
             ("publish-gauges", self._publish_gauges),
             ("flush-logs", self._flush_logs),
+            ("tick-event-loop", self._loop_delay.run_ticks),
         ):
             self.add_future(self._loops.run(name, loop))
         await self.listener.start()
@@ -222,6 +227,8 @@
         self._events.log_process_event(
             "stopped", requests_lost=self._forwarder.in_flight
         )
+        if self._loop_delay is not None:
+            self._loop_delay.on_late.remove(self._record_late_pass)
         self._events.flush()
 
     def unready_reason(self) -> str:
@@ -317,6 +324,20 @@
             self._peer_secret = item.value
             self._keys.set_secret(item.value)
 
+    def _record_late_pass(self, late: LatePass) -> None:
+        """Log and count a pass of the event loop that was late."""
+        self._metrics.observe("event_loop_pass_seconds", late.ran_s, part="callbacks")
+        self._metrics.observe("event_loop_pass_seconds", late.waited_s, part="wait")
+        self._events.log_process_event(
+            "event_loop_late",
+            ran_ms=round(1000 * late.ran_s),
+            waited_ms=round(1000 * late.waited_s),
+            sockets=late.sockets,
+            tasks=len(asyncio.all_tasks()),
+            in_flight=self._forwarder.in_flight,
+            leading=self._election.authority is not None,
+        )
+
     async def _flush_logs(self) -> None:
         """Write pending log output that a slow reader has not taken yet."""
         while not self.should_stop:
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -37,6 +37,14 @@
     "configuration_store_failures_total": "Reads of the configuration that failed.",
     "cut_off_from_servers": "1 while no server responds to this host.",
     "deferred_requests": "Deferrable requests that wait for off-peak time.",
+    "event_loop_pass_seconds": (
+        "Late passes of the event loop: how long the callbacks ran, and the wait "
+        "before them."
+    ),
+    "first_send_age_seconds": (
+        "Age of a request when it is first sent to a server, from its earliest "
+        "possible arrival."
+    ),
     "gossip_actions_dropped_total": "Gossip actions that were dropped under load.",
     "gossip_failures_total": "Gossip actions that failed.",
     "leading": "1 while this host leads.",
@@ -63,6 +71,9 @@
     "reach_probes_total": (
         "Health checks that find out whether this host reaches servers, by result."
     ),
+    "relay_age_seconds": (
+        "Age of a request to relay when it is read, by whether its host has stamped it."
+    ),
     "relays_total": "Requests of other hosts that this host was to send, by result.",
     "request_duration_seconds": "Time from receiving a request to its end.",
     "requests_in_flight": "Requests of callers that are in progress.",
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -5,14 +5,17 @@
 __all__ = ["CallerServer"]
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import RequestHandler
 
 from ..gateway.body_memory import BodyMemory
 from ..gateway.exchange import BodyBroken, CallerRequest, Response, local_response
+from ..gateway.loop_delay import loop_delay_of
 from ..gateway.model import KEY_COUNT, CallerLimits
 from ..gateway.shutdown_window import ShutdownWindow
 from ..headers import forwarded_fields
@@ -43,6 +46,13 @@
 """Time for which a connection has to be idle before a stopping host closes it: the
 request on one that was just accepted may still be on its way."""
 
+PASSES_UNTIL_ACCEPTED = 1
+"""Passes of the event loop from accepting a connection until it is set up."""
+
+PASSES_UNTIL_FIRST_READ = 2
+"""Passes of the event loop from the set-up of a connection until bytes that arrived
+before are read from it."""
+
 CALLER_STALL_TIMEOUT_S = 5.0
 """A caller that takes no bytes of a response for this long has its connection reset."""
 
@@ -88,7 +98,7 @@
         )
         await self._readiness_runner.setup()
         await _listen(self._readiness_runner, self._ready_address)
-        server = web.Server(
+        server = _CallerServer(
             self._handle_caller,
             access_log=None,
             handler_cancellation=True,
@@ -148,7 +158,8 @@
 
     async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
         received_s = asyncio.get_running_loop().time()
-        parsed = await self._read_request(request, received_s)
+        arrived_s = request.protocol.arrivals_s.popleft()
+        parsed = await self._read_request(request, received_s, arrived_s)
         result = parsed if isinstance(parsed, Response) else await self._handle(parsed)
         if isinstance(parsed, CallerRequest) and result.reason:
             result.headers[ATTEMPT_ID] = parsed.request_id
@@ -206,7 +217,7 @@
         await _write_in_time(response.write_eof())
 
     async def _read_request(
-        self, request: web.BaseRequest, received_s: float
+        self, request: web.BaseRequest, received_s: float, arrived_s: float
     ) -> CallerRequest | Response:
         """Return the request, or the response to one that cannot be read."""
         try:
@@ -241,6 +252,7 @@
             headers=forwarded_fields(request.headers, REMOVED_FIELDS),
             body=body,
             caller=request.remote or "",
+            arrived_s=arrived_s,
         )
 
     def _upload_end_s(self, end_s: float) -> float:
@@ -248,6 +260,44 @@
         return min(end_s, self._shutdown_window.last_response_s)
 
 
+class _CallerServer(web.Server):
+    """Creates :class:`_CallerConnection` objects."""
+
+    def __call__(self) -> RequestHandler:
+        return _CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+class _CallerConnection(RequestHandler):
+    """A connection of a caller, which knows when its requests may have arrived.
+
+    :ivar arrivals_s: earliest times of arrival, on the boot clock, of the requests that
+        wait for their handler.
+    """
+
+    __slots__ = ("_accepted_s", "_accepted_in_pass", "_delay", "arrivals_s")
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep since when the connection may have waited to be accepted."""
+        self.arrivals_s: deque[float] = deque()
+        self._delay = loop_delay_of(asyncio.get_running_loop())
+        self._accepted_s = self._delay.earliest_arrival_s(PASSES_UNTIL_ACCEPTED)
+        self._accepted_in_pass = self._delay.passes
+        super().connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests, and keep when each may have arrived."""
+        known = self._request_count
+        super().data_received(data)
+        if self._request_count == known:
+            return
+        arrived_s = self._delay.earliest_arrival_s()
+        passes = self._delay.passes - self._accepted_in_pass
+        if passes <= PASSES_UNTIL_FIRST_READ:
+            # The request may have arrived with the connection.
+            arrived_s = self._accepted_s
+        self.arrivals_s.extend([arrived_s] * (self._request_count - known))
+
+
 def _is_idle(connection: Any) -> bool:
     """Return whether the handler of a connection waits for the next request.
 
