Reproduce requests sent after their callers have left, and the storm of commands

- tests/test_relayed_requests.py: relays whose frames are read late.
- tests/test_gateway_ownership.py: half of the responses to grants lost moves keys without end; servers that answer no grant get each range again at every tick.

--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -187,12 +187,15 @@
             return CommandResponse(CommandResult.UNKNOWN, "", "no response")
         if kind == "release":
             process.release(command)
-            return CommandResponse(CommandResult.DONE, "handover", "")
+            return CommandResponse(CommandResult.DONE, "handover", "", True)
         accepted = process.grant(command, simulation.now_s)
+        if simulation.random.random() < simulation.lost_grant_rate:
+            return CommandResponse(CommandResult.UNKNOWN, "", "no response")
         result = CommandResult.DONE if accepted else CommandResult.FENCED
         if accepted and simulation.random.random() < simulation.late_command_rate:
             result = CommandResult.UNKNOWN
-        return CommandResponse(result, "", "")
+        responded = result is not CommandResult.UNKNOWN
+        return CommandResponse(result, "", "", responded)
 
 
 class Directory:
@@ -344,6 +347,7 @@
         self.now_s = 1_000.0
         self.late_command_rate = late_command_rate
         self.lost_write_rate = lost_write_rate
+        self.lost_grant_rate = 0.0
         self.sampled_keys = [*range(0, KEY_COUNT, 2_731), KEY_COUNT - 1]
         self.store = SimulatedStore(self)
         self.servers = {}
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -4,10 +4,12 @@
 
 from jacinthpath.gateway import assigner, command_runner, move_planning, ownership
 from jacinthpath.gateway.assignment import OwnedRange
-from jacinthpath.gateway.authority import LeaderAuthority
+from jacinthpath.gateway.authority import GRANT_INTERVAL_S, LeaderAuthority
 from jacinthpath.gateway.fence_sweep import FenceSweep
+from jacinthpath.gateway.model import KEY_COUNT
+from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
 
-from .gateway_simulation import TTL_S, LeaderCommands, Simulation
+from .gateway_simulation import SERVICE, TTL_S, LeaderCommands, Simulation
 
 SEEDS = range(12)
 
@@ -289,3 +291,60 @@
         await run_with_faults(simulation)
         violations += simulation.violations
     assert violations
+
+
+async def split_ranges(simulation, parts=24):
+    """Move every second part of the keys, so that each server holds several ranges."""
+    leader = next(one for one in simulation.leaders if one.election.authority)
+    size = KEY_COUNT // parts
+    for index in range(0, parts, 2):
+        leader.assigner._leader_state.ownership.begin_move(
+            SERVICE, index * size, (index + 1) * size - 1, f"s{index % 4}", 0.0
+        )
+    await run_for(simulation, 6.0)
+
+
+def owners(simulation):
+    leader = next(one for one in simulation.leaders if one.election.authority)
+    ranges = leader.view.assignment.ranges[SERVICE]
+    return [(owned.first, owned.last, owned.server) for owned in ranges]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_lost_responses_to_grants_move_no_keys(seed, monkeypatch):
+    """A server counted as lost once two grants in a row for one of its ranges had no
+    response, so all keys moved on and on, in ever smaller ranges (issue 40)."""
+    simulation = Simulation(seed)
+    await run_for(simulation)
+    await split_ranges(simulation)
+    before = owners(simulation)
+    assert len(before) > 12
+    simulation.lost_grant_rate = 0.5
+    await run_for(simulation, 15.0)
+    assert owners(simulation) == before
+    assert all(simulation.holder(key) for key in simulation.sampled_keys)
+
+
+@pytest.mark.parametrize("kind", ["no-connection", "no-response"])
+async def test_servers_that_answer_no_grant_get_no_more_commands(kind, monkeypatch):
+    """Each range was granted again at every tick while its server reset connections,
+    which took the connections of callers (issue 40).
+
+    The bound is the number of renewals of as many ranges, and four retries of each.
+    """
+    simulation = Simulation(1)
+    await run_for(simulation)
+    await split_ranges(simulation)
+    sent = []
+
+    async def grant(_commands, server, _address, command, _timeout_s):
+        sent.append(server)
+        result = CommandResult.UNKNOWN
+        if kind == "no-connection":
+            result = CommandResult.NOT_RUN
+        return CommandResponse(result, "", kind)
+
+    monkeypatch.setattr(LeaderCommands, "grant", grant)
+    ranges = len(owners(simulation))
+    await run_for(simulation, 6.0)
+    assert len(sent) <= ranges * (6.0 / GRANT_INTERVAL_S + 4)
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from jacinthpath import peer_connections
+from jacinthpath.gateway import relay_client
 from standins.platform_server import LARGE_BODY
 
 from .gateway_system import GatewaySystem
@@ -166,3 +167,62 @@
         status, _, _ = await fleet.send("/read/x", f"n{number}", CUT)
         assert status == 200
     assert fleet.gateways[RELAYING]._metrics.total("relays_total") == relayed
+
+
+async def hold_up_frames(fleet, for_s):
+    """Have the relaying host read no frames of other hosts for a time."""
+    transports = [
+        connection._writer.transport
+        for connection in fleet.gateways[RELAYING]._peering._server.connections
+    ]
+    for transport in transports:
+        transport.pause_reading()
+    await asyncio.sleep(for_s)
+    for transport in transports:
+        transport.resume_reading()
+
+
+async def test_relay_does_not_outlive_its_caller(fleet):
+    """The frames that ask for a relay and end it were read one after the other, and the
+    request was sent in between (issue 40)."""
+    await fleet.send("/read/x", "warm", CUT)
+    calls = [
+        asyncio.create_task(fleet.send("/read/x", f"left-{number}", CUT))
+        for number in range(10)
+    ]
+    held_up = asyncio.create_task(hold_up_frames(fleet, 0.7))
+    await asyncio.sleep(0.1)
+    for call in calls:
+        call.cancel()
+    await held_up
+    await asyncio.sleep(0.5)
+    assert executed(fleet) == ["warm"]
+
+
+async def test_relayed_time_budget_does_not_start_anew_when_it_is_read(
+    fleet, monkeypatch
+):
+    """The frame holds a duration, which counted from its reading (issue 40).
+
+    The host that asks for the relay is lost, so it does not end the relay.
+    """
+    monkeypatch.setattr(relay_client._Relay, "end", lambda _relay: None)
+    await fleet.send("/read/x", "warm", CUT)
+    headers = {"X-Request-Deadline-Ms": "500"}
+    call = asyncio.create_task(fleet.send("/read/x", "late", CUT, headers=headers))
+    await hold_up_frames(fleet, 0.7)
+    status, _, _ = await call
+    await asyncio.sleep(0.4)
+    assert status in (502, 504)
+    assert executed(fleet) == ["warm"]
+
+
+async def test_host_that_reads_late_sends_no_relayed_request(fleet):
+    """It cannot know whether the caller is still there, so another host is to send."""
+    await fleet.send("/read/x", "warm", CUT)
+    call = asyncio.create_task(fleet.send("/read/x", "late", CUT))
+    await hold_up_frames(fleet, 0.4)
+    status, headers, _ = await call
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert executed(fleet) == ["warm"]
