Judge by all commands whether a server responds, not by each range

Cause: a server counted as lost once any one of its ranges had two grants in a row without a response. With ten ranges and half of the responses lost, nearly every server counts as lost, although each answers several commands a second. All keys move, and are split on the way, so there are more ranges, more grants, and more servers that count as lost.

CommandEvidence counts rounds of commands without a response for each server: commands in progress together count once, none counts that was sent before the last response. Three rounds move its keys; refusals of a grant count for the range, as before.

--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -72,7 +72,8 @@
             if state.command_pending or state.owned.fence > written_fence:
                 continue
             if _is_due(state, authority, now_s):
-                self._start(state, self._grant(authority, service, state, hold_s))
+                command = self._grant(ownership, authority, service, state, hold_s)
+                self._start(state, command)
 
     def send_due_releases(self, ownership: Ownership) -> None:
         """Send the releases that are due to the holders of moving ranges."""
@@ -82,7 +83,7 @@
                 continue
             if now_s - state.release_sent_s >= RELEASE_RETRY_S:
                 state.release_sent_s = now_s
-                self._start(state, self._release(service, state, ownership.fence))
+                self._start(state, self._release(ownership, service, state))
 
     def send_due_sweep_releases(
         self, sweep: FenceSweep, backends: Iterable[Backend], fence: int
@@ -102,9 +103,15 @@
         self.start_task(command)
 
     async def _grant(
-        self, authority: LeaderAuthority, service: str, state: RangeState, hold_s: float
+        self,
+        ownership: Ownership,
+        authority: LeaderAuthority,
+        service: str,
+        state: RangeState,
+        hold_s: float,
     ) -> None:
         owned = state.owned
+        sent_s = self._clock()
         command = GrantCommand(
             owned.first, owned.last, owned.fence, hold_s, state.handover
         )
@@ -117,6 +124,10 @@
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=response.result.value)
         self._record_reach(service, owned.server, response)
+        if response.responded:
+            ownership.evidence.record_response(owned.server, now_s)
+        else:
+            ownership.evidence.record_silence(owned.server, sent_s, now_s)
         if response.result is CommandResult.DONE:
             is_first = not state.granted
             state.record_grant(now_s, hold_s)
@@ -128,11 +139,13 @@
         if response.result is CommandResult.UNKNOWN:
             state.record_uncertain_grant(now_s, hold_s)
         else:
-            state.record_failed_grant()
+            state.record_failed_grant(refused=response.responded)
         self._log("grant_not_confirmed", service, state, owned.fence, response)
 
-    async def _release(self, service: str, state: RangeState, fence: int) -> None:
-        owned = state.owned
+    async def _release(
+        self, ownership: Ownership, service: str, state: RangeState
+    ) -> None:
+        owned, fence = state.owned, ownership.fence
         command = ReleaseCommand(owned.first, owned.last, fence)
         try:
             response = await self._commands.release(
@@ -143,6 +156,8 @@
         self._metrics.count(
             "orders_total", kind="release", result=response.result.value
         )
+        if response.responded:
+            ownership.evidence.record_response(owned.server, self._clock())
         done = response.result is CommandResult.DONE
         if done:
             state.record_release(response.handover)
--- a/src/jacinthpath/gateway/move_planning.py
+++ b/src/jacinthpath/gateway/move_planning.py
@@ -13,8 +13,12 @@
 from .model import Backend
 from .ownership import Ownership
 
-FAILURES_BEFORE_MOVE = 2
-"""Number of failed grants in a row after which a server's keys are moved."""
+SILENT_ROUNDS_BEFORE_MOVE = 3
+"""Rounds of commands in a row without a response after which a server's keys are moved.
+Its keys are free only once its grants have ended, so a round more costs little."""
+
+REFUSALS_BEFORE_MOVE = 2
+"""Refusals of one grant in a row after which a server's keys are moved."""
 
 INITIAL_OWNERS_DELAY_S = 1.5
 """The set of servers has to be unchanged for this long before a service gets its
@@ -103,8 +107,8 @@
     def _candidates(
         self, service: str, rate_per_s: float, now_s: float
     ) -> list[CandidateServer]:
-        unresponsive = self._unresponsive_servers(service, FAILURES_BEFORE_MOVE)
-        suspected = self._unresponsive_servers(service, 1)
+        unresponsive = self._unresponsive_servers(service)
+        suspected = self._unresponsive_servers(service, 1, 1)
         measured = self._loads.speeds(service)
         ready_servers = self.ready_servers(service)
         speeds = {b.server: measured.get(b.server, 1.0) for b in ready_servers}
@@ -133,19 +137,26 @@
                 limits[backend.server] = limit.limit_per_s
         return limits
 
-    def _unresponsive_servers(self, service: str, failures: int) -> set[str]:
-        """Return the servers with at least this many failed grants in a row."""
+    def _unresponsive_servers(
+        self,
+        service: str,
+        silent_rounds: int = SILENT_ROUNDS_BEFORE_MOVE,
+        refusals: int = REFUSALS_BEFORE_MOVE,
+    ) -> set[str]:
+        """Return the servers that do not respond, or refuse a grant, so many times."""
+        evidence = self._ownership.evidence
         return {
             state.owned.server
             for state in self._ownership.range_states.get(service, ())
-            if state.failures >= failures
+            if state.refusals >= refusals
+            or evidence.silent_rounds(state.owned.server) >= silent_rounds
         }
 
     def _is_usable(self, service: str, server: str) -> bool:
         backend = self._view.directory.find(server)
         if backend is None or backend.draining:
             return False
-        return server not in self._unresponsive_servers(service, FAILURES_BEFORE_MOVE)
+        return server not in self._unresponsive_servers(service)
 
     def _range_count(self, service: str, server: str) -> int:
         range_states = self._ownership.range_states[service]
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -22,6 +22,7 @@
     set_fence_and_merge,
 )
 from .authority import CLOCK_DRIFT, SAFETY_MARGIN_S, last_expiry_if_stopped_s
+from .command_evidence import CommandEvidence
 from .model import Backend
 
 
@@ -31,6 +32,8 @@
     :param owned: the range as written to the store.
     :param previous_expiry_s: from then on no grant of previous leaders is valid.
     :ivar own_expiry_s: from then on no grant that this leader has sent is valid.
+    :ivar failures: grants in a row that were not confirmed.
+    :ivar refusals: those among them that the server has refused.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         "own_expiry_s",
         "owned",
         "previous_expiry_s",
+        "refusals",
         "release_sent_s",
         "released",
     )
@@ -54,6 +58,7 @@
         self.release_sent_s = float("-inf")
         self.granted = False
         self.failures = 0
+        self.refusals = 0
         self.released = False
         self.handover = ""
         self.command_pending = False
@@ -68,7 +73,7 @@
         self.own_expiry_s = max(self.own_expiry_s, until_s)
         self.granted = True
         self.confirmed_s = now_s
-        self.failures = 0
+        self.failures = self.refusals = 0
         self.handover = ""
 
     def record_uncertain_grant(self, now_s: float, hold_s: float) -> None:
@@ -77,9 +82,10 @@
         self.own_expiry_s = max(self.own_expiry_s, until_s)
         self.failures += 1
 
-    def record_failed_grant(self) -> None:
-        """Record that a grant was refused or did not reach the server."""
+    def record_failed_grant(self, refused: bool) -> None:
+        """Record that a grant was refused, or did not reach the server."""
         self.failures += 1
+        self.refusals += refused
 
     def record_release(self, handover: str) -> None:
         """Record that the holder released the keys."""
@@ -104,6 +110,7 @@
     :param previous_expiry_s: from then on no grant of previous leaders is valid.
     :param moving_since_s: when this host first saw a range moving. No grant of the
         range has been sent since.
+    :ivar evidence: which servers have stopped responding.
     """
 
     def __init__(
@@ -115,6 +122,7 @@
         self.fence = assignment.fence
         self.leaders = assignment.leaders
         self.confirmed_era = assignment.confirmed_era
+        self.evidence = CommandEvidence()
         self.range_states: dict[str, list[RangeState]] = {
             service: [RangeState(owned, previous_expiry_s) for owned in ranges]
             for service, ranges in assignment.ranges.items()
@@ -225,7 +233,7 @@
             )
             state.granted = state.released = False
             state.own_expiry_s = state.previous_expiry_s = float("-inf")
-            state.failures = 0
+            state.failures = state.refusals = 0
             state.release_sent_s = float("-inf")
             finished.append((service, state))
         return finished
@@ -252,6 +260,8 @@
             # so the bound on their expiry stays.
             state.granted = False
             state.confirmed_s = float("-inf")
+            state.refusals = 0
+            self.evidence.forget(owned.server)
             changed = True
         return changed
 
@@ -292,6 +302,6 @@
         part.own_expiry_s = state.own_expiry_s
         part.granted = state.granted
         part.confirmed_s = state.confirmed_s
-        part.failures = state.failures
+        part.failures, part.refusals = state.failures, state.refusals
         parts.append(part)
     return parts
