Bound the commands in progress at a server, and back off from unconfirmed grants

A new leader sent all its grants in one pass and answered nobody meanwhile.

Change, by layer: - a grant that was not confirmed waits 0.05 s, doubled up to the interval of renewals, so that failures cost no more than renewals; - a server has at most this host's share of its connections (8 at least) in commands of a kind in progress, and one at a time after two silent rounds; - one step starts commands for a third of the ranges at most (16 at least), first those whose grants end first or that have none.

--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -5,6 +5,8 @@
 __all__ = ["CommandRunner"]
 
 import asyncio
+import math
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
@@ -16,6 +18,7 @@
 from .loops import LoopSupervisor
 from .model import Backend
 from .ownership import Ownership, RangeState
+from .pool import connection_limit
 from .reach_monitor import ReachMonitor
 from .server_commands import (
     CommandResponse,
@@ -32,6 +35,18 @@
 """Interval between releases of a range to a holder that does not respond. Without it, a
 lost server with many ranges was sent ten releases a second for each of them."""
 
+MIN_COMMANDS_IN_PROGRESS = 8
+"""Commands of a kind in progress at a server for which there is always room."""
+
+SILENT_ROUNDS_BEFORE_ONE = 2
+"""Rounds of commands without a response after which a server gets one at a time."""
+
+MIN_STARTS = 16
+STEPS_FOR_ALL_RANGES = 3
+"""Each step starts commands for at most :data:`MIN_STARTS` ranges or this part of all
+of them, so that a leader that has just been elected sends its grants over half of the
+time between renewals, and not all at once."""
+
 
 class CommandRunner:
     """Sends the commands of a leader, one at a time for each range.
@@ -52,6 +67,7 @@
         clock: Callable[[], float],
     ) -> None:
         self.tasks: set[asyncio.Task[None]] = set()
+        self._in_progress: Counter[tuple[str, str]] = Counter()
         self._commands = commands
         self._view = view
         self._reach = reach
@@ -64,26 +80,47 @@
     def send_due_grants(
         self, ownership: Ownership, authority: LeaderAuthority, max_hold_s: float
     ) -> None:
-        """Send the grants that are due, only for ranges as written to the store."""
+        """Send the grants that are due, only for ranges as written to the store.
+
+        The range whose grant ends first goes first, one without a grant before all.
+        """
         now_s = self._clock()
         hold_s = authority.hold_s(now_s, max_hold_s)
         written_fence = self._view.assignment.fence
-        for service, state in ownership.all_range_states():
-            if state.command_pending or state.owned.fence > written_fence:
+        due = [
+            (service, state)
+            for service, state in ownership.all_range_states()
+            if not state.command_pending
+            and state.owned.fence <= written_fence
+            and _is_due(state, authority, now_s)
+        ]
+        due.sort(key=lambda entry: entry[1].own_expiry_s)
+        starts_left = _max_starts(ownership)
+        for service, state in due:
+            if not starts_left:
+                break
+            if not self._has_room("grant", ownership, service, state):
                 continue
-            if _is_due(state, authority, now_s):
-                command = self._grant(ownership, authority, service, state, hold_s)
-                self._start(state, command)
+            starts_left -= 1
+            command = self._grant(ownership, authority, service, state, hold_s)
+            self._start("grant", state, command)
 
     def send_due_releases(self, ownership: Ownership) -> None:
         """Send the releases that are due to the holders of moving ranges."""
         now_s = self._clock()
+        starts_left = _max_starts(ownership)
         for service, state in ownership.all_range_states():
             if not state.owned.target or state.released or state.command_pending:
                 continue
-            if now_s - state.release_sent_s >= RELEASE_RETRY_S:
-                state.release_sent_s = now_s
-                self._start(state, self._release(ownership, service, state))
+            if now_s - state.release_sent_s < RELEASE_RETRY_S:
+                continue
+            if not starts_left:
+                break
+            if not self._has_room("release", ownership, service, state):
+                continue
+            starts_left -= 1
+            state.release_sent_s = now_s
+            self._start("release", state, self._release(ownership, service, state))
 
     def send_due_sweep_releases(
         self, sweep: FenceSweep, backends: Iterable[Backend], fence: int
@@ -98,9 +135,53 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _start(self, state: RangeState, command: Coroutine[Any, Any, None]) -> None:
+    def _has_room(
+        self, kind: str, ownership: Ownership, service: str, state: RangeState
+    ) -> bool:
+        """Return whether the server may be sent one more command of a kind now.
+
+        One that does not respond gets one command at a time.
+        """
+        server = state.owned.server
+        in_progress = self._in_progress[kind, server]
+        if ownership.evidence.silent_rounds(server) >= SILENT_ROUNDS_BEFORE_ONE:
+            return not in_progress
+        return in_progress < self._max_in_progress(service)
+
+    def _max_in_progress(self, service: str) -> int:
+        """Return how many commands of a kind a server may be sent at a time.
+
+        They use connections, of which each host may use a share.
+        """
+        routes = self._view.routes
+        found = routes.table.services.get(service) if routes else None
+        if found is None:
+            return MIN_COMMANDS_IN_PROGRESS
+        share = connection_limit(found, len(self._view.peer_addresses))
+        return max(MIN_COMMANDS_IN_PROGRESS, share)
+
+    def _start(
+        self, kind: str, state: RangeState, command: Coroutine[Any, Any, None]
+    ) -> None:
+        """Start a command, which occupies its range and a place at the server."""
+        place = kind, state.owned.server
         state.command_pending = True
-        self.start_task(command)
+        self._in_progress[place] += 1
+        self.start_task(self._run(place, state, command))
+
+    async def _run(
+        self,
+        place: tuple[str, str],
+        state: RangeState,
+        command: Coroutine[Any, Any, None],
+    ) -> None:
+        try:
+            await command
+        finally:
+            state.command_pending = False
+            self._in_progress[place] -= 1
+            if not self._in_progress[place]:
+                del self._in_progress[place]
 
     async def _grant(
         self,
@@ -115,12 +196,9 @@
         command = GrantCommand(
             owned.first, owned.last, owned.fence, hold_s, state.handover
         )
-        try:
-            response = await self._commands.grant(
-                owned.server, self._address(state), command, GRANT_TIMEOUT_S
-            )
-        finally:
-            state.command_pending = False
+        response = await self._commands.grant(
+            owned.server, self._address(state), command, GRANT_TIMEOUT_S
+        )
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=response.result.value)
         self._record_reach(service, owned.server, response)
@@ -139,7 +217,7 @@
         if response.result is CommandResult.UNKNOWN:
             state.record_uncertain_grant(now_s, hold_s)
         else:
-            state.record_failed_grant(refused=response.responded)
+            state.record_failed_grant(now_s, refused=response.responded)
         self._log("grant_not_confirmed", service, state, owned.fence, response)
 
     async def _release(
@@ -147,12 +225,9 @@
     ) -> None:
         owned, fence = state.owned, ownership.fence
         command = ReleaseCommand(owned.first, owned.last, fence)
-        try:
-            response = await self._commands.release(
-                owned.server, self._address(state), command, RELEASE_TIMEOUT_S
-            )
-        finally:
-            state.command_pending = False
+        response = await self._commands.release(
+            owned.server, self._address(state), command, RELEASE_TIMEOUT_S
+        )
         self._metrics.count(
             "orders_total", kind="release", result=response.result.value
         )
@@ -221,9 +296,15 @@
         )
 
 
+def _max_starts(ownership: Ownership) -> int:
+    """Return how many commands of a kind one step may start."""
+    ranges = sum(len(states) for states in ownership.range_states.values())
+    return max(MIN_STARTS, math.ceil(ranges / STEPS_FOR_ALL_RANGES))
+
+
 def _is_due(state: RangeState, authority: LeaderAuthority, now_s: float) -> bool:
     """Return whether a grant of the range is due."""
-    if state.owned.target:
+    if state.owned.target or now_s < state.retry_s:
         return False
     lapsed = state.granted and now_s >= state.own_expiry_s
     if (state.failures or lapsed) and not authority.may_move_keys(now_s):
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -21,10 +21,21 @@
     range_move_id,
     set_fence_and_merge,
 )
-from .authority import CLOCK_DRIFT, SAFETY_MARGIN_S, last_expiry_if_stopped_s
+from .authority import (
+    CLOCK_DRIFT,
+    GRANT_INTERVAL_S,
+    SAFETY_MARGIN_S,
+    last_expiry_if_stopped_s,
+)
 from .command_evidence import CommandEvidence
 from .model import Backend
 
+INITIAL_RETRY_S = 0.05
+"""Delay after a grant that was not confirmed; doubles up to the interval of renewals,
+so that a server that confirms none costs no more than one that confirms all."""
+
+MAX_RETRY_DOUBLINGS = 8
+
 
 class RangeState:
     """A range and what the leader knows of the grants for it.
@@ -34,6 +45,7 @@
     :ivar own_expiry_s: from then on no grant that this leader has sent is valid.
     :ivar failures: grants in a row that were not confirmed.
     :ivar refusals: those among them that the server has refused.
+    :ivar retry_s: until then no grant is sent, after one that was not confirmed.
     """
 
     __slots__ = (
@@ -48,6 +60,7 @@
         "refusals",
         "release_sent_s",
         "released",
+        "retry_s",
     )
 
     def __init__(self, owned: OwnedRange, previous_expiry_s: float) -> None:
@@ -59,6 +72,7 @@
         self.granted = False
         self.failures = 0
         self.refusals = 0
+        self.retry_s = float("-inf")
         self.released = False
         self.handover = ""
         self.command_pending = False
@@ -80,12 +94,18 @@
         """Record that the server may have accepted a grant, or may still do so."""
         until_s = now_s + hold_s * (1 + CLOCK_DRIFT) + SAFETY_MARGIN_S
         self.own_expiry_s = max(self.own_expiry_s, until_s)
-        self.failures += 1
+        self._record_failure(now_s)
 
-    def record_failed_grant(self, refused: bool) -> None:
+    def record_failed_grant(self, now_s: float, refused: bool) -> None:
         """Record that a grant was refused, or did not reach the server."""
-        self.failures += 1
         self.refusals += refused
+        self._record_failure(now_s)
+
+    def _record_failure(self, now_s: float) -> None:
+        """Count a failure; the next grant waits twice as long as the last one."""
+        doublings = min(self.failures, MAX_RETRY_DOUBLINGS)
+        self.failures += 1
+        self.retry_s = now_s + min(GRANT_INTERVAL_S, INITIAL_RETRY_S * 2**doublings)
 
     def record_release(self, handover: str) -> None:
         """Record that the holder released the keys."""
@@ -234,6 +254,7 @@
             state.granted = state.released = False
             state.own_expiry_s = state.previous_expiry_s = float("-inf")
             state.failures = state.refusals = 0
+            state.retry_s = float("-inf")
             state.release_sent_s = float("-inf")
             finished.append((service, state))
         return finished
@@ -261,6 +282,7 @@
             state.granted = False
             state.confirmed_s = float("-inf")
             state.refusals = 0
+            state.retry_s = float("-inf")
             self.evidence.forget(owned.server)
             changed = True
         return changed
@@ -303,5 +325,6 @@
         part.granted = state.granted
         part.confirmed_s = state.confirmed_s
         part.failures, part.refusals = state.failures, state.refusals
+        part.retry_s = state.retry_s
         parts.append(part)
     return parts
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -245,6 +245,7 @@
         self.routes = RouteIndex(RouteTable(1, (), {SERVICE: service}, None))
         self.directory = Directory(simulation)
         self.limits = ServerLimits()
+        self.peer_addresses = {}
         self.assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
         self.moving_since_s = {}
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -348,3 +348,26 @@
     ranges = len(owners(simulation))
     await run_for(simulation, 6.0)
     assert len(sent) <= ranges * (6.0 / GRANT_INTERVAL_S + 4)
+
+
+async def test_new_leader_spreads_its_grants(monkeypatch):
+    """A successor sent hundreds of grants at once, answered nobody meanwhile, and lost
+    the role again (issue 37, trouble-1 of wendel-gate-grown)."""
+    simulation = Simulation(3)
+    await run_for(simulation)
+    await split_ranges(simulation, parts=160)
+    started = []
+    original_start = command_runner.CommandRunner._start
+
+    def start(runner, *command):
+        started.append(round(simulation.now_s, 1))
+        original_start(runner, *command)
+
+    monkeypatch.setattr(command_runner.CommandRunner, "_start", start)
+    leader = next(one for one in simulation.leaders if one.election.authority)
+    leader.election.step_down("test")
+    await run_for(simulation, 4.0)
+    ranges = len(owners(simulation))
+    assert ranges > 100
+    assert max(started.count(at_s) for at_s in {*started}) <= ranges / 2
+    assert all(simulation.holder(key) for key in simulation.sampled_keys)
