Check the caller and the time that is left just before a request is sent

Traced on: a host whose loop was late began the first attempt 1.4 s after the request had been sent to it, and saw the close 18 ms later.

Cause, of the class 'what a process has not read yet has not happened': the order in which a late loop reads decides. A request and its close that arrive during one pass are read one after the other, and what the first one starts is sent before the second one is read. Nothing at all is read from a connection while 32 requests, or a large body, wait for their turn, so the close was not seen.

Change: - the kernel is asked whether the caller has closed its connection just before the first byte is sent to a server, after a connection is open (CheckedRequest). The time that is left is computed then, too, on both clocks; - the time of a request counts from its earliest possible arrival; - connections from which nothing is read are asked the same ten times a second.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -98,6 +98,8 @@
     def record_reach(self, backend: Backend, result: AttemptResult) -> None:
         """Record whether this host has a path to the server, by an attempt on it."""
         reach = self._dependencies.reach
+        if not result.was_sent:
+            return
         if result.outcome in _RESPONSES:
             reach.record_response()
         elif result.outcome in _NO_RESPONSE or result.connection_lost:
@@ -184,6 +186,7 @@
             pool.record_rejection(backend, now_s)
         elif (
             outcome is Outcome.NOT_OWNER
+            or not result.was_sent
             or result.relay_lost
             or self._says_only_that_path_is_lost(result)
             or self._may_still_be_working(backend, result, elapsed_s)
--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -8,7 +8,7 @@
 
 from .attempt_recorder import Attempt, AttemptRecorder
 from .clock import boottime_s
-from .exchange import AttemptResult, CallerRequest, Outcome
+from .exchange import AttemptResult, CallerLeft, CallerRequest, Outcome
 from .model import Backend, Service
 from .request_dependencies import RequestDependencies
 
@@ -61,14 +61,17 @@
             result = await self._send_by_a_path(backend, remaining_s)
         except BaseException as error:
             pool.record_inconclusive(backend, boottime_s())
-            if not isinstance(error, asyncio.CancelledError):
+            if not isinstance(error, asyncio.CancelledError | CallerLeft):
                 raise
             self._dependencies.events.log_failure(
                 "attempt_cancelled",
                 id=self._request.request_id,
                 server=backend.server,
                 after_ms=round(1000 * (self._loop.time() - started_s)),
+                sent=not isinstance(error, CallerLeft),
             )
+            if isinstance(error, CallerLeft):
+                raise asyncio.CancelledError(str(error)) from error
             raise
         result = self._recorder.track_stream(backend, result)
         elapsed_s = self._loop.time() - started_s
--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -8,7 +8,9 @@
     "BackendClient",
     "BodyBroken",
     "BodyStream",
+    "CallerLeft",
     "CallerRequest",
+    "NotSent",
     "Outcome",
     "Response",
     "ServerNotice",
@@ -16,7 +18,7 @@
 ]
 
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple, Protocol
 
 from multidict import CIMultiDict
@@ -25,6 +27,18 @@
 from .model import Backend
 
 
+class CallerLeft(JacinthpathError):
+    """The caller of a request has left, so nothing more is to be done for it."""
+
+
+class NotSent(JacinthpathError):
+    """A request was not sent to the server, which has received nothing of it."""
+
+
+def _find_caller_present() -> None:
+    """Check the caller of a request that has no connection of its own."""
+
+
 class CallerRequest(NamedTuple):
     """One request of a caller, with its complete body.
 
@@ -37,6 +51,8 @@
     :param headers: header fields to forward.
     :param caller: IP address of the caller.
     :param arrived_s: earliest time on the boot clock at which it may have arrived.
+    :param check_wanted: raises :class:`CallerLeft`, or :class:`NotSent` if it cannot
+        tell; to be called before each sending.
     """
 
     request_id: str
@@ -51,6 +67,7 @@
     body: bytes
     caller: str = ""
     arrived_s: float = 0.0
+    check_wanted: Callable[[], None] = _find_caller_present
 
 
 class Outcome(enum.Enum):
@@ -150,8 +167,9 @@
     :param relayed_by: host that has sent the request to the server, empty for this one.
     :param relay_lost: whether the path to that host broke, so that the result says
         nothing about the server.
-    :param was_sent: whether the request may have reached the server; a host that was to
-        relay it may know that the server would refuse it.
+    :param was_sent: whether the request may have reached the server. It has not if its
+        time ended before, or if a host that was to relay it knows that the server would
+        refuse it.
     """
 
     outcome: Outcome
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -60,6 +60,7 @@
 """Loops without which a host does not learn what is in force."""
 
 DRAIN_POLL_S = 0.02
+WATCH_CALLERS_INTERVAL_S = 0.1
 LOG_FLUSH_INTERVAL_S = 0.5
 
 
@@ -72,6 +73,9 @@
     async def stop_listening(self) -> None:
         """Accept no new connections."""
 
+    def abort_left_connections(self) -> None:
+        """End the requests of callers that have left while nothing is read."""
+
     def limit_uploads(self) -> None:
         """Refuse the requests whose bodies do not arrive before the process ends."""
 
@@ -166,6 +170,7 @@
             ("publish-gauges", self._publish_gauges),
             ("flush-logs", self._flush_logs),
             ("tick-event-loop", self._loop_delay.run_ticks),
+            ("watch-callers", self._watch_callers),
         ):
             self.add_future(self._loops.run(name, loop))
         await self.listener.start()
@@ -324,6 +329,11 @@
             self._peer_secret = item.value
             self._keys.set_secret(item.value)
 
+    async def _watch_callers(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(WATCH_CALLERS_INTERVAL_S)
+            self.listener.abort_left_connections()
+
     def _record_late_pass(self, late: LatePass) -> None:
         """Log and count a pass of the event loop that was late."""
         self._metrics.observe("event_loop_pass_seconds", late.ran_s, part="callbacks")
--- a/src/jacinthpath/gateway/sockets.py
+++ b/src/jacinthpath/gateway/sockets.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
-__all__ = ["OpenSocket", "open_keepalive_socket", "open_reset_on_close_socket"]
+__all__ = [
+    "OpenSocket",
+    "is_closed_by_peer",
+    "open_keepalive_socket",
+    "open_reset_on_close_socket",
+]
 
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -46,3 +52,16 @@
     sock = open_keepalive_socket(address)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     return sock
+
+
+def is_closed_by_peer(sock: Any) -> bool:
+    """Return whether the other end has closed or reset a connection.
+
+    The kernel is asked, which knows it also while the event loop is late, or reads
+    nothing from the connection.
+    """
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -14,10 +14,18 @@
 from aiohttp.web_protocol import RequestHandler
 
 from ..gateway.body_memory import BodyMemory
-from ..gateway.exchange import BodyBroken, CallerRequest, Response, local_response
+from ..gateway.clock import boottime_s
+from ..gateway.exchange import (
+    BodyBroken,
+    CallerLeft,
+    CallerRequest,
+    Response,
+    local_response,
+)
 from ..gateway.loop_delay import loop_delay_of
 from ..gateway.model import KEY_COUNT, CallerLimits
 from ..gateway.shutdown_window import ShutdownWindow
+from ..gateway.sockets import is_closed_by_peer
 from ..headers import forwarded_fields
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, SHARD_KEY
 from .http import HOP_BY_HOP_FIELDS
@@ -111,6 +119,18 @@
         await self._callers_runner.setup()
         self._callers_site = await _listen(self._callers_runner, self._callers_address)
 
+    def abort_left_connections(self) -> None:
+        """End the requests of callers that have left while nothing is read from them.
+
+        Has to be called repeatedly: a connection is not read while many requests, or a
+        large one, wait for their turn.
+        """
+        if self._callers_runner is None or self._callers_runner.server is None:
+            return
+        for connection in [*self._callers_runner.server.held_connections]:
+            if connection.has_left() and connection.transport is not None:
+                connection.transport.abort()
+
     async def stop_listening(self) -> None:
         """Stop accepting connections from callers."""
         if self._callers_site is not None:
@@ -157,8 +177,9 @@
         return web.Response(status=503 if reason else 200, text=reason or "ready")
 
     async def _handle_caller(self, request: web.BaseRequest) -> web.StreamResponse:
-        received_s = asyncio.get_running_loop().time()
         arrived_s = request.protocol.arrivals_s.popleft()
+        age_s = boottime_s() - arrived_s
+        received_s = asyncio.get_running_loop().time() - age_s
         parsed = await self._read_request(request, received_s, arrived_s)
         result = parsed if isinstance(parsed, Response) else await self._handle(parsed)
         if isinstance(parsed, CallerRequest) and result.reason:
@@ -253,6 +274,7 @@
             body=body,
             caller=request.remote or "",
             arrived_s=arrived_s,
+            check_wanted=request.protocol.check_caller,
         )
 
     def _upload_end_s(self, end_s: float) -> float:
@@ -261,7 +283,14 @@
 
 
 class _CallerServer(web.Server):
-    """Creates :class:`_CallerConnection` objects."""
+    """Creates :class:`_CallerConnection` objects.
+
+    :ivar held_connections: those from which nothing is read now.
+    """
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.held_connections: set[_CallerConnection] = set()
 
     def __call__(self) -> RequestHandler:
         return _CallerConnection(self, loop=self._loop, **self._kwargs)
@@ -274,29 +303,76 @@
         wait for their handler.
     """
 
-    __slots__ = ("_accepted_s", "_accepted_in_pass", "_delay", "arrivals_s")
+    __slots__ = (
+        "_accepted_in_pass",
+        "_accepted_s",
+        "_delay",
+        "_held_since_s",
+        "_peer_socket",
+        "arrivals_s",
+    )
 
     def connection_made(self, transport: Any) -> None:
         """Keep since when the connection may have waited to be accepted."""
         self.arrivals_s: deque[float] = deque()
+        self._peer_socket = transport.get_extra_info("socket")
         self._delay = loop_delay_of(asyncio.get_running_loop())
         self._accepted_s = self._delay.earliest_arrival_s(PASSES_UNTIL_ACCEPTED)
         self._accepted_in_pass = self._delay.passes
+        self._held_since_s: float | None = None
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
         """Parse requests, and keep when each may have arrived."""
         known = self._request_count
+        arrived_s = self._earliest_arrival_s()
+        if data:
+            self._held_since_s = None
         super().data_received(data)
-        if self._request_count == known:
-            return
-        arrived_s = self._delay.earliest_arrival_s()
-        passes = self._delay.passes - self._accepted_in_pass
-        if passes <= PASSES_UNTIL_FIRST_READ:
-            # The request may have arrived with the connection.
-            arrived_s = self._accepted_s
         self.arrivals_s.extend([arrived_s] * (self._request_count - known))
 
+    def check_caller(self) -> None:
+        """Check whether the caller is still there.
+
+        :raises CallerLeft: it has closed the connection.
+        """
+        if self.has_left():
+            raise CallerLeft("The caller has closed the connection.")
+
+    def has_left(self) -> bool:
+        """Return whether the caller has closed the connection, seen or not."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return True
+        return is_closed_by_peer(self._peer_socket)
+
+    def _earliest_arrival_s(self) -> float:
+        if self._held_since_s is not None:
+            return self._held_since_s
+        if self._delay.passes - self._accepted_in_pass <= PASSES_UNTIL_FIRST_READ:
+            # The request may have arrived with the connection.
+            return self._accepted_s
+        return self._delay.earliest_arrival_s()
+
+    def _pause_transport_reading(self) -> None:
+        """Read nothing more; the end of the connection is not seen meanwhile."""
+        if self._held_since_s is None:
+            self._held_since_s = boottime_s()
+        if self._manager is not None:
+            self._manager.held_connections.add(self)
+        super()._pause_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if self._manager is not None:
+            self._manager.held_connections.discard(self)
+        super()._resume_transport_reading()
+
+    def connection_lost(self, error: BaseException | None) -> None:
+        """Forget the connection."""
+        if self._manager is not None:
+            self._manager.held_connections.discard(self)
+        super().connection_lost(error)
+
 
 def _is_idle(connection: Any) -> bool:
     """Return whether the handler of a connection waits for the next request.
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -9,11 +9,19 @@
 from typing import Any
 
 import aiohttp
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..gateway.body_memory import BodyMemory
 from ..gateway.clock import boottime_s
-from ..gateway.exchange import AttemptResult, CallerRequest, Outcome, Response
+from ..gateway.exchange import (
+    AttemptResult,
+    CallerLeft,
+    CallerRequest,
+    NotSent,
+    Outcome,
+    Response,
+)
 from ..gateway.model import Backend
 from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from ..headers import forwarded_fields
@@ -21,6 +29,7 @@
 from .headers import DEADLINE_MS, EXPECTED_SERVER, NOT_EXECUTED, SIGNATURE
 from .http import HOP_BY_HOP_FIELDS, open_session
 from .response_body import ServerBodyStream, read_body
+from .send_check import CheckedRequest, checking_before_sending
 from .server_connections import ServerConnector
 from .server_notice import read_notice
 
@@ -64,6 +73,7 @@
         return open_session(
             ServerConnector(limit=0, socket_factory=self._open_socket, **options),
             CONNECT_TIMEOUT_S,
+            request_class=CheckedRequest,
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
@@ -84,7 +94,6 @@
         :param remaining_s: time that the server may take.
         """
         headers = request.headers.copy()
-        headers[DEADLINE_MS] = str(max(1, int(remaining_s * 1000)))
         headers[EXPECTED_SERVER] = backend.server
         try:
             url = URL(f"http://{backend.address}{request.target}", encoded=True)
@@ -93,19 +102,30 @@
         # A response to a request without an id cannot be told from an earlier one.
         session = self._session if request.request_id else self._separate
         deadline_s = asyncio.get_running_loop().time() + remaining_s
+        boot_deadline_s = boottime_s() + remaining_s
+
+        def check(fields: CIMultiDict[str]) -> None:
+            request.check_wanted()
+            fields[DEADLINE_MS] = _remaining_ms(deadline_s, boot_deadline_s)
+
         response: aiohttp.ClientResponse | None = None
         result: AttemptResult | None = None
         try:
             async with asyncio.timeout_at(deadline_s):
-                response = await session.request(
-                    request.method,
-                    url,
-                    headers=headers,
-                    data=request.body or None,
-                    allow_redirects=False,
-                )
+                with checking_before_sending(check):
+                    response = await session.request(
+                        request.method,
+                        url,
+                        headers=headers,
+                        data=request.body or None,
+                        allow_redirects=False,
+                    )
                 result = await self._read_response(response, deadline_s)
             return result
+        except CallerLeft:
+            raise
+        except NotSent as error:
+            return AttemptResult(Outcome.TIMED_OUT, str(error), was_sent=False)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return AttemptResult(Outcome.UNREACHABLE, type(error).__name__)
         except TimeoutError:
@@ -184,6 +204,20 @@
         return AttemptResult(outcome, f"status {status}", forwarded, notice)
 
 
+def _remaining_ms(deadline_s: float, boot_deadline_s: float) -> str:
+    """Return the time that is left for a request.
+
+    :param deadline_s: on the loop's clock, which stops while the host is suspended.
+    :param boot_deadline_s: on the boot clock, which does not.
+    :raises NotSent: there is none.
+    """
+    loop_s = asyncio.get_running_loop().time()
+    remaining_s = min(deadline_s - loop_s, boot_deadline_s - boottime_s())
+    if remaining_s <= 0:
+        raise NotSent("Its time ended before it was sent.")
+    return str(max(1, int(1000 * remaining_s)))
+
+
 def _is_streaming(result: AttemptResult | None) -> bool:
     """Return whether the connection is needed for a body that is still arriving."""
     return (
