Refuse a relayed request that is read late, and count its time from its sending

The frame holds the time that is left as a duration, which started anew when the frame was read; if the asking host is lost, no end ever comes.

Change: hello, proof and relayWanted carry a stamp of the sender's boot clock. FrameAge takes the least difference between the two clocks on a connection as prompt, and what a frame took beyond it as its age. A host refuses a relay that is older than 0.2 s, so the asking host turns to another one, or its caller gets 503; younger ones get what is left of their time. Just before the sending it checks that the relay has not ended, that the asking host is there, and that the loop has asked the kernel within 0.2 s. The asking host checks its caller too. Stamps are new fields: builds without them work as before with these.

--- a/src/jacinthpath/gateway/relay_client.py
+++ b/src/jacinthpath/gateway/relay_client.py
@@ -12,7 +12,7 @@
 
 from ..codec import new_frame
 from ..errors import FrameError, JacinthpathError
-from ..peer_connections import RELAYING_RELEASE, PeerConnection
+from ..peer_connections import RELAYING_RELEASE, PeerConnection, boottime_ms
 from ..peers import PeerPool
 from .clock import boottime_s
 from .cluster_view import ClusterView
@@ -63,6 +63,7 @@
         Another one is asked only while it is certain that the request was not sent.
 
         :return: as from the server; ``UNREACHABLE`` if no host has sent it.
+        :raises CallerLeft: the caller has left before a host was asked.
         """
         if len(request.body) > MAX_RELAYED_BODY_BYTES:
             return AttemptResult(Outcome.UNREACHABLE, "body too large to relay")
@@ -101,6 +102,7 @@
         if connection.remote_release < RELAYING_RELEASE:
             self._hosts.record_unable(address, now_s)
             return "host of an earlier release"
+        request.check_wanted()
         relay = _Relay(connection, self._next_relay_id(), deadline_s)
         try:
             reply = await relay.request(request, backend)
@@ -162,7 +164,12 @@
         frame = new_frame()
         content = frame.body.init("relayWanted")
         write_relay_wanted(
-            content, self._relay_id, request, backend, self._remaining_s()
+            content,
+            self._relay_id,
+            request,
+            backend,
+            self._remaining_s(),
+            boottime_ms(),
         )
         try:
             response = await self._connection.request(frame, self._remaining_s())
--- a/src/jacinthpath/gateway/relay_messages.py
+++ b/src/jacinthpath/gateway/relay_messages.py
@@ -13,6 +13,7 @@
     "write_relay_wanted",
 ]
 
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from multidict import CIMultiDict
@@ -69,8 +70,13 @@
     request: CallerRequest,
     backend: Backend,
     remaining_s: float,
+    sent_ms: int,
 ) -> None:
-    """Write a request that another host shall send to ``backend``."""
+    """Write a request that another host shall send to ``backend``.
+
+    :param remaining_s: time until the caller's deadline, from ``sent_ms`` on.
+    :param sent_ms: stamp of the frame.
+    """
     content.relayId = relay_id
     content.server, content.bornMs = backend.server, backend.started_ms
     content.attemptId = request.request_id
@@ -78,17 +84,22 @@
     content.target, content.caller = request.target, request.caller
     content.keyed, content.key = request.key is not None, request.key or 0
     content.remainingMs = max(1, int(1000 * remaining_s))
+    content.sentMs = sent_ms
     _write_headers(content, request.headers)
     content.body = request.body
 
 
 def read_relay_wanted(
-    content: Any, received_s: float, arrived_s: float
+    content: Any,
+    received_s: float,
+    arrived_s: float,
+    check_wanted: Callable[[], None],
 ) -> tuple[RelayTarget, CallerRequest]:
     """Return the target and the request of a frame.
 
-    :param received_s: loop time at which the frame arrived.
-    :param arrived_s: earliest time on the boot clock at which it may have arrived.
+    :param received_s: loop time at which the frame was sent.
+    :param arrived_s: the same on the boot clock.
+    :param check_wanted: see :class:`CallerRequest`.
     """
     request = CallerRequest(
         request_id=content.attemptId,
@@ -103,6 +114,7 @@
         body=bytes(content.body),
         caller=content.caller,
         arrived_s=arrived_s,
+        check_wanted=check_wanted,
     )
     return RelayTarget(content.server, content.bornMs), request
 
--- a/src/jacinthpath/gateway/relay_server.py
+++ b/src/jacinthpath/gateway/relay_server.py
@@ -13,7 +13,14 @@
 from ..peer_connections import PeerConnection
 from .attempt_sender import AttemptSender
 from .clock import boottime_s
-from .exchange import AttemptResult, BodyBroken, BodyStream, CallerRequest
+from .exchange import (
+    AttemptResult,
+    BodyBroken,
+    BodyStream,
+    CallerLeft,
+    CallerRequest,
+    NotSent,
+)
 from .loop_delay import loop_delay_of
 from .model import Backend, Service
 from .owner_lookup import DRAIN_USE_RATIO
@@ -27,6 +34,7 @@
 )
 from .request_dependencies import RequestDependencies
 from .server_reach import Reach
+from .sockets import is_closed_by_peer
 
 MAX_RELAYS = 64
 """Relays in progress at a time; each may hold a part of a body."""
@@ -34,6 +42,12 @@
 PASSES_UNTIL_HANDLED = 2
 """Passes of the event loop from reading a frame until its handler starts."""
 
+MAX_RELAY_AGE_S = 0.2
+"""A request that was sent to this host longer ago is refused: the frame that says that
+its caller has left may lie behind it."""
+
+HOST_LATE = Refusal("host-late", host_is_unable=True)
+
 END_MARGIN_S = 0.2
 """Time after the caller's deadline at which an abandoned relay is ended."""
 
@@ -91,21 +105,27 @@
         """Send a request to its server, and reply with the result."""
         wanted = frame.body.relayWanted
         loop = asyncio.get_running_loop()
-        arrived_s = loop_delay_of(loop).earliest_arrival_s(PASSES_UNTIL_HANDLED)
-        self._dependencies.metrics.observe(
-            "relay_age_seconds", boottime_s() - arrived_s
+        age_s = self._age_s(connection, wanted.sentMs)
+        self._dependencies.metrics.observe("relay_age_seconds", age_s)
+        relay_id = connection, wanted.relayId
+        target, request = read_relay_wanted(
+            wanted,
+            loop.time() - age_s,
+            boottime_s() - age_s,
+            lambda: self._check_wanted(relay_id),
         )
-        target, request = read_relay_wanted(wanted, loop.time(), arrived_s)
         backend = self._dependencies.view.directory.find(target.server)
-        refusal = self._find_refusal(target, backend)
+        refusal = HOST_LATE
+        if age_s <= MAX_RELAY_AGE_S:
+            refusal = self._find_refusal(target, backend)
         if refusal is not None:
-            self._dependencies.metrics.count("relays_total", result="refused")
-            return _refuse(refusal)
-        relay_id = connection, wanted.relayId
+            return self._refuse(refusal)
         relay = self._relays[relay_id] = _Relay(asyncio.current_task())
         self._follow(connection)
         try:
-            result = await self._send(request, backend)
+            result = await self._send(request, backend, request.timeout_s - age_s)
+            if not result.was_sent:
+                return self._refuse(HOST_LATE)
             reply = self._reply(result)
             if result.response is not None and result.response.stream is not None:
                 timer = loop.call_later(
@@ -117,6 +137,29 @@
             if relay.parts is None:
                 self._relays.pop(relay_id, None)
 
+    def _age_s(self, connection: PeerConnection, sent_ms: int) -> float:
+        """Return how long ago a frame was sent that is being handled.
+
+        A frame of an earlier build has no stamp; what is known of it is since when it
+        may have been here.
+        """
+        delay = loop_delay_of(asyncio.get_running_loop())
+        now_s = boottime_s()
+        here_s = now_s - delay.earliest_arrival_s(PASSES_UNTIL_HANDLED)
+        return max(here_s, connection.frame_age.record(sent_ms, now_s) or 0.0)
+
+    def _check_wanted(self, relay_id: tuple[PeerConnection, int]) -> None:
+        """Check just before a request is sent whether its caller may still be there.
+
+        :raises CallerLeft: the relay has ended, or the host that asked for it is lost.
+        :raises NotSent: a frame that ends the relay may have arrived meanwhile.
+        """
+        if relay_id not in self._relays or is_closed_by_peer(relay_id[0].socket):
+            raise CallerLeft("The relay has ended.")
+        delay = loop_delay_of(asyncio.get_running_loop())
+        if delay.since_poll_s() > MAX_RELAY_AGE_S:
+            raise NotSent("The event loop is late.")
+
     async def handle_part_wanted(self, connection: PeerConnection, frame: Any) -> Any:
         """Reply with the next part of a large body.
 
@@ -142,14 +185,22 @@
         """Give up a request whose caller has left."""
         self._end((connection, frame.body.relayEnded))
 
-    async def _send(self, request: CallerRequest, backend: Backend) -> AttemptResult:
+    async def _send(
+        self, request: CallerRequest, backend: Backend, remaining_s: float
+    ) -> AttemptResult:
         """Send the request on this host's own path."""
         service = self._service_of(backend)
         sender = AttemptSender(self._dependencies, request, service, may_relay=False)
-        result = await sender.send(1, backend, request.timeout_s)
+        result = await sender.send(1, backend, remaining_s)
         self._dependencies.metrics.count("relays_total", result=result.outcome.value)
         return result
 
+    def _refuse(self, refusal: Refusal) -> Any:
+        self._dependencies.metrics.count("relays_total", result="refused")
+        reply = new_frame()
+        write_refusal(reply.body.init("relayed"), refusal)
+        return reply
+
     def _reply(self, result: AttemptResult) -> Any:
         reply = new_frame()
         reaches_servers = self._dependencies.reach.state() is Reach.REACHED
@@ -211,9 +262,3 @@
         relay = self._relays.pop(relay_id, None)
         if relay is not None:
             relay.close()
-
-
-def _refuse(refusal: Refusal) -> Any:
-    reply = new_frame()
-    write_refusal(reply.body.init("relayed"), refusal)
-    return reply
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -71,9 +71,7 @@
     "reach_probes_total": (
         "Health checks that find out whether this host reaches servers, by result."
     ),
-    "relay_age_seconds": (
-        "Age of a request to relay when it is read, by whether its host has stamped it."
-    ),
+    "relay_age_seconds": "Time from asking to relay a request until it is handled.",
     "relays_total": "Requests of other hosts that this host was to send, by result.",
     "request_duration_seconds": "Time from receiving a request to its end.",
     "requests_in_flight": "Requests of callers that are in progress.",
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -59,6 +59,7 @@
   processId @4 :Text;   # Random at each start.
   keyId @5 :Data;       # First bytes of the SHA-256 of the cluster key in use.
   nonce @6 :Data;
+  sentMs @7 :UInt64;    # On the sender's boot clock; 0 if it has not been stamped.
 }
 
 struct Challenge {
@@ -72,6 +73,7 @@
 
 struct Proof {
   proof @0 :Data;
+  sentMs @1 :UInt64;    # As in Hello.
 }
 
 struct TopicVersion {
@@ -311,6 +313,7 @@
   headers @10 :List(Header);
   body @11 :Data;
   caller @12 :Text;           # IP address of the caller.
+  sentMs @13 :UInt64;         # As in Hello; remainingMs counts from then.
 }
 
 struct RelayedResponse {
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -9,17 +9,25 @@
 
 from __future__ import annotations
 
-__all__ = ["RELAYING_RELEASE", "Handler", "PeerConnection", "PeerIdentity"]
+__all__ = [
+    "RELAYING_RELEASE",
+    "Handler",
+    "PeerConnection",
+    "PeerIdentity",
+    "boottime_ms",
+]
 
 import asyncio
 import hashlib
 import hmac
 import secrets
+import time
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
 from .codec import MAX_FRAME_BYTES, decode_frame, encode_frame, new_frame
 from .errors import AuthenticationError, FrameError, PeerUnavailable
+from .frame_age import FrameAge
 from .keyring import ClusterKey, KeySource
 from .logs import get_logger
 from .metrics import Metrics
@@ -36,6 +44,11 @@
 _log = get_logger()
 
 
+def boottime_ms() -> int:
+    """Return the stamp of a frame: milliseconds on the boot clock, never 0."""
+    return max(1, time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000)
+
+
 class PeerIdentity(NamedTuple):
     """Identity of a process.
 
@@ -60,6 +73,8 @@
 
     The connecting end uses odd request identifiers and the accepting end even
     ones, which distinguishes a response from a request of the other end.
+
+    :ivar frame_age: estimates how old the stamped frames are that arrive.
     """
 
     def __init__(
@@ -75,6 +90,7 @@
         self.remote_release = 0
         self.bytes_sent = 0
         self.last_used_at_s = asyncio.get_running_loop().time()
+        self.frame_age = FrameAge()
         self._reader = reader
         self._writer = writer
         self._handlers = handlers
@@ -89,6 +105,11 @@
         self._receiver: asyncio.Task[None] | None = None
         self._close_callbacks: list[Callable[[PeerConnection], None]] = []
 
+    @property
+    def socket(self) -> Any:
+        """The socket of the connection, ``None`` once it is closed."""
+        return self._writer.get_extra_info("socket")
+
     @property
     def closed(self) -> bool:
         """Whether the connection is closed or closing."""
@@ -152,6 +173,7 @@
         hello.host, hello.dataCentre = identity.host, identity.data_centre
         hello.role, hello.processId = identity.role, identity.process_id
         hello.keyId, hello.nonce = key.key_id, nonce
+        hello.sentMs = boottime_ms()
         encoded_hello = encode_frame(frame)
         self._write(encoded_hello)
         response = await self._read_frame()
@@ -166,9 +188,9 @@
         )
         self.remote_release = challenge.release
         proof = new_frame()
-        proof.body.init("proof").proof = key.sign(
-            "client", encoded_hello, challenge.nonce
-        )
+        content = proof.body.init("proof")
+        content.proof = key.sign("client", encoded_hello, challenge.nonce)
+        content.sentMs = boottime_ms()
         self._write(encode_frame(proof))
         self._session_key = key.sign("session", encoded_hello, challenge.nonce)
 
@@ -181,6 +203,7 @@
                 "The peer sent no hello frame.", "Check which program connects here."
             )
         hello = frame.body.hello
+        self._record_age(hello.sentMs)
         key = keys.find(hello.keyId)
         if key is None:
             refusal = new_frame()
@@ -205,12 +228,16 @@
                 "Check which program connects here.",
             )
         _verify_proof(key, proof.body.proof.proof, "client", encoded_hello, nonce)
+        self._record_age(proof.body.proof.sentMs)
         self.remote = PeerIdentity(
             hello.host, hello.dataCentre, hello.role, hello.processId
         )
         self.remote_release = hello.release
         self._session_key = key.sign("session", encoded_hello, nonce)
 
+    def _record_age(self, sent_ms: int) -> None:
+        self.frame_age.record(sent_ms, boottime_ms() / 1000)
+
     def _write(self, encoded: bytes) -> None:
         mac = self._mac(self._accepting, self._frames_sent, encoded)
         self._frames_sent += 1
