Send no command to a server after its time has ended

A command is decided on, then a connection opens; a leader that was suspended meanwhile went on when it was awake again and sent its grant, since the timeout stood on the clock of the loop, which stops with the host.

The deadline is checked on both clocks just before the first byte is sent; the command then counts as not run. The test fails without the check (the result is done, one command received).

--- a/src/jacinthpath/platform/server_commands.py
+++ b/src/jacinthpath/platform/server_commands.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from ..gateway.clock import boottime_s
+from ..gateway.exchange import NotSent
 from ..gateway.server_commands import (
     CommandResponse,
     CommandResult,
@@ -19,6 +21,7 @@
 from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from .headers import EXPECTED_SERVER, HANDOVER
 from .http import open_session
+from .send_check import CheckedRequest, checking_before_sending
 from .server_connections import ServerConnector
 from .values import format_duration
 
@@ -42,6 +45,32 @@
     body: dict[str, Any]
 
 
+class _Deadline(NamedTuple):
+    """When a command is given up, on the clock of the loop and on the boot clock.
+
+    The first one stops while the host is suspended. A command that were sent after that
+    could arrive when another leader has moved the keys.
+    """
+
+    loop_s: float
+    boot_s: float
+
+    @classmethod
+    def after(cls, timeout_s: float) -> _Deadline:
+        """Return the deadline of a command that is decided on now."""
+        loop_s = asyncio.get_running_loop().time()
+        return cls(loop_s + timeout_s, boottime_s() + timeout_s)
+
+    def check(self, _fields: object) -> None:
+        """Check just before a command is sent whether it still may be.
+
+        :raises NotSent: its time has ended.
+        """
+        loop_s = asyncio.get_running_loop().time()
+        if loop_s > self.loop_s or boottime_s() > self.boot_s:
+            raise NotSent("Its time ended before it was sent.")
+
+
 class CommandClient:
     """Sends grants and releases to servers.
 
@@ -71,7 +100,7 @@
         connector = ServerConnector(
             limit=0, socket_factory=self._open_socket, identified=False, **options
         )
-        return open_session(connector, CONNECT_TIMEOUT_S)
+        return open_session(connector, CONNECT_TIMEOUT_S, request_class=CheckedRequest)
 
     async def close(self) -> None:
         """Close the HTTP sessions."""
@@ -93,11 +122,11 @@
         if command.handover:
             body["handover"] = command.handover
         call = _Call(server, address, "/-/grant", body)
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
-        response = await self._send(self._shared, call, deadline_s)
+        deadline = _Deadline.after(timeout_s)
+        response = await self._send(self._shared, call, deadline)
         if not response.responded or response.result is CommandResult.DONE:
             return response
-        confirmed = await self._send(self._separate, call, deadline_s)
+        confirmed = await self._send(self._separate, call, deadline)
         if confirmed.responded:
             return confirmed
         # The first response may have been to an earlier grant, and this one executed.
@@ -109,26 +138,27 @@
         """Release a range of keys; the server responds after its work on them ends."""
         body = {"from": command.first, "to": command.last, "fence": command.fence}
         call = _Call(server, address, "/-/release", body)
-        deadline_s = asyncio.get_running_loop().time() + timeout_s
-        return await self._send(self._separate, call, deadline_s)
+        return await self._send(self._separate, call, _Deadline.after(timeout_s))
 
     async def _send(
-        self, session: aiohttp.ClientSession, call: _Call, deadline_s: float
+        self, session: aiohttp.ClientSession, call: _Call, deadline: _Deadline
     ) -> CommandResponse:
+        fields = {"Content-Type": "application/json", EXPECTED_SERVER: call.server}
         try:
-            async with (
-                asyncio.timeout_at(deadline_s),
-                session.post(
-                    f"http://{call.address}{call.path}",
-                    data=json.dumps(call.body).encode(),
-                    headers={
-                        "Content-Type": "application/json",
-                        EXPECTED_SERVER: call.server,
-                    },
-                ) as response,
-            ):
-                await _discard_body(response)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            async with asyncio.timeout_at(deadline.loop_s):
+                with checking_before_sending(deadline.check):
+                    response = await session.post(
+                        f"http://{call.address}{call.path}",
+                        data=json.dumps(call.body).encode(),
+                        headers=fields,
+                    )
+                async with response:
+                    await _discard_body(response)
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+            NotSent,
+        ) as error:
             return CommandResponse(CommandResult.NOT_RUN, "", repr(error))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return CommandResponse(CommandResult.UNKNOWN, "", repr(error))
--- a/tests/test_command_connections.py
+++ b/tests/test_command_connections.py
@@ -4,12 +4,13 @@
 
 import pytest
 
+from jacinthpath.gateway import clock
 from jacinthpath.gateway.server_commands import (
     CommandResult,
     GrantCommand,
     ReleaseCommand,
 )
-from jacinthpath.platform import CommandClient
+from jacinthpath.platform import CommandClient, server_commands
 
 GRANT = GrantCommand(0, 9, 5, 2.0)
 RELEASE = ReleaseCommand(0, 9, 6)
@@ -157,3 +158,26 @@
     results, _ = await run_commands([send_without_end], command)
     assert results == [CommandResult.UNKNOWN]
     assert sent_bytes < 16 * 1024 * 1024
+
+
+@pytest.mark.parametrize("kind", ["grant", "release"])
+async def test_command_whose_time_ended_before_its_sending_is_not_sent(
+    kind, monkeypatch
+):
+    """A leader that was suspended while a connection opened sent its grant after the
+    successor had moved the keys (issue 40)."""
+    server = ScriptedServer([DONE, DONE])
+    address = await server.start()
+    client = CommandClient()
+    await client.start()
+    began_s = clock.boottime_s()
+    suspended = iter([0.0, 5.0, 5.0])
+    monkeypatch.setattr(
+        server_commands, "boottime_s", lambda: began_s + next(suspended)
+    )
+    command = GRANT if kind == "grant" else RELEASE
+    response = await getattr(client, kind)("s", address, command, 2.5)
+    assert response.result is CommandResult.NOT_RUN
+    assert server.received == []
+    await client.close()
+    await server.close()
