Drop large values of odd server entries while a listing arrives

Many large entries beside those of the servers (12 or 40 of 0.9 MB) made a listing longer than the 8 MB that a host accepts: hosts in operation fell back to listing again and again, and after a restart no host got ready, since the listing failed as a whole.

Cause: the bound counted all bytes of a response, also those that nothing needs. A response of over 512 KB is now filtered while it arrives: strings longer than 64 KB, a hundred times an entry, are replaced by one that is no value, and their items are refused one by one, as before. The bound of 8 MB holds for what is kept. Other prefixes keep values up to 1 MB.

test_large_entries_cost_no_other and test_odd_entries_beside_live_ones_stop_no_host[large] failed before. test_changes_that_are_too_long_are_listed_again asked for a new listing after a watch with 8 MB of such entries; those now cost nothing else, as the new test asks, so it stands on a prefix whose values are kept.

--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -34,6 +34,8 @@
 from .headers import STORE_ERA
 from .http import open_session
 from .store_responses import (
+    MAX_ENTRY_BYTES,
+    MAX_VALUE_BYTES,
     ResponseTooLong,
     StoreResponse,
     check_response,
@@ -108,7 +110,9 @@
         path = f"/-/kv-range?prefix={quote(prefix, safe='')}"
         cursor = ""
         while True:
-            page = await self._call("GET", path + cursor)
+            page = await self._call(
+                "GET", path + cursor, max_value_bytes=_max_value_bytes(prefix)
+            )
             with reading("GET", "kv-range"):
                 items.extend(page.items())
                 last_key = page.last_key()
@@ -131,7 +135,12 @@
             f"&after={store_revision_of(after)}&wait_ms={int(wait_s * 1000)}"
         )
         try:
-            response = await self._call("GET", path, extra_wait_s=wait_s)
+            response = await self._call(
+                "GET",
+                path,
+                extra_wait_s=wait_s,
+                max_value_bytes=_max_value_bytes(prefix),
+            )
         except ResponseTooLong as error:
             # The same watch would fail again; pages of a list are bounded.
             raise history_lost_error(after) from error
@@ -203,6 +212,7 @@
         path: str,
         body: dict[str, Any] | None = None,
         extra_wait_s: float = 0.0,
+        max_value_bytes: int = MAX_VALUE_BYTES,
     ) -> StoreResponse:
         """Call the store once; return the status and the decoded body.
 
@@ -216,7 +226,9 @@
         name = path.partition("?")[0].split("/")[2]
         self.calls[name] += 1
         try:
-            return await self._send(method, name, path, body, extra_wait_s)
+            return await self._send(
+                method, name, path, body, extra_wait_s, max_value_bytes
+            )
         except StoreUnavailable:
             self.failures[CallFailure(name, "unavailable")] += 1
             raise
@@ -231,6 +243,7 @@
         path: str,
         body: dict[str, Any] | None,
         extra_wait_s: float,
+        max_value_bytes: int,
     ) -> StoreResponse:
         timeout = aiohttp.ClientTimeout(
             total=CALL_TIMEOUT_S + extra_wait_s, sock_connect=CONNECT_TIMEOUT_S
@@ -241,7 +254,7 @@
             async with self._session.request(
                 method, self._base + path, data=data, headers=headers, timeout=timeout
             ) as response:
-                content = await read_content(response, name)
+                content = await read_content(response, name, max_value_bytes)
                 era = self._read_era(response.headers.get(STORE_ERA))
         except ResponseTooLong as error:
             if method == "GET":
@@ -268,6 +281,12 @@
         return int(value)
 
 
+def _max_value_bytes(prefix: str) -> int:
+    """Return the longest value to read under a prefix."""
+    is_servers = prefix == WATCHED_KEYS.servers_prefix
+    return MAX_ENTRY_BYTES if is_servers else MAX_VALUE_BYTES
+
+
 def _encode_write(write: Write) -> dict[str, Any]:
     value = base64.b64encode(write.value).decode()
     put: dict[str, Any] = {"key": write.key, "value": value}
--- a/src/jacinthpath/platform/store_responses.py
+++ b/src/jacinthpath/platform/store_responses.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 __all__ = [
+    "MAX_ENTRY_BYTES",
+    "MAX_VALUE_BYTES",
     "ResponseTooLong",
     "StoreResponse",
     "check_response",
@@ -26,11 +28,21 @@
 from ..gateway.store import Change, HistoryLost, Item, LeaseEnded
 from ..json_documents import UNREADABLE, check_integer, describe, parse_json
 from ..logs import get_logger
+from .long_strings import LongStringDropper
 from .values import MalformedValue
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """A page holds about 1 MB, and a single value 1 MB before its encoding."""
 
+LARGE_RESPONSE_BYTES = 512 * 1024
+"""Values are dropped only from responses that are larger."""
+
+MAX_VALUE_BYTES = 1024 * 1024
+"""Longest value of the store (according to the platform's documentation)."""
+
+MAX_ENTRY_BYTES = 64 * 1024
+"""Longest entry of a server that is read; they have some hundred bytes."""
+
 Decoded = TypeVar("Decoded")
 
 _log = get_logger()
@@ -73,14 +85,22 @@
         return _decode_each(_decode_change, self.body["events"], self.era)
 
 
-async def read_content(response: aiohttp.ClientResponse, name: str) -> bytes:
+async def read_content(
+    response: aiohttp.ClientResponse, name: str, max_value_bytes: int
+) -> bytes:
     """Return the body of a response to the call ``name``.
 
-    :raises ResponseTooLong: it is longer than a host may hold.
+    :param max_value_bytes: longest value to keep; of a large response, longer ones are
+        dropped.
+    :raises ResponseTooLong: what is kept is longer than a host may hold.
     """
     content = bytearray()
+    dropper: LongStringDropper | None = None
     async for part in response.content.iter_any():
-        content += part
+        content += part if dropper is None else dropper.feed(part)
+        if dropper is None and len(content) > LARGE_RESPONSE_BYTES:
+            dropper = LongStringDropper(max_value_bytes * 4 // 3 + 4)
+            content = bytearray(dropper.feed(bytes(content)))
         if len(content) > MAX_RESPONSE_BYTES:
             raise ResponseTooLong(
                 f"{name}: the response has over {MAX_RESPONSE_BYTES} bytes.",
--- a/tests/test_store_responses.py
+++ b/tests/test_store_responses.py
@@ -10,6 +10,7 @@
 from jacinthpath.errors import JacinthpathError, StoreError, StoreOutcomeUnknown
 from jacinthpath.gateway.store import HistoryLost, Write
 from jacinthpath.platform import PlatformStore
+from jacinthpath.platform.long_strings import LongStringDropper
 from jacinthpath.platform.store_responses import check_response
 
 GOOD = {"key": "servers/a", "value": base64.b64encode(b"x").decode(), "revision": 5}
@@ -72,17 +73,50 @@
         await store.write((), (Write("a", b""),))
 
 
+LARGE = base64.b64encode(bytes(1024 * 1024)).decode()
+
+
 async def test_changes_that_are_too_long_are_listed_again(store):
-    """Large entries of another writer made the same watch fail again and again."""
-    value = base64.b64encode(bytes(1024 * 1024)).decode()
-    events = [{**GOOD, "value": value} for _ in range(8)]
+    """Large values of another writer made the same watch fail again and again."""
+    events = [{**GOOD, "value": LARGE} for _ in range(8)]
     store.answer["body"] = json.dumps({"events": events, "current_rev": 9}).encode()
     with pytest.raises(HistoryLost):
-        await store.watch("servers/", 5, 0.1)
+        await store.watch("jacinthpath/", 5, 0.1)
     with pytest.raises(StoreOutcomeUnknown):
         await store.write((), (Write("a", b""),))
 
 
+async def test_large_entries_cost_no_other(store):
+    """Together they exceeded the bound of a response, so no entry was listed at all."""
+    large = [{**GOOD, "key": f"servers/{n}", "value": LARGE} for n in range(20)]
+    page = {"items": [*large, GOOD, *large], "current_rev": 9, "has_more": False}
+    store.answer["body"] = json.dumps(page).encode()
+    listing = await store.list("servers/")
+    assert [item.key for item in listing.items] == ["servers/a"]
+    batch = {"events": [*large, GOOD, *large], "current_rev": 9}
+    store.answer["body"] = json.dumps(batch).encode()
+    changes = (await store.watch("servers/", 5, 0.1)).changes
+    assert [change.key for change in changes] == ["servers/a"]
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.recursive(
+        st.text() | st.integers() | st.text(alphabet='\\"ab', min_size=8),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    ),
+    st.integers(1, 9),
+    st.booleans(),
+)
+def test_documents_without_long_strings_are_kept(value, size, ascii_only):
+    document = json.dumps(value, ensure_ascii=ascii_only).encode()
+    dropper = LongStringDropper(len(document))
+    parts = [document[at : at + size] for at in range(0, len(document), size)]
+    assert b"".join(map(dropper.feed, parts)) == document
+    short = LongStringDropper(10)
+    json.loads(b"".join(map(short.feed, parts)))
+
+
 @pytest.mark.parametrize("era", ["9" * 5_000, "²", "-1", "", "1.5"])
 async def test_malformed_era_is_taken_for_the_current_one(store, era):
     assert store._read_era(era) == 0
--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -114,12 +114,17 @@
     assert len(describe(value)) < 900
 
 
-async def test_nested_entry_beside_live_ones_stops_no_host(tmp_path):
+LARGE = [json.dumps({"status": "x" * 900_000}).encode()] * 12
+"""More than the bound of a response of the store."""
+
+
+@pytest.mark.parametrize("entries", [NESTED, LARGE], ids=["nested", "large"])
+async def test_odd_entries_beside_live_ones_stop_no_host(entries, tmp_path):
     """Review 2: one such entry stopped all hosts, for good and after a restart."""
     system = await GatewaySystem(tmp_path).start(gateways=2)
     try:
         await system.wait_until_ready()
-        for number, content in enumerate(NESTED):
+        for number, content in enumerate(entries):
             system.store.put(f"servers/unreadable-{number}", content)
         await asyncio.sleep(1.0)
         for gateway in system.gateways:
