--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -1,6 +1,7 @@
 """Gateways in the test process, with stand-ins for the platform's store and servers."""
 
 import asyncio
+import random
 import socket
 
 import aiohttp
@@ -25,10 +26,20 @@
 ]
 
 
+PORTS = range(20_000, 32_000)
+"""Below the ports that the system chooses for outgoing connections, which took a port
+between its choice and its use."""
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("0.0.0.0", port))
+            except OSError:
+                continue
+            return port
 
 
 class GatewaySystem:
