Do not avoid a host that has read one relayed request late

A host that refuses a relayed request as late was avoided by the asking host for 0.5 to 4 s, as if it had no path itself; on a busy machine a host without a path found none to ask. The refusal concerns one request. The asking host now turns to another one, or asks again. With a stamp, its age alone counts: the bound by passes of the loop refuses too much when each of them is long.

--- a/src/jacinthpath/gateway/relay_server.py
+++ b/src/jacinthpath/gateway/relay_server.py
@@ -46,7 +46,8 @@
 """A request that was sent to this host longer ago is refused: the frame that says that
 its caller has left may lie behind it."""
 
-HOST_LATE = Refusal("host-late", host_is_unable=True)
+HOST_LATE = Refusal("host-late")
+"""Concerns this request alone: the host may be prompt again in its next pass."""
 
 END_MARGIN_S = 0.2
 """Time after the caller's deadline at which an abandoned relay is ended."""
@@ -143,10 +144,12 @@
         A frame of an earlier build has no stamp; what is known of it is since when it
         may have been here.
         """
-        delay = loop_delay_of(asyncio.get_running_loop())
         now_s = boottime_s()
-        here_s = now_s - delay.earliest_arrival_s(PASSES_UNTIL_HANDLED)
-        return max(here_s, connection.frame_age.record(sent_ms, now_s) or 0.0)
+        age_s = connection.frame_age.record(sent_ms, now_s)
+        if age_s is None:
+            delay = loop_delay_of(asyncio.get_running_loop())
+            age_s = now_s - delay.earliest_arrival_s(PASSES_UNTIL_HANDLED)
+        return age_s
 
     def _check_wanted(self, relay_id: tuple[PeerConnection, int]) -> None:
         """Check just before a request is sent whether its caller may still be there.
