Take the middle of the time in which a request may have arrived

The time of a request counted from its earliest possible arrival. While passes of the loop are long, that takes up to a whole pass from requests that have just come, and refuses what could be served. Callers that have left are found without it. A wait for the kernel counts as one that found sockets ready up to 10 ms, since a busy machine delays its return.

--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -50,7 +50,7 @@
     :param timeout_s: how long the caller waits, or ``None`` if it set no deadline.
     :param headers: header fields to forward.
     :param caller: IP address of the caller.
-    :param arrived_s: earliest time on the boot clock at which it may have arrived.
+    :param arrived_s: time on the boot clock at which it arrived, as far as is known.
     :param check_wanted: raises :class:`CallerLeft`, or :class:`NotSent` if it cannot
         tell; to be called before each sending.
     """
--- a/src/jacinthpath/gateway/loop_delay.py
+++ b/src/jacinthpath/gateway/loop_delay.py
@@ -29,8 +29,8 @@
 TIMER_SLACK_S = 0.05
 """A wait that ends this long after its time is not late yet."""
 
-INSTANT_S = 0.001
-"""A call that returns faster has found sockets that were ready before it."""
+INSTANT_S = 0.01
+"""A call that returns faster may have found sockets that were ready before it."""
 
 REMEMBERED_PASSES = 4
 """Passes from reading a request or frame until a task handles it, at most."""
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -41,10 +41,7 @@
         "Late passes of the event loop: how long the callbacks ran, and the wait "
         "before them."
     ),
-    "first_send_age_seconds": (
-        "Age of a request when it is first sent to a server, from its earliest "
-        "possible arrival."
-    ),
+    "first_send_age_seconds": ("Age of a request when it is first sent to a server."),
     "gossip_actions_dropped_total": "Gossip actions that were dropped under load.",
     "gossip_failures_total": "Gossip actions that failed.",
     "leading": "1 while this host leads.",
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -297,10 +297,10 @@
 
 
 class _CallerConnection(RequestHandler):
-    """A connection of a caller, which knows when its requests may have arrived.
+    """A connection of a caller, which knows when its requests have arrived.
 
-    :ivar arrivals_s: earliest times of arrival, on the boot clock, of the requests that
-        wait for their handler.
+    :ivar arrivals_s: times on the boot clock at which the requests that wait for their
+        handler have arrived, as far as is known.
     """
 
     __slots__ = (
@@ -323,9 +323,13 @@
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
-        """Parse requests, and keep when each may have arrived."""
+        """Parse requests, and keep when each has arrived.
+
+        That is taken to be the middle of the time in which it may have been: the wait
+        of a request must neither use up its time, nor be left out.
+        """
         known = self._request_count
-        arrived_s = self._earliest_arrival_s()
+        arrived_s = (self._earliest_arrival_s() + self._delay.polled_s) / 2
         if data:
             self._held_since_s = None
         super().data_received(data)
