--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -5,28 +5,24 @@
 __all__ = ["CallerServer"]
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import HttpVersion11, web
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web_protocol import RequestHandler
 
 from ..gateway.body_memory import BodyMemory
 from ..gateway.clock import boottime_s
 from ..gateway.exchange import (
     BodyBroken,
-    CallerLeft,
     CallerRequest,
     Response,
     local_response,
 )
-from ..gateway.loop_delay import loop_delay_of
 from ..gateway.model import KEY_COUNT, CallerLimits
 from ..gateway.shutdown_window import ShutdownWindow
-from ..gateway.sockets import is_closed_by_peer
 from ..headers import forwarded_fields
+from .caller_connections import ConnectionServer
 from .headers import ATTEMPT_ID, DEADLINE_MS, EXPECTED_SERVER, SHARD_KEY
 from .http import HOP_BY_HOP_FIELDS
 
@@ -54,13 +50,6 @@
 """Time for which a connection has to be idle before a stopping host closes it: the
 request on one that was just accepted may still be on its way."""
 
-PASSES_UNTIL_ACCEPTED = 1
-"""Passes of the event loop from accepting a connection until it is set up."""
-
-PASSES_UNTIL_FIRST_READ = 2
-"""Passes of the event loop from the set-up of a connection until bytes that arrived
-before are read from it."""
-
 CALLER_STALL_TIMEOUT_S = 5.0
 """A caller that takes no bytes of a response for this long has its connection reset."""
 
@@ -106,7 +95,7 @@
         )
         await self._readiness_runner.setup()
         await _listen(self._readiness_runner, self._ready_address)
-        server = _CallerServer(
+        server = ConnectionServer(
             self._handle_caller,
             access_log=None,
             handler_cancellation=True,
@@ -282,102 +271,6 @@
         return min(end_s, self._shutdown_window.last_response_s)
 
 
-class _CallerServer(web.Server):
-    """Creates :class:`_CallerConnection` objects.
-
-    :ivar held_connections: those from which nothing is read now.
-    """
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        self.held_connections: set[_CallerConnection] = set()
-
-    def __call__(self) -> RequestHandler:
-        return _CallerConnection(self, loop=self._loop, **self._kwargs)
-
-
-class _CallerConnection(RequestHandler):
-    """A connection of a caller, which knows when its requests have arrived.
-
-    :ivar arrivals_s: times on the boot clock at which the requests that wait for their
-        handler have arrived, as far as is known.
-    """
-
-    __slots__ = (
-        "_accepted_in_pass",
-        "_accepted_s",
-        "_delay",
-        "_held_since_s",
-        "_peer_socket",
-        "arrivals_s",
-    )
-
-    def connection_made(self, transport: Any) -> None:
-        """Keep since when the connection may have waited to be accepted."""
-        self.arrivals_s: deque[float] = deque()
-        self._peer_socket = transport.get_extra_info("socket")
-        self._delay = loop_delay_of(asyncio.get_running_loop())
-        self._accepted_s = self._delay.earliest_arrival_s(PASSES_UNTIL_ACCEPTED)
-        self._accepted_in_pass = self._delay.passes
-        self._held_since_s: float | None = None
-        super().connection_made(transport)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse requests, and keep when each has arrived.
-
-        That is taken to be the middle of the time in which it may have been: the wait
-        of a request must neither use up its time, nor be left out.
-        """
-        known = self._request_count
-        arrived_s = (self._earliest_arrival_s() + self._delay.polled_s) / 2
-        if data:
-            self._held_since_s = None
-        super().data_received(data)
-        self.arrivals_s.extend([arrived_s] * (self._request_count - known))
-
-    def check_caller(self) -> None:
-        """Check whether the caller is still there.
-
-        :raises CallerLeft: it has closed the connection.
-        """
-        if self.has_left():
-            raise CallerLeft("The caller has closed the connection.")
-
-    def has_left(self) -> bool:
-        """Return whether the caller has closed the connection, seen or not."""
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return True
-        return is_closed_by_peer(self._peer_socket)
-
-    def _earliest_arrival_s(self) -> float:
-        if self._held_since_s is not None:
-            return self._held_since_s
-        if self._delay.passes - self._accepted_in_pass <= PASSES_UNTIL_FIRST_READ:
-            # The request may have arrived with the connection.
-            return self._accepted_s
-        return self._delay.earliest_arrival_s()
-
-    def _pause_transport_reading(self) -> None:
-        """Read nothing more; the end of the connection is not seen meanwhile."""
-        if self._held_since_s is None:
-            self._held_since_s = boottime_s()
-        if self._manager is not None:
-            self._manager.held_connections.add(self)
-        super()._pause_transport_reading()
-
-    def _resume_transport_reading(self) -> None:
-        if self._manager is not None:
-            self._manager.held_connections.discard(self)
-        super()._resume_transport_reading()
-
-    def connection_lost(self, error: BaseException | None) -> None:
-        """Forget the connection."""
-        if self._manager is not None:
-            self._manager.held_connections.discard(self)
-        super().connection_lost(error)
-
-
 def _is_idle(connection: Any) -> bool:
     """Return whether the handler of a connection waits for the next request.
 
