--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -237,11 +237,15 @@
         :return: these ranges, each with its service.
         """
         finished = []
+        holders = {state.owned.server for _, state in self.all_range_states()}
         for service, state in self.all_range_states():
             owned = state.owned
             target = backends.get(owned.target) if owned.target else None
             if target is None or not state.may_reassign(now_s):
                 continue
+            if target.server not in holders:
+                # What is known of it is as old as its last keys.
+                self.evidence.forget(target.server)
             self.fence += 1
             state.owned = OwnedRange(
                 owned.first,
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -371,3 +371,19 @@
     assert ranges > 100
     assert max(started.count(at_s) for at_s in {*started}) <= ranges / 2
     assert all(simulation.holder(key) for key in simulation.sampled_keys)
+
+
+async def test_server_that_had_lost_its_keys_gets_a_grant_with_new_ones():
+    """Its earlier silence moved the keys on before any grant was sent to it."""
+    simulation = Simulation(1)
+    await run_for(simulation)
+    leader = next(one for one in simulation.leaders if one.election.authority)
+    simulation.blocked_paths.add((leader.name, "s1"))
+    await run_for(simulation, 6.0)
+    known = leader.assigner._leader_state.ownership
+    assert known.evidence.silent_rounds("s1") >= 3
+    assert "s1" not in {server for _, _, server in owners(simulation)}
+    simulation.blocked_paths.clear()
+    known.begin_move(SERVICE, 0, 9, "s1", simulation.now_s)
+    await run_for(simulation, 0.5)
+    assert simulation.holder(0).server == "s1"
