Take no server for lost whose responses a late leader has not read

A leader whose loop is late gives up grants whose responses lie in its buffers: its timeout fires in the pass that would read them.

test_late_leader_takes_no_server_for_lost failed before (4 silent rounds).

--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -15,6 +15,7 @@
 from .cluster_view import ClusterView
 from .events import EventLog
 from .fence_sweep import FenceSweep, SweepRelease
+from .loop_delay import LATE_S
 from .loops import LoopSupervisor
 from .model import Backend
 from .ownership import Ownership, RangeState
@@ -201,10 +202,10 @@
         )
         now_s = self._clock()
         self._metrics.count("orders_total", kind="grant", result=response.result.value)
-        self._record_reach(service, owned.server, response)
+        self._record_reach(service, owned.server, response, now_s - sent_s)
         if response.responded:
             ownership.evidence.record_response(owned.server, now_s)
-        else:
+        elif not _was_late(now_s - sent_s):
             ownership.evidence.record_silence(owned.server, sent_s, now_s)
         if response.result is CommandResult.DONE:
             is_first = not state.granted
@@ -260,12 +261,12 @@
         )
 
     def _record_reach(
-        self, service: str, server: str, response: CommandResponse
+        self, service: str, server: str, response: CommandResponse, elapsed_s: float
     ) -> None:
         """Record whether this host has a path to the server."""
         if response.responded:
             self._reach.record_response()
-        else:
+        elif not _was_late(elapsed_s):
             self._reach.record_failure(server, service)
 
     def _address(self, state: RangeState) -> str:
@@ -302,6 +303,14 @@
     return max(MIN_STARTS, math.ceil(ranges / STEPS_FOR_ALL_RANGES))
 
 
+def _was_late(elapsed_s: float) -> bool:
+    """Return whether a grant without a response took longer than it may.
+
+    Then this process was late, and the response may have come in time.
+    """
+    return elapsed_s > GRANT_TIMEOUT_S + LATE_S
+
+
 def _is_due(state: RangeState, authority: LeaderAuthority, now_s: float) -> bool:
     """Return whether a grant of the range is due."""
     if state.owned.target or now_s < state.retry_s:
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -1,5 +1,7 @@
 """Each key has at most one owner, under all faults that the platform may have."""
 
+import asyncio
+
 import pytest
 
 from jacinthpath.gateway import assigner, command_runner, move_planning, ownership
@@ -350,6 +352,25 @@
     assert len(sent) <= ranges * (6.0 / GRANT_INTERVAL_S + 4)
 
 
+async def test_late_leader_takes_no_server_for_lost(monkeypatch):
+    """A leader whose loop is late gives up grants whose responses are there."""
+    simulation = Simulation(1)
+    await run_for(simulation)
+
+    async def grant(_commands, _server, _address, _command, timeout_s):
+        sent_s = simulation.now_s
+        await asyncio.sleep(0)
+        simulation.now_s = max(simulation.now_s, sent_s + timeout_s + 0.3)
+        return CommandResponse(CommandResult.UNKNOWN, "", "TimeoutError")
+
+    monkeypatch.setattr(LeaderCommands, "grant", grant)
+    for _ in range(10):
+        await simulation.advance()
+    leader = next(one for one in simulation.leaders if one.election.authority)
+    evidence = leader.assigner._leader_state.ownership.evidence
+    assert {evidence.silent_rounds(server) for server in simulation.servers} == {0}
+
+
 async def test_new_leader_spreads_its_grants(monkeypatch):
     """A successor sent hundreds of grants at once, answered nobody meanwhile, and lost
     the role again (issue 37, trouble-1 of wendel-gate-grown)."""
