Do not take a path for lost while this host itself is late

Found by tests/test_hosts_cut_from_servers.py on an overloaded machine: hosts with a path to all servers took themselves for cut off ('host-cut-off', 'no host to relay'), since attempts and probes timed out whose responses they had not read.

A response counts always.

--- a/src/jacinthpath/gateway/attempt_recorder.py
+++ b/src/jacinthpath/gateway/attempt_recorder.py
@@ -95,13 +95,19 @@
             path="relayed" if result.relayed_by else "own",
         )
 
-    def record_reach(self, backend: Backend, result: AttemptResult) -> None:
-        """Record whether this host has a path to the server, by an attempt on it."""
+    def record_reach(
+        self, backend: Backend, result: AttemptResult, was_late: bool
+    ) -> None:
+        """Record whether this host has a path to the server, by an attempt on it.
+
+        :param was_late: whether this process was late, so that a response may have come
+            that it has not read.
+        """
         reach = self._dependencies.reach
-        if not result.was_sent:
-            return
         if result.outcome in _RESPONSES:
             reach.record_response()
+        elif was_late or not result.was_sent:
+            return
         elif result.outcome in _NO_RESPONSE or result.connection_lost:
             reach.record_failure(backend.server, backend.service)
 
--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -9,6 +9,7 @@
 from .attempt_recorder import Attempt, AttemptRecorder
 from .clock import boottime_s
 from .exchange import AttemptResult, CallerLeft, CallerRequest, Outcome
+from .loop_delay import loop_delay_of
 from .model import Backend, Service
 from .request_dependencies import RequestDependencies
 
@@ -109,13 +110,15 @@
         """Send on this host's own path, and record whether there is one."""
         reach = self._dependencies.reach
         token = reach.record_sent()
+        sent_s = boottime_s()
         try:
             result = await self._dependencies.backend_client.send(
                 self._request, backend, remaining_s
             )
         finally:
             reach.record_ended(token)
-        self._recorder.record_reach(backend, result)
+        was_late = loop_delay_of(self._loop).was_blind_since(sent_s)
+        self._recorder.record_reach(backend, result, was_late)
         return result
 
     def _should_relay(
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -15,6 +15,7 @@
 from .cluster_view import ClusterView
 from .events import EventLog
 from .exchange import BackendClient
+from .loop_delay import loop_delay_of
 from .loops import LoopSupervisor
 from .model import Backend
 from .pool import ServerPool
@@ -161,11 +162,13 @@
         health_path = self._health_path(backend)
         if not health_path:
             return
+        delay = loop_delay_of(asyncio.get_running_loop())
+        sent_s = boottime_s()
         responds = await self._backend_client.responds(backend, health_path)
         self._metrics.count("reach_probes_total", result="yes" if responds else "no")
         if responds:
             self.record_response()
-        else:
+        elif not delay.was_blind_since(sent_s):
             self.record_failure(backend.server, backend.service)
 
     def _usable_servers(self) -> list[Backend]:
