--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -28,8 +28,9 @@
 from .loops import LoopSupervisor
 from .model import Timing
 from .move_planning import MovePlanner
-from .ownership import Ownership, RangeState, adopt_assignment
+from .ownership import Ownership, adopt_assignment
 from .previous_leaders import PreviousLeaders
+from .range_state import RangeState
 from .reach_monitor import ReachMonitor
 from .revisions import era_of_revision, minimum_fence
 from .server_commands import CommandSender
--- a/src/jacinthpath/gateway/command_runner.py
+++ b/src/jacinthpath/gateway/command_runner.py
@@ -18,8 +18,9 @@
 from .loop_delay import LATE_S
 from .loops import LoopSupervisor
 from .model import Backend
-from .ownership import Ownership, RangeState
+from .ownership import Ownership
 from .pool import connection_limit
+from .range_state import RangeState
 from .reach_monitor import ReachMonitor
 from .server_commands import (
     CommandResponse,
@@ -43,10 +44,11 @@
 """Rounds of commands without a response after which a server gets one at a time."""
 
 MIN_STARTS = 16
+"""Commands of a kind that one step may start however few ranges there are."""
+
 STEPS_FOR_ALL_RANGES = 3
-"""Each step starts commands for at most :data:`MIN_STARTS` ranges or this part of all
-of them, so that a leader that has just been elected sends its grants over half of the
-time between renewals, and not all at once."""
+"""A leader that has just been elected spreads the grants of all ranges over so many
+steps, half of the time between renewals; sent at once, they hold up its event loop."""
 
 
 class CommandRunner:
--- a/tests/test_gateway_layers.py
+++ b/tests/test_gateway_layers.py
@@ -28,6 +28,7 @@
     "model",
     "ownership",
     "pool",
+    "range_state",
     "relay_hosts",
     "retry_budget",
     "revisions",
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -9,6 +9,7 @@
 from jacinthpath.gateway.authority import GRANT_INTERVAL_S, LeaderAuthority
 from jacinthpath.gateway.fence_sweep import FenceSweep
 from jacinthpath.gateway.model import KEY_COUNT
+from jacinthpath.gateway.range_state import RangeState
 from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
 
 from .gateway_simulation import SERVICE, TTL_S, LeaderCommands, Simulation
@@ -75,7 +76,7 @@
 def test_leader_that_was_paused_does_not_renew_lapsed_grants(paused_s, due):
     """Guards against two owners: a successor had moved the keys of a paused leader, and
     the server restarted, so that it accepted the old grant again (soak seed 12011)."""
-    state = ownership.RangeState(OwnedRange(0, 9, "s1", "10.0.0.1:80", 1, 1), 0.0)
+    state = RangeState(OwnedRange(0, 9, "s1", "10.0.0.1:80", 1, 1), 0.0)
     state.record_grant(10.0, 2.5)
     authority = LeaderAuthority(TTL_S, 10.0)
     assert command_runner._is_due(state, authority, 10.0 + paused_s) is due
