Call a delay of the event loop a delay

'Blind' was a second and figurative word for one concept. Renamed only; the tests of the loop delay, the paths to servers, the relays and the cut hosts pass.

--- a/src/jacinthpath/gateway/attempt_sender.py
+++ b/src/jacinthpath/gateway/attempt_sender.py
@@ -117,7 +117,7 @@
             )
         finally:
             reach.record_ended(token)
-        was_late = loop_delay_of(self._loop).was_blind_since(sent_s)
+        was_late = loop_delay_of(self._loop).was_delayed_since(sent_s)
         self._recorder.record_reach(backend, result, was_late)
         return result
 
--- a/src/jacinthpath/gateway/loop_delay.py
+++ b/src/jacinthpath/gateway/loop_delay.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-__all__ = ["BLIND_S", "LATE_S", "LoopDelay", "loop_delay_of"]
+__all__ = ["LATE_S", "MAX_DELAY_S", "LoopDelay", "loop_delay_of"]
 
 import asyncio
 from collections import deque
@@ -32,7 +32,7 @@
 INSTANT_S = 0.01
 """A call that returns faster may have found sockets that were ready before it."""
 
-BLIND_S = 0.2
+MAX_DELAY_S = 0.2
 """After a longer delay, a timeout of the process says nothing about the other end."""
 
 REMEMBERED_PASSES = 4
@@ -67,7 +67,7 @@
         self.on_late: list[Callable[[LatePass], None]] = []
         self._clock = clock
         self._waited_s = 0.0
-        self._blind_until_s = float("-inf")
+        self._delayed_until_s = float("-inf")
         self._sockets = 0
         self._earliest_s = deque([self.polled_s], REMEMBERED_PASSES)
 
@@ -93,8 +93,8 @@
         else:
             earliest_s = now_s - INSTANT_S
         self._earliest_s.append(earliest_s)
-        if ran_s > BLIND_S or waited_s > BLIND_S:
-            self._blind_until_s = now_s
+        if ran_s > MAX_DELAY_S or waited_s > MAX_DELAY_S:
+            self._delayed_until_s = now_s
         self.polled_s, self._waited_s = now_s, waited_s
         self._sockets = len(ready)
         self.passes += 1
@@ -108,12 +108,12 @@
         index = max(0, len(self._earliest_s) - 1 - passes)
         return self._earliest_s[index]
 
-    def was_blind_since(self, since_s: float) -> bool:
+    def was_delayed_since(self, since_s: float) -> bool:
         """Return whether the loop was too late since then to judge a missing response.
 
         :param since_s: time on the boot clock.
         """
-        return self._blind_until_s >= since_s or self.since_poll_s() > BLIND_S
+        return self._delayed_until_s >= since_s or self.since_poll_s() > MAX_DELAY_S
 
     def since_poll_s(self) -> float:
         """Return how long ago the kernel was asked."""
--- a/src/jacinthpath/gateway/reach_monitor.py
+++ b/src/jacinthpath/gateway/reach_monitor.py
@@ -168,7 +168,7 @@
         self._metrics.count("reach_probes_total", result="yes" if responds else "no")
         if responds:
             self.record_response()
-        elif not delay.was_blind_since(sent_s):
+        elif not delay.was_delayed_since(sent_s):
             self.record_failure(backend.server, backend.service)
 
     def _usable_servers(self) -> list[Backend]:
--- a/tests/test_loop_delay.py
+++ b/tests/test_loop_delay.py
@@ -5,7 +5,7 @@
 import time
 
 from jacinthpath.gateway.clock import boottime_s
-from jacinthpath.gateway.loop_delay import BLIND_S, LATE_S, LoopDelay, loop_delay_of
+from jacinthpath.gateway.loop_delay import LATE_S, MAX_DELAY_S, LoopDelay, loop_delay_of
 
 
 async def test_bytes_that_came_during_a_long_pass_may_be_as_old_as_the_pass():
@@ -44,10 +44,10 @@
     delay = loop_delay_of(asyncio.get_running_loop())
     await asyncio.sleep(0.01)
     began_s = boottime_s()
-    assert not delay.was_blind_since(began_s)
-    time.sleep(1.5 * BLIND_S)
-    assert delay.was_blind_since(began_s)
+    assert not delay.was_delayed_since(began_s)
+    time.sleep(1.5 * MAX_DELAY_S)
+    assert delay.was_delayed_since(began_s)
     await asyncio.sleep(0.01)
-    assert delay.was_blind_since(began_s)
+    assert delay.was_delayed_since(began_s)
     await asyncio.sleep(0.01)
-    assert not delay.was_blind_since(boottime_s())
+    assert not delay.was_delayed_since(boottime_s())
