Record how old, large and slow a configuration is when it comes into force

Change: the configuration in force has a module of its own, which keeps the time of the store's last confirmation. It is sent to followers, logged with size and decoding time, and is a metric. Frames of peers that take over 0.1 s are logged, late responses counted. No decision uses the new figures yet.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -24,6 +24,7 @@
 )
 from .assignment_delta import AssignmentHistory, apply_delta
 from .clock import boottime_s
+from .configuration_state import ConfigurationState
 from .directory import ServerDelta, ServerDirectory
 from .events import EventLog
 from .leader_record import LeaderRecord, decode_leader_record
@@ -56,7 +57,9 @@
         decode_routes: Callable[[bytes], RouteTable],
         decode_server: Callable[[str, bytes, int], Backend],
     ) -> None:
-        self.routes: RouteIndex | None = None
+        self.configuration = ConfigurationState(
+            events, decode_routes, self.record_refused
+        )
         self.directory = ServerDirectory()
         self.limits = ServerLimits()
         self.servers_known = False
@@ -73,22 +76,24 @@
         self.changed = asyncio.Event()
         self.leader_changed = asyncio.Event()
         self._events = events
-        self._decode_routes = decode_routes
         self._decode_server = decode_server
-        self._configuration = b""
-        self._configuration_revision = 0
         self._encoded_assignment: bytes | None = b""
         self._assignment_history = AssignmentHistory()
         self.accepts_deltas = True
         self._leader_revision = 0
         self._logged_refusals: set[tuple[str, int]] = set()
 
+    @property
+    def routes(self) -> RouteIndex | None:
+        """The routes in force, ``None`` before the first configuration."""
+        return self.configuration.routes
+
     def newest_documents(self) -> Documents:
         """Return the newest documents, as stored, with their revisions."""
         return Documents(
-            self._configuration,
-            self._configuration_revision,
-            self.routes.table.version if self.routes else 0,
+            self.configuration.content,
+            self.configuration.revision,
+            self.configuration.version,
             self.assignment_revision,
             self.assignment.fence,
         )
@@ -116,34 +121,9 @@
         return boottime_s() - self.peer_store_contact_s
 
     def apply_configuration(self, content: bytes, revision: int, source: str) -> None:
-        """Put a configuration in force unless a newer one already is.
-
-        Versions of the operator decide, since a restored store may give an older
-        version a higher revision.
-        """
-        if content == self._configuration:
-            self._configuration_revision = max(self._configuration_revision, revision)
-            return
-        try:
-            routes = RouteIndex(self._decode_routes(content))
-        except Exception as error:
-            self.record_refused("configuration", revision, error)
-            return
-        table = routes.table
-        if self.routes is not None:
-            known = self.routes.table.version, self._configuration_revision
-            if (table.version, revision) <= known:
-                return
-        self.routes = routes
-        self._configuration, self._configuration_revision = content, revision
-        self._events.log_state_change(
-            "configuration_in_force",
-            version=table.version,
-            revision=revision,
-            routes=len(table.routes),
-            source=source,
-        )
-        self.notify()
+        """Put a configuration in force unless a newer one already is."""
+        if self.configuration.apply(content, revision, source):
+            self.notify()
 
     def apply_assignment(self, content: bytes, revision: int, source: str) -> None:
         """Apply an assignment unless a newer one is known.
--- /dev/null
+++ b/src/jacinthpath/gateway/configuration_state.py
@@ -0,0 +1,91 @@
+"""The operator's configuration in force on this host, and how current it is."""
+
+from __future__ import annotations
+
+__all__ = ["ConfigurationState"]
+
+from collections.abc import Callable
+
+from .clock import boottime_s
+from .events import EventLog
+from .model import RouteTable
+from .route_index import RouteIndex
+
+
+class ConfigurationState:
+    """Puts configurations in force in the order of their versions.
+
+    :param decode_routes: decoder of the operator's configuration.
+    :param record_refused: called with the kind of document, its revision and the error
+        when one cannot be read.
+    :ivar routes: the routes in force, ``None`` before the first configuration.
+    :ivar content: the operator's document as stored.
+    :ivar revision: its newest revision in the store.
+    """
+
+    def __init__(
+        self,
+        events: EventLog,
+        decode_routes: Callable[[bytes], RouteTable],
+        record_refused: Callable[[str, int, Exception], None],
+    ) -> None:
+        self.routes: RouteIndex | None = None
+        self.content = b""
+        self.revision = 0
+        self._events = events
+        self._decode_routes = decode_routes
+        self._record_refused = record_refused
+        self._confirmed_s = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Version of the operator, 0 before the first configuration."""
+        return self.routes.table.version if self.routes else 0
+
+    def age_s(self) -> float:
+        """Return the time since the store confirmed that no newer one exists."""
+        return boottime_s() - self._confirmed_s
+
+    def record_confirmed(self, age_s: float = 0.0) -> None:
+        """Record that the store confirmed the configuration ``age_s`` ago."""
+        self._confirmed_s = max(self._confirmed_s, boottime_s() - age_s)
+
+    def apply(self, content: bytes, revision: int, source: str) -> bool:
+        """Put a configuration in force unless a newer one already is.
+
+        Versions of the operator decide, since a restored store may give an older
+        version a higher revision.
+
+        :return: whether it came into force.
+        """
+        if content == self.content:
+            self.revision = max(self.revision, revision)
+            return False
+        heard_s = boottime_s()
+        try:
+            routes = RouteIndex(self._decode_routes(content))
+        except Exception as error:
+            self._record_refused("configuration", revision, error)
+            return False
+        version = routes.table.version
+        if self.routes is not None:
+            if (version, revision) <= (self.version, self.revision):
+                return False
+        self.routes = routes
+        self.content, self.revision = content, revision
+        self._events.log_state_change(
+            "configuration_in_force",
+            version=version,
+            revision=revision,
+            routes=len(routes.table.routes),
+            bytes=len(content),
+            source=source,
+            decode_ms=round(1000 * (boottime_s() - heard_s), 1),
+            confirmed_ms=self._confirmed_ms(),
+        )
+        return True
+
+    def _confirmed_ms(self) -> int | str:
+        """Return how long ago the one in force before was last confirmed."""
+        age_s = self.age_s()
+        return "never" if age_s == float("inf") else round(1000 * age_s)
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -55,8 +55,9 @@
     take its own list for fresh.
     """
     content.ageMs = MAX_AGE_MS
+    content.configurationAgeMs = _milliseconds(view.configuration.age_s()) + 1
     if parts is DocumentParts.ALL:
-        content.ageMs = int(min(MAX_AGE_MS, view.servers_age_s() * 1000))
+        content.ageMs = _milliseconds(view.servers_age_s())
         _write_cluster(content, wanted, view)
     newest = view.newest_documents()
     if has_newer_configuration(newest, wanted):
@@ -147,11 +148,17 @@
             view.record_refused(f"{name} of {source}", 0, error)
 
 
+def _milliseconds(age_s: float) -> int:
+    return int(min(MAX_AGE_MS, age_s * 1000))
+
+
 def _apply_configuration(content: Any, view: ClusterView, source: str) -> None:
     if content.configuration:
         view.apply_configuration(
             bytes(content.configuration), content.configurationRevision, source
         )
+    if content.configurationAgeMs:
+        view.configuration.record_confirmed((content.configurationAgeMs - 1) / 1000)
 
 
 def _apply_hosts(content: Any, view: ClusterView, _source: str) -> None:
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -254,6 +254,7 @@
             "assignment": self._view.assignment_revision,
             "leader": leader.host if leader else None,
             "belief_age_s": round(self._view.store_age_s(), 2),
+            "configuration_age_s": round(self._view.configuration.age_s(), 2),
             "in_flight": self._forwarder.in_flight,
             "unready_reason": self._unready_reason(),
         }
@@ -358,6 +359,8 @@
         while not self.should_stop:
             await asyncio.sleep(1.0)
             self._metrics.gauge("belief_age_seconds", self._view.store_age_s())
+            age_s = self._view.configuration.age_s()
+            self._metrics.gauge("configuration_confirmed_age_seconds", age_s)
             self._metrics.gauge("requests_in_flight", self._forwarder.in_flight)
             self._metrics.gauge(
                 "store_malformed_eras_total", self._store.malformed_eras
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -233,6 +233,7 @@
         self._health.record_response("configuration")
         for item in listing.items:
             self._apply_change("configuration", Change(*item))
+        self._record_applied("configuration")
         await self._watch_changes(
             "configuration", self._keys.configuration, listing.revision
         )
@@ -296,9 +297,15 @@
             revision = max(revision, batch.revision)
             for change in batch.changes:
                 self._apply_change(part, change)
+            self._record_applied(part)
             if interval_s:
                 await asyncio.sleep(interval_s * (0.9 + 0.2 * self._random.random()))
 
+    def _record_applied(self, part: str) -> None:
+        """Record that what the store sent for a part is in force."""
+        if part == "configuration":
+            self._view.configuration.record_confirmed()
+
     def _apply_change(self, part: str, change: Change) -> None:
         """Apply a change; an error that nothing foresaw costs this change alone."""
         apply = {
--- a/src/jacinthpath/metrics.py
+++ b/src/jacinthpath/metrics.py
@@ -59,8 +59,14 @@
         "Requests that the gateway answered without a server, by reason."
     ),
     "peer_connections_refused_total": "Peer connections that were refused.",
+    "peer_frame_transfer_seconds": (
+        "Time from the first to the last byte of a frame from a peer."
+    ),
     "peer_frames_refused_total": "Frames from peers that were refused.",
     "peer_handler_errors_total": "Frames whose handler failed.",
+    "peer_responses_late_total": (
+        "Responses of peers that arrived after nobody waited for them any more."
+    ),
     "peer_sent_bytes_total": "Bytes sent to other processes of the system.",
     "requests_at_crashes_total": (
         "Requests that were in flight at a server when it crashed."
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -416,6 +416,8 @@
   countsShares @14 :Bool;             # Whether the leader issues the permits for the
                                       # requester's shares of the limits.
   blocked @15 :List(BlockedRequest);  # All, or none when the digests are equal.
+  configurationAgeMs @16 :UInt32;     # Since the store confirmed that the responding
+                                      # host has the newest, plus 1; 0 if not stated.
 }
 
 struct HostAddress {
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -41,6 +41,9 @@
 MAX_HANDLERS_PER_CONNECTION = 256
 REQUEST_TIMEOUT_S = 1.0
 
+SLOW_FRAME_S = 0.1
+"""A frame that takes longer from its first to its last byte is logged."""
+
 _log = get_logger()
 
 
@@ -249,6 +252,7 @@
 
     async def _read_bytes(self) -> bytes:
         header = await self._read_exactly(HEADER_BYTES, may_end=True)
+        started_s = asyncio.get_running_loop().time()
         length = int.from_bytes(header[:4], "big")
         if length > MAX_FRAME_BYTES:
             raise FrameError(
@@ -256,6 +260,7 @@
                 "Check the peer's release.",
             )
         encoded = await self._read_exactly(length)
+        self._record_transfer(length, asyncio.get_running_loop().time() - started_s)
         mac = self._mac(not self._accepting, self._frames_received, encoded)
         self._frames_received += 1
         if not hmac.compare_digest(mac, header[4:]):
@@ -265,6 +270,17 @@
             )
         return encoded
 
+    def _record_transfer(self, length: int, duration_s: float) -> None:
+        """Record how long a frame took from its first to its last byte."""
+        self._metrics.observe("peer_frame_transfer_seconds", duration_s)
+        if duration_s > SLOW_FRAME_S:
+            _log.info(
+                "peer_frame_slow",
+                peer=self.remote.host,
+                bytes=length,
+                took_ms=round(1000 * duration_s),
+            )
+
     async def _read_exactly(self, count: int, may_end: bool = False) -> bytes:
         """Read ``count`` bytes; ``may_end`` allows the stream to end before them."""
         try:
@@ -322,6 +338,8 @@
             future = self._pending.get(frame.id)
             if future is not None and not future.done():
                 future.set_result(frame)
+            else:
+                self._metrics.count("peer_responses_late_total")
             return
         task = asyncio.create_task(self._handle(frame))
         self._tasks.add(task)
