Decode only the rows of a configuration that changed

Change: RouteTableDecoder keeps the decoded rows of the last version by their text.

What is decoded and what is refused stays the same (test_version_is_decoded_alike_whatever_came_before).

--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -39,8 +39,8 @@
     WATCHED_KEYS,
     CommandClient,
     PlatformStore,
+    RouteTableDecoder,
     decode_backend,
-    decode_route_table,
     load_settings,
 )
 from .platform.callers import CallerServer
@@ -62,7 +62,7 @@
     shutdown_window = ShutdownWindow()
     servers = ServerClient(memory)
     keys = SharedKey()
-    view = ClusterView(events, decode_route_table, decode_backend)
+    view = ClusterView(events, RouteTableDecoder().decode, decode_backend)
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
--- a/src/jacinthpath/platform/__init__.py
+++ b/src/jacinthpath/platform/__init__.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from .documents import decode_backend, decode_route_table
+from .documents import RouteTableDecoder, decode_backend, decode_route_table
 from .server_commands import CommandClient
 from .settings import load_settings
 from .store import WATCHED_KEYS, PlatformStore
@@ -15,6 +15,7 @@
     "WATCHED_KEYS",
     "CommandClient",
     "PlatformStore",
+    "RouteTableDecoder",
     "decode_backend",
     "decode_route_table",
     "load_settings",
--- a/src/jacinthpath/platform/documents.py
+++ b/src/jacinthpath/platform/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["decode_backend", "decode_route_table"]
+__all__ = ["RouteTableDecoder", "decode_backend", "decode_route_table"]
 
 import math
 from collections.abc import Collection, Iterator
@@ -44,31 +44,67 @@
 MAX_STARTED_MS = 2**53
 
 
+class RouteTableDecoder:
+    """Decodes versions of the operator's configuration.
+
+    A row that stands in the version before too is checked and decoded only once: most
+    versions change few of some thousand routes.
+    """
+
+    def __init__(self) -> None:
+        self._routes: dict[str, Route] = {}
+        self._context = ""
+
+    def decode(self, content: bytes) -> RouteTable:
+        """Decode a version.
+
+        :raises MalformedValue: it cannot be decoded.
+        """
+        try:
+            document = parse_json(content)
+            services = {
+                row["name"]: _decode_service(row)
+                for row in _iter_rows(document["services"])
+            }
+            return RouteTable(
+                parse_version(document["version"]),
+                self._decode_routes(document["routes"], services),
+                services,
+                _decode_limits(document.get("limits") or {}),
+            )
+        except UNREADABLE as error:
+            raise MalformedValue(
+                f"The configuration cannot be decoded: {describe(error)}.",
+                "Correct the document in the store.",
+            ) from error
+
+    def _decode_routes(
+        self, table: dict[str, Any], services: Collection[str]
+    ) -> tuple[Route, ...]:
+        columns = table["columns"]
+        # What a row means depends on the columns and the names of the services too.
+        context = repr((columns, sorted(services)))
+        known = self._routes if context == self._context else {}
+        routes: list[Route] = []
+        decoded: dict[str, Route] = {}
+        for row in table["rows"]:
+            # Unlike the values, their text tells 1 from 1.0 and True.
+            text = repr(row)
+            route = known.get(text)
+            if route is None:
+                route = _decode_route(_name_values(columns, row), services)
+            decoded[text] = route
+            routes.append(route)
+        self._routes, self._context = decoded, context
+        return tuple(routes)
+
+
 def decode_route_table(content: bytes) -> RouteTable:
-    """Decode the operator's configuration.
+    """Decode one version of the operator's configuration.
 
     :raises MalformedValue: it cannot be decoded.
     """
-    try:
-        document = parse_json(content)
-        services = {
-            row["name"]: _decode_service(row)
-            for row in _iter_rows(document["services"])
-        }
-        routes = tuple(
-            _decode_route(row, services) for row in _iter_rows(document["routes"])
-        )
-        return RouteTable(
-            parse_version(document["version"]),
-            routes,
-            services,
-            _decode_limits(document.get("limits") or {}),
-        )
-    except UNREADABLE as error:
-        raise MalformedValue(
-            f"The configuration cannot be decoded: {describe(error)}.",
-            "Correct the document in the store.",
-        ) from error
+    return RouteTableDecoder().decode(content)
 
 
 def decode_backend(server: str, content: bytes, revision: int) -> Backend:
@@ -102,11 +138,16 @@
 
 
 def _iter_rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
-    """Yield each row as a dictionary by column name; nulls are left out."""
+    """Yield each row as a dictionary by column name."""
     columns = table["columns"]
     for row in table["rows"]:
-        pairs = zip(columns, row, strict=True)
-        yield {name: value for name, value in pairs if value is not None}
+        yield _name_values(columns, row)
+
+
+def _name_values(columns: list[str], row: list[Any]) -> dict[str, Any]:
+    """Return the values of a row by column name; nulls are left out."""
+    pairs = zip(columns, row, strict=True)
+    return {name: value for name, value in pairs if value is not None}
 
 
 def _decode_service(row: dict[str, Any]) -> Service:
--- a/tests/test_gateway_decoding.py
+++ b/tests/test_gateway_decoding.py
@@ -13,7 +13,12 @@
     encode_assignment,
 )
 from jacinthpath.gateway.route_index import RouteIndex
-from jacinthpath.platform import decode_backend, decode_route_table, load_settings
+from jacinthpath.platform import (
+    RouteTableDecoder,
+    decode_backend,
+    decode_route_table,
+    load_settings,
+)
 from standins.platform_documents import SETTINGS, configuration, route
 
 SETTINGS_FILE = SETTINGS.format(
@@ -78,6 +83,40 @@
     assert index.find("other", "/a/") is None
 
 
+SPLIT = [{"service": "plain", "weight": 1}, {"service": "keys", "weight": 3}]
+ODD_PRIORITIES = [1, 1.0, True, "1"]
+
+
+def versions_of_routes():
+    """Return a strategy for versions that share rows, some of which are malformed."""
+    rows = [route("a", "/a/", "plain"), route("b", "/b/", "", split=SPLIT)]
+    for priority in ODD_PRIORITIES:
+        row = route("c", "/c/", "keys")
+        row[6] = priority
+        rows.append(row)
+    services = st.sampled_from([("plain", "keys"), ("plain",)])
+    version = st.tuples(st.lists(st.sampled_from(rows)), services)
+    return st.lists(version, max_size=5)
+
+
+def decoded_or_refused(decode, content):
+    try:
+        return decode(content)
+    except JacinthpathError as error:
+        return str(error)
+
+
+@given(versions_of_routes())
+def test_version_is_decoded_alike_whatever_came_before(versions):
+    """A row that was known must not make a host take what others refuse."""
+    decoder = RouteTableDecoder()
+    for rows, services in versions:
+        content = configuration(3, rows, services=services)
+        assert decoded_or_refused(decoder.decode, content) == decoded_or_refused(
+            decode_route_table, content
+        )
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_raise_only_typed_errors(content):
     """A value in the store that cannot be decoded must not end the process."""
