Do not follow a leader in a configuration that it cannot confirm

Callers: a new route got 404 at all followers for up to 18 s, while their leader's watch of the configuration was not answered, or for good while the leader refused a document that others could read.

Cause: followers took the age of the leader's servers for that of all its documents, and a document that the leader refused left no trace in its responses.

Change: the leader's watch of the configuration is answered at least every 0.8 s; its age goes into each response, and does not start anew while a newer document is refused. Beyond 1.3 s the leader answers waiting followers at once, and they read this part of the store until it has news. Earlier builds do not state the age: that of their servers stands in.

--- a/src/jacinthpath/gateway/configuration_state.py
+++ b/src/jacinthpath/gateway/configuration_state.py
@@ -36,6 +36,7 @@
         self._decode_routes = decode_routes
         self._record_refused = record_refused
         self._confirmed_s = float("-inf")
+        self._refused_revision = 0
 
     @property
     def version(self) -> int:
@@ -47,7 +48,12 @@
         return boottime_s() - self._confirmed_s
 
     def record_confirmed(self, age_s: float = 0.0) -> None:
-        """Record that the store confirmed the configuration ``age_s`` ago."""
+        """Record that the store confirmed the configuration ``age_s`` ago.
+
+        While a newer document is refused, the one in force is not current.
+        """
+        if self._refused_revision > self.revision:
+            return
         self._confirmed_s = max(self._confirmed_s, boottime_s() - age_s)
 
     def apply(self, content: bytes, revision: int, source: str) -> bool:
@@ -65,6 +71,7 @@
         try:
             routes = RouteIndex(self._decode_routes(content))
         except Exception as error:
+            self._refused_revision = max(self._refused_revision, revision)
             self._record_refused("configuration", revision, error)
             return False
         version = routes.table.version
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -5,6 +5,7 @@
 __all__ = [
     "DocumentParts",
     "apply_documents",
+    "configuration_age_s",
     "has_newer_assignment",
     "has_newer_configuration",
     "read_report",
@@ -148,6 +149,16 @@
             view.record_refused(f"{name} of {source}", 0, error)
 
 
+def configuration_age_s(content: Any) -> float:
+    """Return how long ago the sender's configuration was confirmed.
+
+    A sender of an earlier build tells only the age of its servers.
+    """
+    if not content.configurationAgeMs:
+        return content.ageMs / 1000
+    return (content.configurationAgeMs - 1) / 1000
+
+
 def _milliseconds(age_s: float) -> int:
     return int(min(MAX_AGE_MS, age_s * 1000))
 
@@ -157,8 +168,7 @@
         view.apply_configuration(
             bytes(content.configuration), content.configurationRevision, source
         )
-    if content.configurationAgeMs:
-        view.configuration.record_confirmed((content.configurationAgeMs - 1) / 1000)
+    view.configuration.record_confirmed(configuration_age_s(content))
 
 
 def _apply_hosts(content: Any, view: ClusterView, _source: str) -> None:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -29,6 +29,7 @@
 from .peer_messages import (
     DocumentParts,
     apply_documents,
+    configuration_age_s,
     has_newer_assignment,
     has_newer_configuration,
     write_documents,
@@ -49,6 +50,9 @@
 MAX_LEADER_AGE_S = 1.5
 """A response is fresh if the leader's list of servers is younger than this."""
 
+MAX_CONFIGURATION_AGE_S = 1.3
+"""A leader whose configuration was confirmed longer ago is not followed in it."""
+
 FOLLOW_PAUSE_S = 0.15
 UNCONFIRMED_PAUSE_S = 0.8
 """Longest additional pause after a response of a leader whose lease is not confirmed:
@@ -104,6 +108,7 @@
         self._followed_at_s = float("-inf")
         self._followed_process_id = ""
         self._unresponsive_process_id = ""
+        self._leader_has_news = False
         self.is_seed = address in seeds
         self.authority: Callable[[], LeaderAuthority | None] = lambda: None
         all_handlers = {**handlers, "documentsWanted": self._handle_documents_wanted}
@@ -133,6 +138,14 @@
             and boottime_s() - self._followed_at_s < FOLLOWING_TIMEOUT_S
         )
 
+    def keeps_configuration_current(self) -> bool:
+        """Return whether the leader keeps the configuration of this host up to date."""
+        return self._leader_has_news and self.is_following()
+
+    def is_leading(self) -> bool:
+        """Return whether this host leads."""
+        return self.authority() is not None
+
     def may_follow(self) -> bool:
         """Return whether another host leads and could be followed when last asked."""
         leader = self._view.leader
@@ -212,6 +225,8 @@
             await asyncio.sleep(FOLLOW_PAUSE_S * self._random.random())
 
     def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
+        age_s = configuration_age_s(response)
+        self._leader_has_news = age_s < MAX_CONFIGURATION_AGE_S
         if response.confirmed and response.ageMs < MAX_LEADER_AGE_S * 1000:
             self._followed_at_s = boottime_s()
             self._followed_process_id = leader.process_id
@@ -271,16 +286,29 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
+        had_news = self._has_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
+            and self._has_news() is had_news
             and loop.time() < deadline_s
         ):
-            await wait_for_event(self._view.changed, deadline_s - loop.time())
+            wait_s = deadline_s - loop.time()
+            if had_news:
+                # Followers learn at once that they have to read the store.
+                wait_s = min(wait_s, self._news_left_s())
+            await wait_for_event(self._view.changed, wait_s)
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
+    def _has_news(self) -> bool:
+        """Return whether the store has lately confirmed the configuration."""
+        return self._news_left_s() > 0
+
+    def _news_left_s(self) -> float:
+        return MAX_CONFIGURATION_AGE_S - self._view.configuration.age_s()
+
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
@@ -303,7 +331,7 @@
     def _make_frame_with(self, parts: DocumentParts, wanted: Any) -> Any:
         response = new_frame()
         content = response.body.init("documents")
-        content.leading = self.authority() is not None
+        content.leading = self.is_leading()
         content.confirmed = self._permits.is_confirmed()
         write_documents(content, wanted, self._view, parts)
         if has_other_blocked(self._ledger, wanted):
--- a/src/jacinthpath/gateway/store_health.py
+++ b/src/jacinthpath/gateway/store_health.py
@@ -55,8 +55,7 @@
         since_s = self._failing_since_s.pop(part, None)
         if since_s is None:
             return
-        self._recovered.set()
-        self._recovered = asyncio.Event()
+        self.resend_watches()
         now_s = boottime_s()
         peers_reach_store = self._view.peer_store_age_s() < MAX_PEER_STORE_AGE_S
         if not peers_reach_store:
@@ -68,6 +67,11 @@
             peers_reached_it=peers_reach_store,
         )
 
+    def resend_watches(self) -> None:
+        """Let the watches that are waiting be sent again."""
+        self._recovered.set()
+        self._recovered = asyncio.Event()
+
     async def record_failure(
         self, part: str, error: Exception, following: bool
     ) -> None:
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -28,6 +28,10 @@
 """Longest wait of one watch: the store keeps 20 s of history (according to the
 platform's documentation); after a longer wait the keys have to be listed again."""
 
+CONFIRMING_WATCH_TIMEOUT_S = 0.8
+"""Longest wait of a leader's watch of the configuration, so that a response regularly
+confirms it: its followers do not read the store."""
+
 SERVERS_WATCH_INTERVAL_S = 0.4
 """Entries change with each heartbeat of each server, so changes are fetched at this
 interval, mostly by the leader alone; requests to a draining server must stop within two
@@ -37,6 +41,9 @@
 """Longest wait of one watch of the servers, so that a response regularly confirms the
 list."""
 
+PARTS = ("configuration", "leader", "own", "servers")
+"""Parts of the store that are watched, each by a loop of its own."""
+
 LEADER_RECORD_TIMEOUT_S = 0.3
 """A starting host waits at most this long until it has read the leader record."""
 
@@ -86,6 +93,12 @@
     def is_following(self) -> bool:
         """Return whether the leader keeps this host up to date."""
 
+    def keeps_configuration_current(self) -> bool:
+        """Return whether the leader keeps the configuration of this host up to date."""
+
+    def is_leading(self) -> bool:
+        """Return whether this host leads."""
+
     def may_follow(self) -> bool:
         """Return whether another host leads and could be followed when last asked."""
 
@@ -127,8 +140,8 @@
         self._loops = loops
         self._health = StoreHealth(view, events, random)
         self._leader_record_read = asyncio.Event()
-        self._follows = False
-        self._follows_no_longer = asyncio.Event()
+        self._was_leading = False
+        self._not_served = {part: asyncio.Event() for part in PARTS}
 
     async def on_start(self) -> None:
         """Start a loop for each watched part of the store."""
@@ -171,7 +184,8 @@
         while not self.should_stop:
             if self._is_served_by_leader(part):
                 self._health.stop_tracking(part)
-                await self._follows_no_longer.wait()
+                self._not_served[part].clear()
+                await self._not_served[part].wait()
                 continue
             try:
                 await list_and_watch()
@@ -189,21 +203,30 @@
         """Return whether this host need not read the part from the store."""
         if part == "leader" and self._peers.is_seed:
             return False
-        self._update_following()
-        return self._follows
+        if part == "configuration":
+            return self._peers.keeps_configuration_current()
+        return self._peers.is_following()
 
     async def _track_following(self) -> None:
-        """Wake the parts that wait for the end of following, all by one timer."""
+        """Wake the parts that the leader no longer serves, all by one timer."""
         while not self.should_stop:
             self._update_following()
+            self._resend_watches_of_new_leader()
             await asyncio.sleep(FOLLOWING_POLL_S)
 
     def _update_following(self) -> None:
-        self._follows = self._peers.is_following()
-        if self._follows:
-            self._follows_no_longer.clear()
-        else:
-            self._follows_no_longer.set()
+        for part, not_served in self._not_served.items():
+            if self._is_served_by_leader(part):
+                not_served.clear()
+            else:
+                not_served.set()
+
+    def _resend_watches_of_new_leader(self) -> None:
+        """Resend the watches that wait for longer than those of a leader do."""
+        is_leading = self._peers.is_leading()
+        if is_leading and not self._was_leading:
+            self._health.resend_watches()
+        self._was_leading = is_leading
 
     async def _wait_for_leader(self) -> None:
         """Wait until a working leader has had time to send its documents.
@@ -278,6 +301,8 @@
     ) -> None:
         """Apply changes to one part; stop once the leader keeps it up to date."""
         while not self._is_served_by_leader(part) and not self.should_stop:
+            if part == "configuration" and self._peers.is_leading():
+                wait_s = CONFIRMING_WATCH_TIMEOUT_S
             try:
                 batch = await self._health.run_until_recovered(
                     self._store.watch(prefix, revision, wait_s)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -32,6 +32,12 @@
     def may_follow(self):
         return self.following
 
+    def keeps_configuration_current(self):
+        return self.following
+
+    def is_leading(self):
+        return False
+
 
 @pytest.fixture
 def watcher():
