Let hosts begin at different places in the cycle of a traffic split

Callers: after a new split, each of 69 hosts gave its first request to the heaviest part: with one to three requests a host the shares lay up to 0.5 off their weights.

Cause: the credits of the round robin begin at zero on each host.

Change: a host begins with a random number of choices made.

--- a/src/jacinthpath/gateway/forwarder.py
+++ b/src/jacinthpath/gateway/forwarder.py
@@ -27,7 +27,7 @@
         self.in_flight = 0
         self._dependencies = dependencies
         self._timing = timing
-        self._round_robin = SmoothWeightedRoundRobin()
+        self._round_robin = SmoothWeightedRoundRobin(dependencies.random)
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: CallerRequest) -> Response:
--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -265,7 +266,7 @@
     for route_in_force in routes.routes:
         found = view.routes.find(route_in_force.host, route_in_force.prefix + "a")
         if found is not None:
-            assert SmoothWeightedRoundRobin().choose(found)
+            assert SmoothWeightedRoundRobin(Random(1)).choose(found)
 
 
 @MUTATIONS
