Check the depth only of what is new in a configuration

Change: the decoder checks the parsed values, and of the rows only those it does not know. What nests too deep is refused as before, in each place.

--- a/src/jacinthpath/json_documents.py
+++ b/src/jacinthpath/json_documents.py
@@ -13,6 +13,7 @@
     "UNREADABLE",
     "MalformedDocument",
     "check_address",
+    "check_depth",
     "check_integer",
     "check_text",
     "describe",
@@ -69,6 +70,24 @@
         raise MalformedDocument(f"not JSON: {describe(str(error))}") from error
 
 
+def check_depth(value: object, max_depth: int = MAX_DEPTH) -> None:
+    """Check the depth of a value that :func:`parse_json` returned unchecked.
+
+    :raises MalformedDocument: it nests deeper than ``max_depth`` levels.
+    """
+    level = [value]
+    for _ in range(max_depth + 1):
+        containers = [one for one in level if isinstance(one, (dict, list))]
+        if not containers:
+            return
+        level = [
+            inner
+            for one in containers
+            for inner in (one.values() if isinstance(one, dict) else one)
+        ]
+    raise MalformedDocument(f"nested deeper than {max_depth} levels")
+
+
 def check_text(value: object, max_chars: int = MAX_TEXT_CHARS) -> str:
     """Return a value that is a non-empty string of printable characters.
 
--- a/src/jacinthpath/platform/documents.py
+++ b/src/jacinthpath/platform/documents.py
@@ -17,8 +17,10 @@
     WeightedService,
 )
 from ..json_documents import (
+    MAX_DEPTH,
     UNREADABLE,
     check_address,
+    check_depth,
     check_integer,
     check_text,
     describe,
@@ -43,6 +45,9 @@
 
 MAX_STARTED_MS = 2**53
 
+ROW_DEPTH = 3
+"""Levels above a row of a table in the configuration."""
+
 
 class RouteTableDecoder:
     """Decodes versions of the operator's configuration.
@@ -61,7 +66,8 @@
         :raises MalformedValue: it cannot be decoded.
         """
         try:
-            document = parse_json(content)
+            document = parse_json(content, check_depth=False)
+            _check_depth_beside_rows(document)
             services = {
                 row["name"]: _decode_service(row)
                 for row in _iter_rows(document["services"])
@@ -92,6 +98,7 @@
             text = repr(row)
             route = known.get(text)
             if route is None:
+                check_depth(row, MAX_DEPTH - ROW_DEPTH)
                 route = _decode_route(_name_values(columns, row), services)
             decoded[text] = route
             routes.append(route)
@@ -137,6 +144,11 @@
     return backend
 
 
+def _check_depth_beside_rows(document: dict[str, Any]) -> None:
+    """Check the depth of a configuration, but for the rows of its routes."""
+    check_depth({**document, "routes": {**document["routes"], "rows": None}})
+
+
 def _iter_rows(table: dict[str, Any]) -> Iterator[dict[str, Any]]:
     """Yield each row as a dictionary by column name."""
     columns = table["columns"]
--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -34,7 +34,7 @@
     parse_json,
 )
 from jacinthpath.peers import split_address
-from jacinthpath.platform import decode_backend, decode_route_table
+from jacinthpath.platform import RouteTableDecoder, decode_backend, decode_route_table
 from standins.platform_documents import CONFIGURATION_KEY, configuration, route
 
 from .gateway_simulation import NullEventLog
@@ -99,6 +99,34 @@
         parse_json(content)
 
 
+@pytest.mark.parametrize("place", ["row", "table", "document"])
+@pytest.mark.parametrize("is_known", [False, True])
+def test_nested_part_of_a_configuration_is_refused(place, is_known):
+    """Rows that are known are not checked again, whatever is new has to be."""
+    decoder = RouteTableDecoder()
+    document = json.loads(configuration(3, [route("r", "/r/", "plain")]))
+    document["routes"]["columns"].append("comment")
+    document["routes"]["rows"][0].append(None)
+    if is_known:
+        decoder.decode(json.dumps(document).encode())
+    for depth in (MAX_DEPTH - 4, MAX_DEPTH + 1):
+        nested = "x"
+        for _ in range(depth):
+            nested = [nested]
+        if place == "row":
+            document["routes"]["rows"][0][-1] = nested
+        elif place == "table":
+            document["routes"]["comment"] = nested
+        else:
+            document["comment"] = nested
+        content = json.dumps(document).encode()
+        if depth < MAX_DEPTH:
+            assert decoder.decode(content).version == 3
+        else:
+            with pytest.raises(JacinthpathError, match="nested"):
+                decoder.decode(content)
+
+
 def test_brackets_in_strings_are_no_nesting():
     value = {"a": "[" * 500 + '\\"[', "b": [[1]]}
     assert parse_json(json.dumps(value).encode()) == value
