Let a host that applies documents slowly ask for them less often

Cause: in a storm, versions arrive faster than a weak and slowed host applies them, and each response brought one of them.

Change: a host waits four times as long as it took to apply the last response, up to 0.4 s, so that the next carries several changes.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -55,6 +55,11 @@
 """A leader whose configuration was confirmed longer ago is not followed in it."""
 
 FOLLOW_PAUSE_S = 0.15
+MAX_APPLYING_SHARE = 0.2
+"""Share of a host's time for applying documents: it waits longer after one that took
+long, so that the next carries several changes."""
+
+MAX_FOLLOW_PAUSE_S = 0.4
 UNCONFIRMED_PAUSE_S = 0.8
 """Longest additional pause after a response of a leader whose lease is not confirmed:
 it responds at once, and all hosts ask it during an outage of the store."""
@@ -113,6 +118,7 @@
         self._unresponsive_process_id = ""
         self._leader_has_news = False
         self._revision_at_store = 0
+        self._applying_s = 0.0
         self.is_seed = address in seeds
         self.authority: Callable[[], LeaderAuthority | None] = lambda: None
         all_handlers = {**handlers, "documentsWanted": self._handle_documents_wanted}
@@ -228,7 +234,12 @@
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             # Updates come in bursts. The pause lets one response carry several, and
             # bounds the message rate if the documents of two hosts never converge.
-            await asyncio.sleep(FOLLOW_PAUSE_S * self._random.random())
+            await asyncio.sleep(self._follow_pause_s())
+
+    def _follow_pause_s(self) -> float:
+        busy_s = self._applying_s * (1 / MAX_APPLYING_SHARE - 1)
+        pause_s = max(FOLLOW_PAUSE_S * self._random.random(), busy_s)
+        return min(MAX_FOLLOW_PAUSE_S, pause_s)
 
     def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
         age_s = configuration_age_s(response)
@@ -271,7 +282,9 @@
         sent_s = boottime_s()
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
+        received_s = boottime_s()
         apply_documents(content, view, f"peer {address}")
+        self._applying_s = boottime_s() - received_s
         for blocked in read_blocked(content):
             self._merge_blocked(blocked, address)
         if content.countsShares:
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -1,11 +1,14 @@
 """How a host's configuration came into force, and how current it is."""
 
+from random import Random
+
 import pytest
 
 from jacinthpath.codec import new_frame
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.link_budget import LinkBudget
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
+from jacinthpath.gateway.peering import Peering
 from jacinthpath.platform import decode_backend, decode_route_table
 from standins.platform_documents import configuration, route
 
@@ -158,3 +161,14 @@
     assert budget.take(10_000)
     now_s = 30.0
     assert not budget.take(1)
+
+
+@pytest.mark.parametrize(
+    ("applying_s", "least_s", "most_s"),
+    [(0.0, 0.0, 0.15), (0.07, 0.28, 0.4), (9, 0.4, 0.4)],
+)
+def test_slow_host_asks_less_often(applying_s, least_s, most_s):
+    """In a storm of versions, decoding them took most of a weak host's time."""
+    peering = Peering.__new__(Peering)
+    peering._random, peering._applying_s = Random(1), applying_s
+    assert least_s - 1e-9 <= peering._follow_pause_s() <= most_s
