Mend what the review of the spread of configurations found

Cause and change, each found by a review that had not seen the work: - A large change (1,400 added routes) still went as plain parts, 66 Mbit for 68 hosts. Each now decides by its own clock, and the leader has its configuration confirmed every 0.5 s. The test's watch is never answered, as it should have been. - A host whose leader has no news, and that the store turns away, had no source left: it now asks other peers. - A refused version was withheld by its revision, so that a host that started got none at all. Now the refused bytes are named by their digest, and the host reads the store again. - A compressed document that was cut short was taken as one that cannot be read. - A host that was told to read the store asked the leader in a loop; it names the version that it reads there for a second. One that the store fails gets it in any case. - Parts that the store had overtaken made a host ask for the next version whole. - A link of 0 Mbit/s, and a delta of any size, were accepted.

Measured: tests/test_configuration_state.py, tests/test_late_configuration.py.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -95,6 +95,7 @@
             self.configuration.content,
             self.configuration.revision,
             self.configuration.version,
+            self.configuration.digest,
             self.assignment_revision,
             self.assignment.fence,
         )
@@ -127,10 +128,10 @@
             self.notify()
 
     def apply_compressed_configuration(
-        self, compressed: bytes, revision: int, source: str
+        self, compressed: bytes, digest: int, revision: int, source: str
     ) -> None:
         """Put a compressed configuration in force unless a newer one already is."""
-        if self.configuration.apply_compressed(compressed, revision, source):
+        if self.configuration.apply_compressed(compressed, digest, revision, source):
             self.notify()
 
     def apply_configuration_parts(
--- a/src/jacinthpath/gateway/configuration_state.py
+++ b/src/jacinthpath/gateway/configuration_state.py
@@ -8,14 +8,17 @@
 from collections.abc import Callable, Iterable
 
 from .clock import boottime_s
-from .content_delta import ContentHistory, Part, apply_parts, content_digest
+from .content_delta import (
+    MAX_CONTENT_BYTES,
+    ContentHistory,
+    Part,
+    apply_parts,
+    content_digest,
+)
 from .events import EventLog
 from .model import RouteTable
 from .route_index import RouteIndex
 
-MAX_CONTENT_BYTES = 2 * 1024 * 1024
-"""The store's longest value has 1 MB."""
-
 
 class ConfigurationState:
     """Puts configurations in force in the order of their versions.
@@ -26,7 +29,7 @@
     :ivar routes: the routes in force, ``None`` before the first configuration.
     :ivar content: the operator's document as stored.
     :ivar revision: its newest revision in the store.
-    :ivar refused_revision: newest revision that could not be read, 0 if there is none.
+    :ivar refused_digest: names the newest content that could not be read, 0 if none.
     :ivar digest: names the content.
     :ivar accepts_parts: whether the next version may come as parts; after parts that
         did not apply, the whole is requested.
@@ -49,7 +52,8 @@
         self._decode_routes = decode_routes
         self._record_refused = record_refused
         self._confirmed_s = float("-inf")
-        self.refused_revision = 0
+        self.refused_digest = 0
+        self._refused_revision = 0
 
     @property
     def version(self) -> int:
@@ -60,12 +64,16 @@
         """Return the time since the store confirmed that no newer one exists."""
         return boottime_s() - self._confirmed_s
 
+    def refuses_newer(self) -> bool:
+        """Return whether a newer configuration exists that could not be read."""
+        return self._refused_revision > self.revision
+
     def record_confirmed(self, age_s: float = 0.0) -> None:
         """Record that the store confirmed the configuration ``age_s`` ago.
 
         While a newer document is refused, the one in force is not current.
         """
-        if self.refused_revision > self.revision:
+        if self.refuses_newer():
             return
         self._confirmed_s = max(self._confirmed_s, boottime_s() - age_s)
 
@@ -84,7 +92,8 @@
         try:
             routes = RouteIndex(self._decode_routes(content))
         except Exception as error:
-            self.refused_revision = max(self.refused_revision, revision)
+            self._refused_revision = max(self._refused_revision, revision)
+            self.refused_digest = content_digest(content)
             self._record_refused("configuration", revision, error)
             return False
         version = routes.table.version
@@ -125,15 +134,20 @@
             return False
         return self.apply(content, revision, source)
 
-    def apply_compressed(self, compressed: bytes, revision: int, source: str) -> bool:
+    def apply_compressed(
+        self, compressed: bytes, digest: int, revision: int, source: str
+    ) -> bool:
         """Put a configuration in force that :meth:`compressed` has made.
 
+        :param digest: of the configuration.
         :return: whether it came into force.
         """
         try:
             content = zlib.decompressobj().decompress(compressed, MAX_CONTENT_BYTES)
-        except zlib.error as error:
-            self._record_refused("configuration", revision, error)
+            if content_digest(content) != digest:
+                raise ValueError("the compressed configuration is damaged")
+        except (ValueError, zlib.error) as error:
+            self._record_refused("compressed configuration", revision, error)
             return False
         return self.apply(content, revision, source)
 
--- a/src/jacinthpath/gateway/content_delta.py
+++ b/src/jacinthpath/gateway/content_delta.py
@@ -6,7 +6,14 @@
 
 from __future__ import annotations
 
-__all__ = ["ContentHistory", "Part", "apply_parts", "content_digest", "make_parts"]
+__all__ = [
+    "MAX_CONTENT_BYTES",
+    "ContentHistory",
+    "Part",
+    "apply_parts",
+    "content_digest",
+    "make_parts",
+]
 
 from collections.abc import Iterable
 from itertools import accumulate
@@ -18,8 +25,11 @@
 
 RECORD_END = b"]"
 
+MAX_CONTENT_BYTES = 2 * 1024 * 1024
+"""The store's longest value has 1 MB."""
+
 MAX_KEPT_VERSIONS = 12
-MAX_KEPT_BYTES = 2 * 1024 * 1024
+MAX_KEPT_BYTES = 1024 * 1024
 """Operators write several versions a second at times, and hosts ask as often."""
 
 
@@ -104,6 +114,12 @@
     :param digest: of the version that it should make.
     :raises JacinthpathError: it makes another one.
     """
+    parts = [*parts]
+    if sum(len(part.new) or part.length_bytes for part in parts) > MAX_CONTENT_BYTES:
+        raise JacinthpathError(
+            f"The delta makes more than {MAX_CONTENT_BYTES} bytes.",
+            "The whole document is requested next.",
+        )
     content = b"".join(
         part.new or older[part.start_bytes : part.start_bytes + part.length_bytes]
         for part in parts
--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -110,6 +110,7 @@
 
     :param configuration: the operator's document as stored, with its revision.
     :param configuration_version: the operator's number of it, 0 if there is none.
+    :param configuration_digest: names its content, 0 if there is none.
     :param assignment_revision: revision of the assignment of keys to servers.
     :param assignment_fence: its highest fencing token.
     """
@@ -117,6 +118,7 @@
     configuration: bytes
     configuration_revision: int
     configuration_version: int
+    configuration_digest: int
     assignment_revision: int
     assignment_fence: int
 
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -5,22 +5,23 @@
 __all__ = [
     "DocumentParts",
     "apply_documents",
-    "configuration_age_s",
     "has_newer_assignment",
-    "has_newer_configuration",
     "read_report",
     "write_documents",
     "write_report",
 ]
 
 import enum
-from collections.abc import Callable
 from typing import Any
 
 from ..errors import FrameError
 from .cluster_view import ClusterView
-from .configuration_state import ConfigurationState
-from .content_delta import Part
+from .configuration_messages import (
+    MAX_AGE_MS,
+    ConfigurationForm,
+    apply_configuration,
+    write_configuration,
+)
 from .directory import ServerDelta
 from .limit_messages import has_other_limits, read_limit, write_limits
 from .loads import HostReport, LeavingServer, ServerEvidence, ServiceReport
@@ -28,9 +29,6 @@
 
 MAX_REPORTED_KEYS = 4_096
 
-MAX_AGE_MS = 4_000_000_000
-"""Largest age that fits into a message; also sent when the age is not known."""
-
 MAX_SERVERS_AGE_S = 2.0
 """A list of servers of this age or older is not applied: its sender may have lost the
 store. A younger list is applied if it is newer than the list of this host."""
@@ -50,7 +48,7 @@
     wanted: Any,
     view: ClusterView,
     parts: DocumentParts = DocumentParts.ALL,
-    may_send_whole: Callable[[int], bool] = lambda _size_bytes: True,
+    form: ConfigurationForm = ConfigurationForm.NONE,
 ) -> None:
     """Write the documents of which the requester has an older version.
 
@@ -59,17 +57,14 @@
     next message. One that does not get the servers must not take its own list for
     fresh.
 
-    :param may_send_whole: whether a whole configuration of so many bytes may be sent;
-        otherwise the requester is told to read it from the store.
+    :param form: how to write the configuration.
     """
     content.ageMs = MAX_AGE_MS
-    content.configurationAgeMs = _milliseconds(view.configuration.age_s()) + 1
     if parts is DocumentParts.ALL:
-        content.ageMs = _milliseconds(view.servers_age_s())
+        content.ageMs = int(min(MAX_AGE_MS, view.servers_age_s() * 1000))
         _write_cluster(content, wanted, view)
+    write_configuration(content, wanted, view.configuration, form)
     newest = view.newest_documents()
-    if has_newer_configuration(newest, wanted):
-        _write_configuration(content, wanted, view.configuration, may_send_whole)
     if parts > DocumentParts.CONFIGURATION and has_newer_assignment(newest, wanted):
         _write_assignment(content, wanted, view)
 
@@ -88,22 +83,6 @@
         write_limits(content, view.limits.all())
 
 
-def has_newer_configuration(newest: Documents, wanted: Any) -> bool:
-    """Return whether this host has a newer configuration than the requester.
-
-    A requester of an earlier build does not send the version. One that could not read
-    this configuration does not want it again.
-    """
-    if newest.configuration_revision <= wanted.configurationRefused:
-        return False
-    newer_revision = newest.configuration_revision > wanted.configurationRevision
-    if not wanted.configurationVersion:
-        return newer_revision
-    if newest.configuration_version != wanted.configurationVersion:
-        return newest.configuration_version > wanted.configurationVersion
-    return newer_revision
-
-
 def has_newer_assignment(newest: Documents, wanted: Any) -> bool:
     """Return whether this host has a newer assignment than the requester.
 
@@ -115,27 +94,6 @@
     return newest.assignment_fence > wanted.assignmentFence
 
 
-def _write_configuration(
-    content: Any,
-    wanted: Any,
-    state: ConfigurationState,
-    may_send_whole: Callable[[int], bool],
-) -> None:
-    content.configurationRevision = state.revision
-    parts = state.parts_since(wanted.configurationDigest) if wanted.takesParts else None
-    if parts is not None:
-        content.configurationDigest = state.digest
-        entries = content.init("configurationParts", len(parts))
-        for entry, part in zip(entries, parts, strict=True):
-            entry.startBytes, entry.lengthBytes, entry.new = part
-    elif not wanted.takesCompressed:
-        content.configuration = state.content
-    elif may_send_whole(len(state.compressed())):
-        content.configurationCompressed = state.compressed()
-    else:
-        content.configurationAtStore = True
-
-
 def _write_assignment(content: Any, wanted: Any, view: ClusterView) -> None:
     content.assignmentRevision = view.assignment_revision
     delta = None
@@ -166,7 +124,7 @@
 def apply_documents(content: Any, view: ClusterView, source: str) -> None:
     """Apply the documents that a peer has sent."""
     for name, apply in (
-        ("configuration", _apply_configuration),
+        ("configuration", apply_configuration),
         ("assignment", _apply_assignment),
         ("hosts", _apply_hosts),
         ("servers", _apply_servers),
@@ -179,38 +137,6 @@
             view.record_refused(f"{name} of {source}", 0, error)
 
 
-def configuration_age_s(content: Any) -> float:
-    """Return how long ago the sender's configuration was confirmed.
-
-    A sender of an earlier build tells only the age of its servers.
-    """
-    if not content.configurationAgeMs:
-        return content.ageMs / 1000
-    return (content.configurationAgeMs - 1) / 1000
-
-
-def _milliseconds(age_s: float) -> int:
-    return int(min(MAX_AGE_MS, age_s * 1000))
-
-
-def _apply_configuration(content: Any, view: ClusterView, source: str) -> None:
-    revision = content.configurationRevision
-    if content.configuration:
-        view.apply_configuration(bytes(content.configuration), revision, source)
-    elif content.configurationCompressed:
-        compressed = bytes(content.configurationCompressed)
-        view.apply_compressed_configuration(compressed, revision, source)
-    elif len(content.configurationParts):
-        parts = [
-            Part(entry.startBytes, entry.lengthBytes, bytes(entry.new))
-            for entry in content.configurationParts
-        ]
-        digest = content.configurationDigest
-        view.apply_configuration_parts(parts, digest, revision, source)
-    if view.configuration.revision >= revision:
-        view.configuration.record_confirmed(configuration_age_s(content))
-
-
 def _apply_hosts(content: Any, view: ClusterView, _source: str) -> None:
     for entry in content.hosts:
         view.apply_peer_address(entry.host, entry.address.encode())
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from mode import Service
 
@@ -20,6 +20,11 @@
 from .authority import LeaderAuthority
 from .clock import boottime_s
 from .cluster_view import ClusterView
+from .configuration_messages import (
+    ConfigurationForm,
+    choose_form,
+    has_newer_configuration,
+)
 from .crash_ledger import BlockedRequest, CrashLedger
 from .crash_messages import has_other_blocked, read_blocked, write_blocked
 from .events import EventLog
@@ -30,9 +35,7 @@
 from .peer_messages import (
     DocumentParts,
     apply_documents,
-    configuration_age_s,
     has_newer_assignment,
-    has_newer_configuration,
     write_documents,
 )
 from .permit_exchange import PermitExchange
@@ -51,15 +54,20 @@
 MAX_LEADER_AGE_S = 1.5
 """A response is fresh if the leader's list of servers is younger than this."""
 
-MAX_CONFIGURATION_AGE_S = 1.3
-"""A leader whose configuration was confirmed longer ago is not followed in it."""
+MAX_CONFIGURATION_AGE_S = 1.5
+"""A host whose configuration was confirmed longer ago reads the store: the leader may
+have no news. The leader has it confirmed every half second."""
+
+STORE_READ_TIMEOUT_S = 1.0
+"""A host that has not read a configuration from the store for this long asks the leader
+for it again."""
 
 FOLLOW_PAUSE_S = 0.15
 MAX_APPLYING_SHARE = 0.2
 """Share of a host's time for applying documents: it waits longer after one that took
 long, so that the next carries several changes."""
 
-MAX_FOLLOW_PAUSE_S = 0.4
+MAX_FOLLOW_PAUSE_S = 0.3
 UNCONFIRMED_PAUSE_S = 0.8
 """Longest additional pause after a response of a leader whose lease is not confirmed:
 it responds at once, and all hosts ask it during an outage of the store."""
@@ -70,6 +78,20 @@
 documents twice as often."""
 
 
+class _ConfigurationAtStore(NamedTuple):
+    """A configuration that the leader referred this host to the store for.
+
+    :param referred_s: when it did, on the boot clock.
+    """
+
+    digest: int
+    revision: int
+    referred_s: float
+
+
+_NOTHING_AT_STORE = _ConfigurationAtStore(0, 0, float("-inf"))
+
+
 class Peering(Service):
     """Serves documents to the other gateways, and fetches theirs.
 
@@ -83,6 +105,7 @@
     :param address: address of this host for peers.
     :param seeds: addresses of peers, besides those known from the store.
     :ivar is_seed: whether this host is one of those that others ask first.
+    :ivar store_fails: returns whether the store does not respond to this host.
     :ivar authority: returns what this host may do as the leader, ``None`` if it does
         not lead.
     """
@@ -116,8 +139,8 @@
         self._followed_at_s = float("-inf")
         self._followed_process_id = ""
         self._unresponsive_process_id = ""
-        self._leader_has_news = False
-        self._revision_at_store = 0
+        self.store_fails: Callable[[], bool] = lambda: False
+        self._at_store = _NOTHING_AT_STORE
         self._applying_s = 0.0
         self.is_seed = address in seeds
         self.authority: Callable[[], LeaderAuthority | None] = lambda: None
@@ -151,8 +174,13 @@
 
     def keeps_configuration_current(self) -> bool:
         """Return whether the leader keeps the configuration of this host up to date."""
-        is_behind = self._view.configuration.revision < self._revision_at_store
-        return self._leader_has_news and not is_behind and self.is_following()
+        state = self._view.configuration
+        return (
+            self.is_following()
+            and state.age_s() < MAX_CONFIGURATION_AGE_S
+            and not state.refuses_newer()
+            and not self._is_behind_store()
+        )
 
     def is_leading(self) -> bool:
         """Return whether this host leads."""
@@ -242,10 +270,12 @@
         return min(MAX_FOLLOW_PAUSE_S, pause_s)
 
     def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
-        age_s = configuration_age_s(response)
-        self._leader_has_news = age_s < MAX_CONFIGURATION_AGE_S
-        at_store = response.configurationAtStore
-        self._revision_at_store = response.configurationRevision if at_store else 0
+        if response.configurationAtStore:
+            self._at_store = _ConfigurationAtStore(
+                response.configurationDigest,
+                response.configurationRevision,
+                boottime_s(),
+            )
         if response.confirmed and response.ageMs < MAX_LEADER_AGE_S * 1000:
             self._followed_at_s = boottime_s()
             self._followed_process_id = leader.process_id
@@ -266,7 +296,8 @@
         wanted.configurationVersion = newest.configuration_version
         wanted.assignmentFence = newest.assignment_fence
         wanted.assignmentRevision = newest.assignment_revision
-        wanted.configurationRefused = view.configuration.refused_revision
+        wanted.configurationUnwanted = self._unwanted_digest()
+        wanted.storeFails = self.store_fails()
         wanted.configurationDigest = view.configuration.digest
         wanted.takesParts = view.configuration.accepts_parts
         wanted.takesCompressed = True
@@ -291,6 +322,19 @@
             self._permits.record_counted(sent_s)
         return content
 
+    def _is_behind_store(self) -> bool:
+        """Return whether the leader has referred this host to the store."""
+        return self._view.configuration.revision < self._at_store.revision
+
+    def _unwanted_digest(self) -> int:
+        """Return the digest of the configuration that the leader need not send."""
+        if self._view.configuration.refuses_newer():
+            return self._view.configuration.refused_digest
+        waited_s = boottime_s() - self._at_store.referred_s
+        if self._is_behind_store() and waited_s < STORE_READ_TIMEOUT_S:
+            return self._at_store.digest
+        return 0
+
     def _merge_blocked(self, blocked: BlockedRequest, address: str) -> None:
         if self._ledger.merge_blocked(blocked):
             self._events.log_state_change(
@@ -311,29 +355,16 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
-        had_news = self._has_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
-            and self._has_news() is had_news
             and loop.time() < deadline_s
         ):
-            wait_s = deadline_s - loop.time()
-            if had_news:
-                # Followers learn at once that they have to read the store.
-                wait_s = min(wait_s, self._news_left_s())
-            await wait_for_event(self._view.changed, wait_s)
+            await wait_for_event(self._view.changed, deadline_s - loop.time())
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
-    def _has_news(self) -> bool:
-        """Return whether the store has lately confirmed the configuration."""
-        return self._news_left_s() > 0
-
-    def _news_left_s(self) -> float:
-        return MAX_CONFIGURATION_AGE_S - self._view.configuration.age_s()
-
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
@@ -346,19 +377,22 @@
 
     def _make_documents_frame(self, wanted: Any) -> Any:
         """Return the response, with as many of the documents as fit into a frame."""
+        form = choose_form(self._view, wanted, self._link_budget.take)
         for parts in sorted(DocumentParts, reverse=True):
-            response = self._make_frame_with(parts, wanted)
+            response = self._make_frame_with(parts, wanted, form)
             if fits_frame(response):
                 break
             self._events.log_process_event("documents_too_large", parts=parts.name)
         return response
 
-    def _make_frame_with(self, parts: DocumentParts, wanted: Any) -> Any:
+    def _make_frame_with(
+        self, parts: DocumentParts, wanted: Any, form: ConfigurationForm
+    ) -> Any:
         response = new_frame()
         content = response.body.init("documents")
         content.leading = self.is_leading()
         content.confirmed = self._permits.is_confirmed()
-        write_documents(content, wanted, self._view, parts, self._link_budget.take)
+        write_documents(content, wanted, self._view, parts, form)
         if has_other_blocked(self._ledger, wanted):
             write_blocked(content, self._ledger)
         return response
--- a/src/jacinthpath/gateway/store_health.py
+++ b/src/jacinthpath/gateway/store_health.py
@@ -35,9 +35,9 @@
         self._failing_since_s: dict[str, float] = {}
         self._recovered = asyncio.Event()
 
-    def is_failing(self) -> bool:
-        """Return whether any part fails."""
-        return bool(self._failing_since_s)
+    def failing_parts(self) -> tuple[str, ...]:
+        """Return the parts that fail."""
+        return tuple(self._failing_since_s)
 
     def stop_tracking(self, part: str) -> None:
         """Leave out a part that is no longer watched in the store."""
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -28,7 +28,7 @@
 """Longest wait of one watch: the store keeps 20 s of history (according to the
 platform's documentation); after a longer wait the keys have to be listed again."""
 
-CONFIRMING_WATCH_TIMEOUT_S = 0.8
+CONFIRMING_WATCH_TIMEOUT_S = 0.5
 """Longest wait of a leader's watch of the configuration, so that a response regularly
 confirms it: its followers do not read the store."""
 
@@ -196,9 +196,13 @@
                 await asyncio.sleep(RETRY_DELAY_S * self._random.random())
             except (StoreError, KeyError, TypeError, ValueError) as error:
                 await self._health.record_failure(
-                    part, error, self._peers.is_following()
+                    part, error, self._is_served_by_leader(part)
                 )
 
+    def store_fails(self) -> bool:
+        """Return whether the store does not respond for a part that is read there."""
+        return bool(self._health.failing_parts())
+
     def _is_served_by_leader(self, part: str) -> bool:
         """Return whether this host need not read the part from the store."""
         if part == "leader" and self._peers.is_seed:
@@ -301,11 +305,12 @@
     ) -> None:
         """Apply changes to one part; stop once the leader keeps it up to date."""
         while not self._is_served_by_leader(part) and not self.should_stop:
+            timeout_s = wait_s
             if part == "configuration" and self._peers.is_leading():
-                wait_s = CONFIRMING_WATCH_TIMEOUT_S
+                timeout_s = CONFIRMING_WATCH_TIMEOUT_S
             try:
                 batch = await self._health.run_until_recovered(
-                    self._store.watch(prefix, revision, wait_s)
+                    self._store.watch(prefix, revision, timeout_s)
                 )
             except HistoryLost:
                 raise
@@ -313,7 +318,7 @@
                 # Watches from the same revision again, which costs the store less than
                 # listing the keys.
                 await self._health.record_failure(
-                    part, error, self._peers.is_following()
+                    part, error, self._is_served_by_leader(part)
                 )
                 continue
             if batch is None:
@@ -323,6 +328,9 @@
             for change in batch.changes:
                 self._apply_change(part, change)
             self._record_applied(part)
+            if part == "configuration" and self._view.configuration.refuses_newer():
+                # Lists it again: the error may have been one of this moment.
+                return
             if interval_s:
                 await asyncio.sleep(interval_s * (0.9 + 0.2 * self._random.random()))
 
@@ -371,7 +379,7 @@
             await asyncio.sleep(
                 PEER_FETCH_INTERVAL_S * (0.8 + 0.4 * self._random.random())
             )
-            if not self._health.is_failing() or self._peers.is_following():
+            if not self._needs_peers():
                 continue
             try:
                 await self._peers.fetch_from_peer()
@@ -383,6 +391,14 @@
                     )
                 peers_available = False
 
+    def _needs_peers(self) -> bool:
+        """Return whether a part fails of which peers have newer documents."""
+        return any(
+            not self._is_served_by_leader(part)
+            for part in self._health.failing_parts()
+            if part != "leader" or not self._peers.is_following()
+        )
+
     async def _log_store_calls(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(STORE_CALLS_LOG_INTERVAL_S)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -149,6 +149,7 @@
         loops,
     )
     election.knows_better_host = peering.knows_host_with_path
+    peering.store_fails = watcher.store_fails
     crash_detector.is_following = peering.is_following
     peering.authority = permits.authority = lambda: election.authority
     assigner = Assigner(
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -385,7 +385,9 @@
   configurationDigest @13 :UInt64;    # Of the bytes that it has; 0 for none.
   takesParts @14 :Bool;               # Whether the configuration may come as parts.
   takesCompressed @15 :Bool;          # Whether it may come compressed, or not at all.
-  configurationRefused @16 :UInt64;   # Newest revision that it could not read, or 0.
+  configurationUnwanted @16 :UInt64;  # Digest of bytes that it could not read, or that
+                                      # it reads from the store; 0 for none.
+  storeFails @17 :Bool;               # Whether the store does not respond to it.
 }
 
 struct ServerEntry {
@@ -423,9 +425,10 @@
   configurationAgeMs @16 :UInt32;     # Since the store confirmed that the responding
                                       # host has the newest, plus 1; 0 if not stated.
   configurationParts @17 :List(DocumentPart);   # Of the requester's version.
-  configurationDigest @18 :UInt64;    # Of the bytes that the parts make.
+  configurationDigest @18 :UInt64;    # Of the bytes; not set with configuration.
   configurationCompressed @19 :Data;  # Whole, by zlib.
   configurationAtStore @20 :Bool;     # Whether to read configurationRevision there.
+  configurationBase @21 :UInt64;      # Digest of the version that the parts belong to.
 }
 
 struct DocumentPart {
--- a/src/jacinthpath/platform/settings.py
+++ b/src/jacinthpath/platform/settings.py
@@ -67,7 +67,9 @@
             metrics_address=f"{ip}:{METRICS_PORT}",
             first_start=self._get_value("bootstrap", False) is True,
             link_bytes_per_s=BYTES_PER_S_OF_MBPS
-            * self._get_number("limits.link_mbps", DEFAULT_LINK_MBPS),
+            * self._get_converted(
+                "limits.link_mbps", DEFAULT_LINK_MBPS, _positive_number
+            ),
         )
 
     def _read_timing(self) -> Timing:
@@ -141,3 +143,10 @@
 
     def _error(self, key: str, found: str, remedy: str) -> SettingsError:
         return SettingsError(self._path, key, found, remedy)
+
+
+def _positive_number(value: Any) -> float:
+    number = float(value)
+    if not 0 < number < float("inf"):
+        raise ValueError(f"{number} is not a positive number")
+    return number
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -6,6 +6,7 @@
 
 from jacinthpath.codec import new_frame
 from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.configuration_messages import choose_form
 from jacinthpath.gateway.link_budget import LinkBudget
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
 from jacinthpath.gateway.peering import Peering
@@ -40,7 +41,7 @@
     return ClusterView(NullEventLog(), decode_route_table, decode_backend)
 
 
-def fetch(view, peer, may_send_whole=lambda _size_bytes: True, is_old=False):
+def fetch(view, peer, may_send=lambda _size_bytes: True, is_old=False, **requested):
     """Fetch documents of a peer; return the response.
 
     :param is_old: whether the requester is of a build that takes whole documents only.
@@ -50,16 +51,23 @@
     if not is_old:
         wanted.configurationVersion = view.configuration.version
         wanted.configurationDigest = view.configuration.digest
-        wanted.configurationRefused = view.configuration.refused_revision
+        wanted.configurationUnwanted = view.configuration.refused_digest
         wanted.takesParts = view.configuration.accepts_parts
         wanted.takesCompressed = True
+    for name, value in requested.items():
+        setattr(wanted, name, value)
     frame = new_frame()
     content = frame.body.init("documents")
-    write_documents(content, wanted, peer, may_send_whole=may_send_whole)
+    form = choose_form(peer, wanted, may_send)
+    write_documents(content, wanted, peer, form=form)
     apply_documents(content, view, "peer")
     return content
 
 
+def refuse(_content):
+    raise ValueError("a field of another build")
+
+
 def configuration_with_change(version):
     routes = [*ROUTES, route("changed", f"/changed-{version}/", "plain")]
     return configuration(version, routes)
@@ -114,11 +122,25 @@
     assert view.configuration.accepts_parts
 
 
+def test_parts_that_were_overtaken_are_ignored(view, leader):
+    """A host that got a version from the store before its parts arrived refused these,
+    and was sent the next version whole."""
+    leader.apply_configuration(configuration_with_change(3), 1, "store")
+    fetch(view, leader)
+    base = view.configuration.digest
+    view.apply_configuration(configuration_with_change(4), 2, "store")
+    leader.apply_configuration(configuration_with_change(4), 2, "store")
+    fetch(view, leader, configurationDigest=base, configurationRevision=1)
+    assert view.configuration.accepts_parts
+    leader.apply_configuration(configuration_with_change(5), 3, "store")
+    assert len(fetch(view, leader).configurationParts)
+
+
 def test_host_reads_the_store_when_the_link_of_the_leader_is_full(view, leader):
     """59 of 69 hosts have links that take 6.6 s for the whole document of all."""
     leader.apply_configuration(configuration_with_change(3), 1, "store")
     leader.configuration.record_confirmed()
-    content = fetch(view, leader, may_send_whole=lambda _size_bytes: False)
+    content = fetch(view, leader, may_send=lambda _size_bytes: False)
     assert content.configurationAtStore
     assert view.routes is None
     assert view.configuration.age_s() > 1_000_000
@@ -133,10 +155,6 @@
 
 def test_configuration_that_a_host_cannot_read_is_sent_once(view, leader):
     """The leader was asked again at once, without end, by each host that refused it."""
-
-    def refuse(_content):
-        raise ValueError("a field of another build")
-
     view.configuration._decode_routes = refuse
     leader.apply_configuration(configuration_with_change(3), 1, "store")
     assert fetch(view, leader).configurationCompressed
@@ -148,8 +166,50 @@
 @pytest.mark.parametrize("compressed", [b"x", b"\x78\x9c", bytes(50)])
 def test_compressed_configuration_that_is_damaged_is_refused(view, compressed):
     view.apply_configuration(configuration_with_change(3), 1, "store")
-    view.apply_compressed_configuration(compressed, 9, "peer")
+    view.apply_compressed_configuration(compressed, 5, 9, "peer")
+    assert view.configuration.version == 3
+    assert not view.configuration.refuses_newer()
+
+
+def test_compressed_configuration_that_was_cut_short_is_not_taken(view, leader):
+    """A part of a document was taken for one that cannot be read."""
+    leader.apply_configuration(configuration_with_change(3), 1, "store")
+    state = leader.configuration
+    view.apply_compressed_configuration(state.compressed()[:-30], state.digest, 1, "p")
+    assert not view.configuration.refuses_newer()
+    assert fetch(view, leader).configurationCompressed
+    assert view.configuration.version == 3
+
+
+def test_many_changed_routes_are_sent_compressed_within_the_budget(view, leader):
+    """1,400 added routes are as large as the whole document: 66 Mbit for 68 hosts."""
+    leader.apply_configuration(configuration(3, ROUTES), 1, "store")
+    fetch(view, leader)
+    more = [route(f"m{n}", f"/m{n}/", "plain") for n in range(1_400)]
+    leader.apply_configuration(configuration(4, [*ROUTES, *more]), 2, "store")
+    taken = []
+    content = fetch(view, leader, lambda size_bytes: taken.append(size_bytes) or True)
+    size_bytes = content.total_size.word_count * 8
+    assert size_bytes < len(leader.configuration.content) / 4
+    assert len(taken) == 1 and taken[0] > 0.9 * size_bytes
+    assert view.configuration.version == 4
+
+
+def test_host_that_the_store_fails_gets_the_whole_from_a_full_link(view, leader):
+    leader.apply_configuration(configuration_with_change(3), 1, "store")
+    fetch(view, leader, lambda _size_bytes: False, storeFails=True)
+    assert view.configuration.version == 3
+
+
+def test_host_that_refused_a_version_gets_an_older_one_of_a_peer(view, leader):
+    """A host that started while nobody could read the newest version got none."""
+    view.configuration._decode_routes = refuse
+    view.apply_configuration(configuration_with_change(9), 10, "store")
+    view.configuration._decode_routes = decode_route_table
+    leader.apply_configuration(configuration_with_change(3), 8, "store")
+    fetch(view, leader)
     assert view.configuration.version == 3
+    assert view.configuration.refuses_newer()
 
 
 def test_link_budget_admits_its_share():
@@ -165,7 +225,7 @@
 
 @pytest.mark.parametrize(
     ("applying_s", "least_s", "most_s"),
-    [(0.0, 0.0, 0.15), (0.07, 0.28, 0.4), (9, 0.4, 0.4)],
+    [(0.0, 0.0, 0.15), (0.07, 0.28, 0.3), (9, 0.3, 0.3)],
 )
 def test_slow_host_asks_less_often(applying_s, least_s, most_s):
     """In a storm of versions, decoding them took most of a weak host's time."""
--- a/tests/test_gateway_decoding.py
+++ b/tests/test_gateway_decoding.py
@@ -49,6 +49,8 @@
         ('drain = "2000ms"', 'drain = "soon"', "bounds.drain"),
         ("internal_port_range = [7, 7]", "", "internal_port_range"),
         ('node_name = "g"', "node_name = 5", "node_name"),
+        ("[bounds]", "[limits]\nlink_mbps = 0\n[bounds]", "limits.link_mbps"),
+        ("[bounds]", "[limits]\nlink_mbps = nan\n[bounds]", "limits.link_mbps"),
     ],
 )
 def test_invalid_value_raises_with_file_key_and_remedy(tmp_path, old, new, key):
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -52,7 +52,7 @@
 
     async def watch_all_but_the_configuration(prefix, revision, wait_s):
         if prefix == CONFIGURATION_KEY:
-            await asyncio.sleep(wait_s + 1.0)
+            await asyncio.Event().wait()
         return await watch(prefix, revision, wait_s)
 
     leader._watcher._store.watch = watch_all_but_the_configuration
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -21,7 +21,7 @@
     ("watch-own", "_watcher._health", "record_response", "own"),
     ("watch-servers", "_watcher._health", "record_response", "servers"),
     ("expire-servers", "_view", "expire_servers"),
-    ("fetch-from-peers", "_watcher._health", "is_failing"),
+    ("fetch-from-peers", "_watcher", "_needs_peers"),
     ("follow-leader", "_peering", "_record_leader_response"),
     ("host-report", "_reporter", "_leaving_servers"),
     ("reach-probes", "_reach._reach", "due_probes"),
--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -21,6 +21,7 @@
 )
 from jacinthpath.gateway.assignment_delta import apply_delta
 from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.configuration_messages import choose_form
 from jacinthpath.gateway.crash_ledger import CrashLedger
 from jacinthpath.gateway.link_budget import LinkBudget
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
@@ -245,7 +246,8 @@
     frame, wanted = new_frame(), new_frame().body.init("documentsWanted")
     wanted.serversDigest = 1
     content = frame.body.init("documents")
-    write_documents(content, wanted, view)
+    form = choose_form(view, wanted, lambda _size_bytes: True)
+    write_documents(content, wanted, view, form=form)
     follower = new_view()
     apply_documents(decode_frame(encode_frame(frame)).body.documents, follower, "p")
     return follower
