Count the age of the servers from the response that was applied

Cause: StoreHealth.record_response recorded the contact for the servers before the list was applied. A leader that failed to apply it told its followers a fresh age, so they neither read the store nor logged anything.

Evidence: with a leader whose replace_servers raises, followers sent requests to a drained server from 2.01 s until the end of the test at 3.5 s (tests/test_drain_beside_odd_entry.py -k cannot_apply, failed before, passes now). The age was 0.04 s with no list applied in tests/test_gateway_store_watcher.py::test_only_lists_of_servers_that_were_applied_refresh_their_age. This test replaces test_only_server_responses_refresh_the_servers_age, which called record_response by hand and expected the fault; it keeps the check that other parts do not refresh the age, and adds that a response does not either before it is applied.

Fix: record_response returns the time of the response, and the watcher records it for the part after the list or the changes were applied. The contact with the store and the deferral of removals stay before it. A list that takes long to apply is as old as its response.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -288,9 +288,12 @@
         """Record that the store responded."""
         self.store_contact_s = boottime_s()
 
-    def record_servers_contact(self) -> None:
-        """Record that the store just responded to a call for the servers' entries."""
-        self.servers_contact_s = boottime_s()
+    def record_servers_contact(self, heard_s: float | None = None) -> None:
+        """Record that what the store sent of the servers at a time has been applied.
+
+        :param heard_s: time of the response, now by default.
+        """
+        self.servers_contact_s = boottime_s() if heard_s is None else heard_s
 
     def record_peer_store_contact(self, age_s: float) -> None:
         """Record that a peer received servers from the store ``age_s`` ago."""
--- a/src/jacinthpath/gateway/store_health.py
+++ b/src/jacinthpath/gateway/store_health.py
@@ -43,18 +43,22 @@
         """Leave out a part that is no longer watched in the store."""
         self._failing_since_s.pop(part, None)
 
-    def record_response(self, part: str) -> None:
+    def record_response(self, part: str) -> float:
         """Record a response; after an outage, defer the removal of servers.
 
         Nothing is deferred if a peer reached the store lately: then only this host was
         cut off.
+
+        :return: the time of the response, to be recorded for the part once its content
+            has been applied.
         """
         self._view.record_store_contact()
-        if part == "servers":
-            self._view.record_servers_contact()
         since_s = self._failing_since_s.pop(part, None)
-        if since_s is None:
-            return
+        if since_s is not None:
+            self._end_outage(part, since_s)
+        return boottime_s()
+
+    def _end_outage(self, part: str, since_s: float) -> None:
         self.resend_watches()
         now_s = boottime_s()
         peers_reach_store = self._view.peer_store_age_s() < MAX_PEER_STORE_AGE_S
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -253,10 +253,10 @@
 
     async def _list_and_watch_configuration(self) -> None:
         listing = await self._store.list(self._keys.configuration)
-        self._health.record_response("configuration")
+        heard_s = self._health.record_response("configuration")
         for item in listing.items:
             self._apply_change("configuration", Change(*item))
-        self._record_applied("configuration")
+        self._record_applied("configuration", heard_s)
         await self._watch_changes(
             "configuration", self._keys.configuration, listing.revision
         )
@@ -281,8 +281,9 @@
 
     async def _list_and_watch_servers(self) -> None:
         listing = await self._store.list(self._keys.servers_prefix)
-        self._health.record_response("servers")
+        heard_s = self._health.record_response("servers")
         self._view.replace_servers(listing.items, listing.revision)
+        self._record_applied("servers", heard_s)
         await self._watch_changes(
             "servers",
             self._keys.servers_prefix,
@@ -318,18 +319,26 @@
                 continue
             if batch is None:
                 continue
-            self._health.record_response(part)
+            heard_s = self._health.record_response(part)
             revision = max(revision, batch.revision)
             for change in batch.changes:
                 self._apply_change(part, change)
-            self._record_applied(part)
+            self._record_applied(part, heard_s)
             if interval_s:
                 await asyncio.sleep(interval_s * (0.9 + 0.2 * self._random.random()))
 
-    def _record_applied(self, part: str) -> None:
-        """Record that what the store sent for a part is in force."""
+    def _record_applied(self, part: str, heard_s: float) -> None:
+        """Record that what the store sent for a part is in force.
+
+        Peers trust the age of a part, so it must not tell of a response that was never
+        applied.
+
+        :param heard_s: time of the response.
+        """
         if part == "configuration":
-            self._view.configuration.record_confirmed()
+            self._view.configuration.record_confirmed(boottime_s() - heard_s)
+        elif part == "servers":
+            self._view.record_servers_contact(heard_s)
 
     def _apply_change(self, part: str, change: Change) -> None:
         """Apply a change; an error that nothing foresaw costs this change alone."""
--- a/tests/test_drain_beside_odd_entry.py
+++ b/tests/test_drain_beside_odd_entry.py
@@ -80,6 +80,8 @@
 
 
 async def lose_history(system):
+    """Let all hosts list anew that watch the servers."""
+    system.store.put("servers/p0", system.servers["p0"].entry())
     system.store.forget_history()
     await asyncio.sleep(1.0)
 
@@ -126,3 +128,18 @@
         fleet.store.put(f"servers/{server}", content)
     await list_anew(fleet)
     await assert_drain_is_followed(fleet)
+
+
+async def test_drain_is_followed_by_followers_of_a_leader_that_cannot_apply_a_list(
+    fleet,
+):
+    """Followers of a leader that dropped each list trusted its list, as its age told
+    when the store had responded, and not what the leader had applied."""
+    leader = leader_of(fleet)
+
+    def fail(*_args):
+        raise KeyError("an error of our own")
+
+    leader._view.replace_servers = fail
+    await lose_history(fleet)
+    await assert_drain_is_followed(fleet)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -1,6 +1,7 @@
 """The store watcher: retries, lost watches, and removals after a store outage."""
 
 import asyncio
+import time
 from random import Random
 
 import pytest
@@ -10,7 +11,7 @@
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.loops import LoopSupervisor
 from jacinthpath.gateway.model import Backend
-from jacinthpath.gateway.store import Listing
+from jacinthpath.gateway.store import Change, ChangeBatch, HistoryLost, Listing
 from jacinthpath.gateway.store_health import FOLLOWER_RETRY_DELAY_S
 from jacinthpath.gateway.store_watcher import StoreWatcher, WatchedKeys
 
@@ -161,18 +162,68 @@
     assert watcher._view.directory.find("s") is None
 
 
-def test_only_server_responses_refresh_the_servers_age(watcher):
+class ListingStore(FailingStore):
+    """A store that lists the servers, and lists again after each watch."""
+
+    async def watch(self, _prefix, revision, _wait_s):
+        self.calls += 1
+        await asyncio.sleep(0.01)
+        raise HistoryLost("lost", "")
+
+
+async def test_only_lists_of_servers_that_were_applied_refresh_their_age(watcher):
     """A leader whose watch of the servers hung looked fresh because of its lease
-    renewals, and the hosts that followed it did not learn of drains."""
+    renewals, and one that dropped each list because the store had responded; the hosts
+    that followed it did not learn of drains."""
     view = watcher._view
     watcher._health.record_response("leader")
     view.record_store_contact()
     assert view.store_age_s() < 1.0
     assert view.servers_age_s() > 1e9
-    watcher._health.record_response("servers")
+    replace_servers = view.replace_servers
+
+    def fail(*_args):
+        raise KeyError("an error of our own")
+
+    view.replace_servers = fail
+    assert await count_calls(watcher, lambda: watch_servers(watcher))
+    assert view.store_age_s() < 1.0
+    assert view.servers_age_s() > 1e9
+    view.replace_servers = replace_servers
+    assert await count_calls(watcher, lambda: watch_servers(watcher))
     assert view.servers_age_s() < 1.0
 
 
+async def watch_servers(watcher):
+    await watcher._keep_watching("servers", watcher._list_and_watch_servers)
+
+
+class ChangingStore(FailingStore):
+    """A store whose watch of the servers responds once, with one change."""
+
+    async def watch(self, _prefix, revision, _wait_s):
+        self.calls += 1
+        if revision > 5:
+            await asyncio.Event().wait()
+        return ChangeBatch((Change("servers/s", None, 6),), 6)
+
+
+async def test_age_of_servers_counts_from_the_response_of_the_store(watcher):
+    """A list that takes long to apply is as old as its response."""
+    view = watcher._view
+    remove_server = view.remove_server
+
+    def remove_slowly(*args):
+        time.sleep(0.1)
+        remove_server(*args)
+
+    view.remove_server = remove_slowly
+    started_s = boottime_s()
+    await count_calls(watcher, lambda: watch_servers(watcher), 0.05)
+    assert view.directory.find("s") is None
+    assert view.servers_age_s() >= boottime_s() - started_s - 0.05
+
+
 def test_removal_after_an_outage_is_deferred(watcher):
     """Entries that expire in a store outage return shortly after it."""
     simulate_outage_end(watcher)
