Let an entry that raises while it is applied cost this entry alone

Cause: a list of servers was decoded, logged and put into the directory in one pass. An exception for one entry, in its log line or in the directory, left the pass, and neither the other entries nor the removals were applied. Only the decoder was guarded, and an error that it does not declare looked like a malformed entry.

Evidence: tests/test_unapplied_documents.py, in which the log, the directory or the decoder raises for one of three servers.

Fix: ServerEntries applies entries one by one. An error that nothing foresaw is counted and logged with its traceback as unexpected_error, and the entry stays as it is known. An entry that its decoder refuses is handled as before. If not one entry of a list can be applied, ServersNotApplied is raised before anything is removed, so that the list does not count as applied.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -31,6 +31,7 @@
 from .model import Backend, Documents, RouteTable
 from .revisions import era_of_revision
 from .route_index import RouteIndex
+from .server_entries import ServerEntries
 from .server_limits import LimitObservation, ServerLimits
 from .store import Item
 
@@ -47,6 +48,8 @@
 
     :param decode_routes: decoder of the operator's configuration.
     :param decode_server: decoder of a server's entry.
+    :param record_error: called with the place and an error that nothing foresaw, after
+        which the view goes on.
     :ivar accepts_deltas: whether the next change of the assignment may be a delta;
         after a delta that did not apply, the whole assignment is requested.
     """
@@ -56,11 +59,20 @@
         events: EventLog,
         decode_routes: Callable[[bytes], RouteTable],
         decode_server: Callable[[str, bytes, int], Backend],
+        record_error: Callable[[str, Exception], None] | None = None,
     ) -> None:
         self.configuration = ConfigurationState(
             events, decode_routes, self.record_refused
         )
         self.directory = ServerDirectory()
+        self.record_error = record_error or _ignore_error
+        self._entries = ServerEntries(
+            self.directory,
+            events,
+            decode_server,
+            self.record_refused,
+            self.record_error,
+        )
         self.limits = ServerLimits()
         self.servers_known = False
         self._first_servers_era: int | None = None
@@ -76,7 +88,6 @@
         self.changed = asyncio.Event()
         self.leader_changed = asyncio.Event()
         self._events = events
-        self._decode_server = decode_server
         self._encoded_assignment: bytes | None = b""
         self._assignment_history = AssignmentHistory()
         self.accepts_deltas = True
@@ -186,13 +197,7 @@
 
     def apply_server(self, server: str, content: bytes, revision: int) -> None:
         """Apply the entry of a server."""
-        backend = self._try_decode_server(server, content, revision)
-        if backend is None:
-            return
-        previous = self.directory.find(server)
-        self.directory.put(backend, boottime_s())
-        self._log_server_change(previous, backend)
-        if previous is None or previous.draining != backend.draining:
+        if self._entries.apply(server, content, revision):
             self.notify()
 
     def record_leaving(self, server: str, started_ms: int) -> None:
@@ -237,17 +242,17 @@
             self.notify()
 
     def replace_servers(self, items: tuple[Item, ...], revision: int) -> None:
-        """Apply a complete list of the servers' entries."""
-        backends = []
-        for item in items:
-            server = item.key.partition("/")[2]
-            backend = self._try_decode_server(server, item.value, item.revision)
-            if backend is not None:
-                self._log_server_change(self.directory.find(server), backend)
-                backends.append(backend)
-        self.directory.replace_all(backends, revision, boottime_s())
+        """Apply a complete list of the servers' entries.
+
+        :raises ServersNotApplied: no entry could be applied.
+        """
+        self._entries.replace_all(items, revision)
         self._record_servers_known()
 
+    def server_failures(self) -> int:
+        """Return how often an entry could not be applied for an unexpected error."""
+        return self._entries.failures
+
     def apply_leader(self, content: bytes | None, revision: int) -> None:
         """Apply the leader's record, or its removal, unless a newer one is known."""
         if revision < self._leader_revision:
@@ -305,12 +310,9 @@
         """Apply the whole list of servers of a peer whose data is newer.
 
         :param revision: newest revision of an entry that the peer has seen.
+        :raises ServersNotApplied: no entry could be applied.
         """
-        for backend in backends:
-            self._log_server_change(self.directory.find(backend.server), backend)
-        self.directory.replace_all(
-            backends, revision, boottime_s(), may_be_outage=False
-        )
+        self._entries.replace_all_by_peer(backends, revision)
         self._record_servers_known()
 
     def apply_peer_server_delta(
@@ -319,12 +321,11 @@
         """Apply a delta of the servers from a peer whose data is newer.
 
         :param base: digest of the servers that the delta applies to.
+        :raises ServersNotApplied: no entry could be applied.
         """
         if base != self.directory.digest():
             return
-        for backend in delta.backends:
-            self._log_server_change(self.directory.find(backend.server), backend)
-        self.directory.apply_delta(delta, revision, boottime_s())
+        self._entries.apply_delta(delta, revision)
         self._record_servers_known()
 
     def saw_earlier_era(self) -> bool:
@@ -347,16 +348,6 @@
             self._first_servers_era = era_of_revision(self.directory.revision)
         self.notify()
 
-    def _try_decode_server(
-        self, server: str, content: bytes, revision: int
-    ) -> Backend | None:
-        try:
-            backend = self._decode_server(server, content, revision)
-        except Exception as error:
-            self.record_refused(f"server {describe(server)}", revision, error)
-            return None
-        return self.directory.keep_leaving(backend)
-
     def record_refused(self, document: str, revision: int, error: Exception) -> None:
         """Log a document or a part of one that was not applied, once per revision.
 
@@ -374,23 +365,6 @@
             error=describe(error),
         )
 
-    def _log_server_change(self, previous: Backend | None, current: Backend) -> None:
-        if previous is not None and previous.started_ms == current.started_ms:
-            if previous.draining == current.draining:
-                return
-            event = "server_draining" if current.draining else "server_ready"
-        else:
-            event = "server_seen"
-        self._events.log_state_change(
-            event,
-            server=current.server,
-            service=current.service,
-            address=current.address,
-            born_ms=current.started_ms,
-            draining=current.draining,
-            revision=current.revision,
-        )
-
     def _track_moves(self, assignment: Assignment) -> None:
         """Record when this host first saw each move that is in progress."""
         now_s = boottime_s()
@@ -408,3 +382,7 @@
         """Wake all tasks that wait for a change."""
         self.changed.set()
         self.changed = asyncio.Event()
+
+
+def _ignore_error(_place: str, _error: Exception) -> None:
+    """Ignore an error, for a view without a log."""
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -4,6 +4,7 @@
 
 __all__ = ["ServerDelta", "ServerDirectory"]
 
+from collections.abc import Collection
 from typing import NamedTuple, TypeVar
 
 import xxhash
@@ -187,24 +188,44 @@
     ) -> None:
         """Replace all entries; a server that is not in the list was removed.
 
-        :param may_be_outage: whether the removals may be due to an outage of the store;
-            a peer that sends its list has already ruled that out.
+        :param may_be_outage: see :meth:`remove_unlisted`.
         """
-        if self.revision and era_of_revision(revision) > era_of_revision(self.revision):
-            self._prepare_for_restored(backends, now_s)
-        self.revision = max(self.revision, revision)
-        listed = {backend.server for backend in backends}
+        self.begin_list(backends, revision, now_s)
         for backend in backends:
             self.put(backend, now_s)
-        for server in [*self._present]:
-            if server in listed:
-                continue
-            if may_be_outage:
-                self.remove(server, revision, now_s)
-            else:
-                self._schedule_removal(server, revision, now_s)
+        for server in self.unlisted({backend.server for backend in backends}):
+            self.remove_unlisted(server, revision, now_s, may_be_outage)
         self.expire(now_s)
 
+    def begin_list(self, backends: list[Backend], revision: int, now_s: float) -> None:
+        """Prepare for the entries of a whole list, which are put next."""
+        if self.revision and era_of_revision(revision) > era_of_revision(self.revision):
+            self._prepare_for_restored(backends, now_s)
+        self.revision = max(self.revision, revision)
+
+    def unlisted(self, listed: Collection[str]) -> list[str]:
+        """Return the servers that are present and not in a list."""
+        return [server for server in self._present if server not in listed]
+
+    def remove_unlisted(
+        self, server: str, revision: int, now_s: float, may_be_outage: bool
+    ) -> None:
+        """Record that a server is not in a whole list.
+
+        :param may_be_outage: whether the removals may be due to an outage of the store;
+            a peer that sends its list has already ruled that out.
+        """
+        if may_be_outage:
+            self.remove(server, revision, now_s)
+        else:
+            self.schedule_removal(server, revision, now_s)
+
+    def schedule_removal(self, server: str, revision: int, now_s: float) -> None:
+        """Remove an entry at the next expiry unless it is newer than its removal."""
+        current = self._present.get(server)
+        if current is not None and current.revision <= revision:
+            self._pending_removals[server] = _PendingRemoval(current, now_s)
+
     def apply_delta(self, delta: ServerDelta, revision: int, now_s: float) -> None:
         """Apply a delta from a peer, without deferring removals.
 
@@ -214,8 +235,7 @@
         for backend in delta.backends:
             self.put(backend, now_s)
         for server in delta.removed:
-            if server in self._present:
-                self._schedule_removal(server, revision, now_s)
+            self.schedule_removal(server, revision, now_s)
         self.expire(now_s)
 
     def digest(self) -> int:
@@ -306,12 +326,6 @@
         removed = self._removed.get(backend.server)
         return removed is not None and removed.backend.started_ms == backend.started_ms
 
-    def _schedule_removal(self, server: str, revision: int, now_s: float) -> None:
-        """Remove an entry at the next expiry unless it is newer than its removal."""
-        current = self._present[server]
-        if current.revision <= revision:
-            self._pending_removals[server] = _PendingRemoval(current, now_s)
-
     def _keep_snapshot(self) -> None:
         """Keep a snapshot of the present list under its digest."""
         self._snapshots.pop(self._digest, None)
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -62,7 +62,9 @@
     shutdown_window = ShutdownWindow()
     servers = ServerClient(memory)
     keys = SharedKey()
-    view = ClusterView(events, RouteTableDecoder().decode, decode_backend)
+    view = ClusterView(
+        events, RouteTableDecoder().decode, decode_backend, loops.record_error
+    )
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
--- /dev/null
+++ b/tests/test_unapplied_documents.py
@@ -0,0 +1,152 @@
+"""Documents that raise while they are applied: none costs another one."""
+
+import json
+
+import pytest
+
+from jacinthpath.errors import JacinthpathError
+from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.directory import ServerDelta
+from jacinthpath.gateway.store import Item
+from jacinthpath.platform import decode_backend, decode_route_table
+
+from .gateway_simulation import NullEventLog
+
+BAD = "s-bad"
+SERVERS = ["s-a", BAD, "s-z"]
+
+
+def entry(state="ready"):
+    document = {
+        "address": "10.0.0.1:80",
+        "born": 5,
+        "info": {"service": "s", "version": "v1", "zone": "a", "slots": 3},
+        "status": {"state": state, "sequence": 1, "warmup_left": "0ms"},
+    }
+    return json.dumps(document).encode()
+
+
+def items(state="ready", revision=1, servers=SERVERS):
+    return tuple(Item(f"servers/{name}", entry(state), revision) for name in servers)
+
+
+class Failing:
+    """Replaces a method that raises for one server, or for all.
+
+    :param owner: object that has the method.
+    """
+
+    def __init__(self, owner, name, server=BAD):
+        self.original, self.server = getattr(owner, name), server
+        setattr(owner, name, self)
+
+    def __call__(self, *args, **fields):
+        text = repr(args) + repr(fields)
+        if self.server in text:
+            raise KeyError(f"an error of our own: {text}")
+        return self.original(*args, **fields)
+
+
+def fail_in_log(view, server=BAD):
+    Failing(view._events, "log_state_change", server)
+
+
+def fail_in_directory(view, server=BAD):
+    Failing(view.directory, "put", server)
+
+
+def fail_in_decoder(view, server=BAD):
+    Failing(view._entries, "_decode", server)
+
+
+PLACES = [fail_in_log, fail_in_directory, fail_in_decoder]
+
+
+class Host:
+    """A view with the errors that it has recorded."""
+
+    def __init__(self):
+        self.errors = []
+        self.view = ClusterView(
+            NullEventLog(),
+            decode_route_table,
+            decode_backend,
+            lambda place, error: self.errors.append((place, error)),
+        )
+
+    def state(self):
+        """Return which servers drain, by id."""
+        servers = self.view.directory.all().values()
+        return {backend.server: backend.draining for backend in servers}
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+@pytest.mark.parametrize("fail", PLACES)
+def test_entry_that_cannot_be_applied_costs_no_other_of_a_list(host, fail):
+    """Issue 43: one entry whose log line raised cost all others of each list."""
+    host.view.replace_servers(items(), 1)
+    fail(host.view)
+    host.view.replace_servers(items("draining", 2), 2)
+    state = host.state()
+    assert state["s-a"] and state["s-z"]
+    assert BAD in state
+    assert len(host.errors) == 1
+    assert host.view.server_failures() == 1
+
+
+@pytest.mark.parametrize("fail", PLACES)
+def test_new_entry_that_cannot_be_applied_costs_no_other_of_a_list(host, fail):
+    fail(host.view)
+    host.view.replace_servers(items(), 1)
+    assert {"s-a", "s-z"} <= {*host.state()}
+    assert host.view.servers_known
+    assert len(host.errors) == 1
+
+
+@pytest.mark.parametrize("fail", PLACES)
+def test_change_that_cannot_be_applied_is_counted(host, fail):
+    host.view.replace_servers(items(), 1)
+    fail(host.view)
+    host.view.apply_server(BAD, entry("draining"), 2)
+    host.view.apply_server("s-a", entry("draining"), 3)
+    assert host.state()["s-a"]
+    assert host.view.server_failures() == 1
+
+
+@pytest.mark.parametrize("fail", PLACES)
+def test_list_of_which_nothing_can_be_applied_is_refused(host, fail):
+    """A host whose list was empty because each entry failed must not trust it."""
+    host.view.replace_servers(items(), 1)
+    fail(host.view, "s-")
+    with pytest.raises(JacinthpathError, match="None of 3"):
+        host.view.replace_servers(items("draining", 2), 2)
+    assert {*host.state()} == {*SERVERS}
+
+
+@pytest.mark.parametrize("fail", [fail_in_log, fail_in_directory])
+def test_entry_of_a_peer_that_cannot_be_applied_costs_no_other(host, fail):
+    host.view.replace_servers(items(), 1)
+    other = Host()
+    other.view.replace_servers(items("draining", 2), 2)
+    backends = [*other.view.directory.all().values()]
+    fail(host.view)
+    host.view.apply_peer_servers(backends, 2)
+    assert host.state()["s-a"] and host.state()["s-z"]
+    assert len(host.errors) == 1
+
+
+@pytest.mark.parametrize("fail", [fail_in_log, fail_in_directory])
+def test_change_of_a_peer_that_cannot_be_applied_costs_no_other(host, fail):
+    host.view.replace_servers(items(), 1)
+    other = Host()
+    other.view.replace_servers(items("draining", 2, SERVERS[1:]), 2)
+    delta = ServerDelta(tuple(other.view.directory.all().values()), ("s-a",))
+    fail(host.view)
+    host.view.apply_peer_server_delta(delta, host.view.directory.digest(), 2)
+    assert "s-a" not in host.state()
+    assert host.state()["s-z"]
+    assert len(host.errors) == 1
