Leave an error of our own to the supervisor instead of blaming the store

Cause: _keep_watching caught KeyError, TypeError and ValueError beside StoreError. Malformed responses have been errors of the store since the client wraps them (store_responses.reading), so what was left were errors in applying a response.

Evidence: test_list_that_cannot_be_applied_is_no_failure_of_the_store failed before with store_lost and store_regained, and passes now with unexpected_error alone.

Fix: such an error goes to LoopSupervisor, as any other exception of a loop: it is logged with its traceback, counted, the loop starts again after a growing delay, and the host is not ready while it keeps failing. As before, such a host asks its peers for documents.

--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -179,7 +179,8 @@
     ) -> None:
         """Repeatedly list and then watch one part, with a delay after each failure.
 
-        Pauses while the leader keeps the part up to date.
+        Pauses while the leader keeps the part up to date. Errors of our own are left to
+        the supervisor of the loop: they are no failures of the store.
         """
         while not self.should_stop:
             if self._is_served_by_leader(part):
@@ -194,7 +195,7 @@
                     "store_history_lost", part=part, error=str(error)
                 )
                 await asyncio.sleep(RETRY_DELAY_S * self._random.random())
-            except (StoreError, KeyError, TypeError, ValueError) as error:
+            except StoreError as error:
                 await self._health.record_failure(
                     part, error, self._peers.is_following()
                 )
@@ -374,13 +375,13 @@
             self._view.apply_server(server, change.value, change.revision)
 
     async def _fetch_from_peers(self) -> None:
-        """Fetch documents from peers while any part of the store fails."""
+        """Fetch documents from peers while any part of the store is not read."""
         peers_available = True
         while not self.should_stop:
             await asyncio.sleep(
                 PEER_FETCH_INTERVAL_S * (0.8 + 0.4 * self._random.random())
             )
-            if not self._health.is_failing() or self._peers.is_following():
+            if not self._is_behind() or self._peers.is_following():
                 continue
             try:
                 await self._peers.fetch_from_peer()
@@ -392,6 +393,12 @@
                     )
                 peers_available = False
 
+    def _is_behind(self) -> bool:
+        """Return whether a part of the store fails, or what it sends is not applied."""
+        return self._health.is_failing() or any(
+            self._loops.is_failing(f"watch-{part}") for part in PARTS
+        )
+
     async def _log_store_calls(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(STORE_CALLS_LOG_INTERVAL_S)
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import partial
 from random import Random
 
 import pytest
@@ -195,7 +196,12 @@
 
 
 async def watch_servers(watcher):
-    await watcher._keep_watching("servers", watcher._list_and_watch_servers)
+    await watch_part(watcher, "servers", watcher._list_and_watch_servers)
+
+
+async def watch_part(watcher, part, list_and_watch):
+    keep_watching = partial(watcher._keep_watching, part, list_and_watch)
+    await watcher._loops.run(f"watch-{part}", keep_watching)
 
 
 class ChangingStore(FailingStore):
@@ -208,6 +214,30 @@
         return ChangeBatch((Change("servers/s", None, 6),), 6)
 
 
+class Events(NullEventLog):
+    """Keeps the names of the events of the process, and the counts of metrics."""
+
+    def __init__(self):
+        self.names = []
+
+    def log_process_event(self, event, **_fields):
+        self.names.append(event)
+
+
+async def test_list_that_cannot_be_applied_is_no_failure_of_the_store(watcher):
+    """Issue 43: an exception of our own was logged as store_lost, and removals were
+    deferred after it as after an outage."""
+    watcher._events = watcher._health._events = watcher._loops._events = Events()
+
+    def fail(*_args):
+        raise KeyError("an error of our own")
+
+    watcher._view.replace_servers = fail
+    assert await count_calls(watcher, lambda: watch_servers(watcher)) > 1
+    assert {*watcher._events.names} == {"unexpected_error"}
+    assert watcher._view.directory._deferred_until_s < 0
+
+
 async def test_age_of_servers_counts_from_the_response_of_the_store(watcher):
     """A list that takes long to apply is as old as its response."""
     view = watcher._view
