List a part again after a change that could not be applied

A drain, a new leader or a new configuration whose change raised while it was applied was forgotten until the next change of the same key, which may not come.

Cause: the store sends a change once. _apply_change logged an unexpected exception and went on after the revision of the change. A configuration that had raised was confirmed as current besides.

Evidence: test_change_that_could_not_be_applied_is_listed, in which the first application of a change raises, failed for all four parts before (one listing in 1.3 s, and the configuration was confirmed) and passes now (applied by a second listing).

Fix: a ListingSchedule for each part. The watch goes on, so that other changes are not held up, and ends after 0.4 s for a new listing. The delay doubles up to 6.4 s while changes go on failing, since listings are charged: 15 listings in the first minute at most. While a listing is due, the configuration is not confirmed.

--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -17,7 +17,8 @@
 from .cluster_view import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, ClusterView
 from .events import EventLog
 from .loops import LoopSupervisor
-from .store import Change, HistoryLost, Store
+from .relisting import ListingSchedule
+from .store import Change, HistoryLost, Listing, Store
 from .store_health import RETRY_DELAY_S, StoreHealth
 from .waiting import wait_for_event
 
@@ -142,6 +143,7 @@
         self._leader_record_read = asyncio.Event()
         self._was_leading = False
         self._not_served = {part: asyncio.Event() for part in PARTS}
+        self._listings = {part: ListingSchedule() for part in PARTS}
 
     async def on_start(self) -> None:
         """Start a loop for each watched part of the store."""
@@ -253,7 +255,7 @@
             await asyncio.sleep(START_POLL_S)
 
     async def _list_and_watch_configuration(self) -> None:
-        listing = await self._store.list(self._keys.configuration)
+        listing = await self._list("configuration", self._keys.configuration)
         heard_s = self._health.record_response("configuration")
         for item in listing.items:
             self._apply_change("configuration", Change(*item))
@@ -263,7 +265,7 @@
         )
 
     async def _list_and_watch_leader(self) -> None:
-        listing = await self._store.list(LEADER_KEY)
+        listing = await self._list("leader", LEADER_KEY)
         self._health.record_response("leader")
         for item in listing.items:
             self._apply_change("leader", Change(*item))
@@ -274,16 +276,19 @@
         await self._watch_changes("leader", LEADER_KEY, listing.revision)
 
     async def _list_and_watch_gateway_keys(self) -> None:
-        listing = await self._store.list(GATEWAY_PREFIX)
+        listing = await self._list("own", GATEWAY_PREFIX)
         self._health.record_response("own")
         for item in listing.items:
             self._apply_change("own", Change(*item))
         await self._watch_changes("own", GATEWAY_PREFIX, listing.revision)
 
     async def _list_and_watch_servers(self) -> None:
-        listing = await self._store.list(self._keys.servers_prefix)
+        listing = await self._list("servers", self._keys.servers_prefix)
         heard_s = self._health.record_response("servers")
+        failures = self._view.server_failures()
         self._view.replace_servers(listing.items, listing.revision)
+        if self._view.server_failures() > failures:
+            self._listings["servers"].record_failure(boottime_s())
         self._record_applied("servers", heard_s)
         await self._watch_changes(
             "servers",
@@ -293,6 +298,11 @@
             SERVERS_WATCH_INTERVAL_S,
         )
 
+    async def _list(self, part: str, prefix: str) -> Listing:
+        listing = await self._store.list(prefix)
+        self._listings[part].record_listing()
+        return listing
+
     async def _watch_changes(
         self,
         part: str,
@@ -301,13 +311,19 @@
         wait_s: float = WATCH_TIMEOUT_S,
         interval_s: float = 0.0,
     ) -> None:
-        """Apply changes to one part; stop once the leader keeps it up to date."""
+        """Apply changes to one part.
+
+        Stops once the leader keeps the part up to date, or it has to be listed again.
+        """
         while not self._is_served_by_leader(part) and not self.should_stop:
+            listing_in_s = self._listings[part].left_s(boottime_s())
+            if not listing_in_s:
+                return
             if part == "configuration" and self._peers.is_leading():
                 wait_s = CONFIRMING_WATCH_TIMEOUT_S
             try:
                 batch = await self._health.run_until_recovered(
-                    self._store.watch(prefix, revision, wait_s)
+                    self._store.watch(prefix, revision, min(wait_s, listing_in_s))
                 )
             except HistoryLost:
                 raise
@@ -336,13 +352,17 @@
 
         :param heard_s: time of the response.
         """
-        if part == "configuration":
+        if part == "configuration" and not self._listings[part].is_scheduled():
             self._view.configuration.record_confirmed(boottime_s() - heard_s)
         elif part == "servers":
             self._view.record_servers_contact(heard_s)
 
     def _apply_change(self, part: str, change: Change) -> None:
-        """Apply a change; an error that nothing foresaw costs this change alone."""
+        """Apply a change; an error that nothing foresaw costs this change alone.
+
+        The store sends a change once, so what was not applied is listed again.
+        """
+        failures = self._view.server_failures()
         apply = {
             "configuration": self._apply_configuration,
             "leader": self._apply_gateway_key,
@@ -353,6 +373,9 @@
             apply(change)
         except Exception as error:
             self._loops.record_error(f"change-{part}", error)
+            self._listings[part].record_failure(boottime_s())
+        if self._view.server_failures() > failures:
+            self._listings[part].record_failure(boottime_s())
 
     def _apply_configuration(self, change: Change) -> None:
         if change.key == self._keys.configuration and change.value is not None:
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -9,10 +9,11 @@
 
 from jacinthpath.errors import StoreUnavailable
 from jacinthpath.gateway.clock import boottime_s
-from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.cluster_view import HOSTS_PREFIX, LEADER_KEY, ClusterView
 from jacinthpath.gateway.loops import LoopSupervisor
 from jacinthpath.gateway.model import Backend
-from jacinthpath.gateway.store import Change, ChangeBatch, HistoryLost, Listing
+from jacinthpath.gateway.relisting import ListingSchedule
+from jacinthpath.gateway.store import Change, ChangeBatch, HistoryLost, Item, Listing
 from jacinthpath.gateway.store_health import FOLLOWER_RETRY_DELAY_S
 from jacinthpath.gateway.store_watcher import StoreWatcher, WatchedKeys
 
@@ -238,6 +239,74 @@
     assert watcher._view.directory._deferred_until_s < 0
 
 
+class OneChangeStore(FailingStore):
+    """A store whose watch sends one change, once, and whose list contains it."""
+
+    def __init__(self, key, value):
+        super().__init__()
+        self.item, self.lists = Item(key, value, 6), 0
+
+    async def list(self, _prefix):
+        self.lists += 1
+        return Listing((self.item,), 6) if self.lists > 1 else Listing((), 5)
+
+    async def watch(self, _prefix, revision, wait_s):
+        if revision > 5:
+            await asyncio.sleep(wait_s)
+            return ChangeBatch((), revision)
+        await asyncio.sleep(0.1)
+        return ChangeBatch((Change(*self.item),), 6)
+
+
+PARTS = {
+    "configuration": ("configuration", "_list_and_watch_configuration"),
+    "leader": (LEADER_KEY, "_list_and_watch_leader"),
+    "own": (HOSTS_PREFIX + "h", "_list_and_watch_gateway_keys"),
+    "servers": ("servers/t", "_list_and_watch_servers"),
+}
+
+
+@pytest.mark.parametrize("part", PARTS)
+async def test_change_that_could_not_be_applied_is_listed(watcher, part):
+    """The store sends a change once; one that raised was forgotten until the next."""
+    key, list_and_watch = PARTS[part]
+    apply = watcher._apply_server if part == "servers" else watcher._apply_gateway_key
+    if part == "configuration":
+        apply = watcher._apply_configuration
+    applied = []
+
+    def fail_once(change):
+        applied.append(change)
+        if len(applied) == 1:
+            raise KeyError("an error of our own")
+        apply(change)
+
+    setattr(watcher, apply.__name__, fail_once)
+    watcher._store = store = OneChangeStore(key, b"10.0.0.1:1")
+    watcher._view.replace_servers = lambda items, _revision: applied.extend(items)
+    watching = asyncio.create_task(
+        watch_part(watcher, part, getattr(watcher, list_and_watch))
+    )
+    await asyncio.sleep(0.3)
+    assert (store.lists, len(applied)) == (1, 1)
+    # The change must not count as a confirmation.
+    assert part != "configuration" or watcher._view.configuration.age_s() > 0.25
+    await asyncio.sleep(1.0)
+    assert (store.lists, len(applied)) == (2, 2)
+    watching.cancel()
+
+
+async def test_entry_that_can_never_be_applied_is_listed_less_and_less_often():
+    """Listings are charged, and an odd entry may stand for days."""
+    schedule, now_s, listings = ListingSchedule(), 0.0, 0
+    while now_s < 60.0:
+        schedule.record_failure(now_s)
+        now_s += schedule.left_s(now_s)
+        schedule.record_listing()
+        listings += 1
+    assert listings < 15
+
+
 async def test_age_of_servers_counts_from_the_response_of_the_store(watcher):
     """A list that takes long to apply is as old as its response."""
     view = watcher._view
