Let hosts with strong links lead if there are any

Cause: any host may win an election, and the leader's link carries documents for all.

Change: a host whose link carries less than 50 Mbit/s waits 0.2 s longer as a candidate.

--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -27,6 +27,11 @@
 """Candidates wait a random time up to this, so that usually only one of them tries."""
 
 DOUBTFUL_CANDIDACY_DELAY_S = 0.25
+WEAK_LINK_CANDIDACY_DELAY_S = 0.2
+WEAK_LINK_BYTES_PER_S = 6_250_000
+"""A host with a link below 50 Mbit/s leaves the others this much time: the leader sends
+documents to all hosts."""
+
 CUT_OFF_CANDIDACY_DELAY_S = 1.0
 """A host that has no path to the servers, or whose assigner keeps failing, leaves the
 others this much time: it could grant nothing. It leads if they do not, since a leader
@@ -45,6 +50,7 @@
     :param address: where peers reach this host.
     :param process_id: random identity of this process.
     :param reach: knows whether this host reaches the servers.
+    :param link_bytes_per_s: what the link of this host carries.
     :ivar knows_better_host: returns whether another host has lately reached servers.
     :ivar gained: set when this host becomes leader, and then replaced.
     """
@@ -60,6 +66,7 @@
         address: str,
         process_id: str,
         min_lease_s: float,
+        link_bytes_per_s: float,
         loops: LoopSupervisor,
     ) -> None:
         super().__init__()
@@ -77,6 +84,7 @@
         self._address = address
         self._process_id = process_id
         self._ttl_s = max(LEASE_TTL_S, min_lease_s)
+        self._has_weak_link = link_bytes_per_s < WEAK_LINK_BYTES_PER_S
         self._lease_id = 0
         self._resigning = False
         self._lease_revoked = False
@@ -206,6 +214,8 @@
 
     def _candidacy_delay_s(self) -> float:
         delay_s = MAX_CANDIDACY_DELAY_S * self._random.random()
+        if self._has_weak_link:
+            delay_s += WEAK_LINK_CANDIDACY_DELAY_S
         if self._reach.is_cut_off() or self._loops.is_failing(ASSIGNER_LOOP):
             return delay_s + CUT_OFF_CANDIDACY_DELAY_S
         if self._reach.has_failures():
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -148,6 +148,7 @@
         settings.peer_address,
         process_id,
         settings.lease_min_s,
+        settings.link_bytes_per_s,
         loops,
     )
     election.knows_better_host = peering.knows_host_with_path
