Follow a leader only in documents that were applied

Cause: apply_documents logged what it could not apply, and the response counted as fresh all the same, so that the host neither read the store nor asked anybody else. A change of the servers for another list than the host's was left out without a word, and its age was recorded for the list that had stayed.

Evidence: test_drain_is_followed_by_a_host_that_cannot_apply_a_peer_list had requests at the drained server from 2.08 s to the end of the test at 3.5 s, and passes now; test_servers_of_a_peer_that_were_not_applied_are_reported and test_change_for_another_list_is_reported failed before, the latter since the age had been recorded.

Fix: apply_documents returns the parts that could not be applied. A response counts for the servers and for the configuration only if the part is not among them, so that the host reads the store after FOLLOWING_TIMEOUT_S. An error that nothing foresaw is counted and logged with its traceback.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -31,7 +31,7 @@
 from .model import Backend, Documents, RouteTable
 from .revisions import era_of_revision
 from .route_index import RouteIndex
-from .server_entries import ServerEntries
+from .server_entries import ServerEntries, ServersNotApplied
 from .server_limits import LimitObservation, ServerLimits
 from .store import Item
 
@@ -321,10 +321,14 @@
         """Apply a delta of the servers from a peer whose data is newer.
 
         :param base: digest of the servers that the delta applies to.
-        :raises ServersNotApplied: no entry could be applied.
+        :raises ServersNotApplied: the servers of this host have another digest, or no
+            entry could be applied.
         """
         if base != self.directory.digest():
-            return
+            raise ServersNotApplied(
+                "A change of the servers applies to another list.",
+                "Fetch the servers again.",
+            )
         self._entries.apply_delta(delta, revision)
         self._record_servers_known()
 
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -16,7 +16,7 @@
 import enum
 from typing import Any
 
-from ..errors import FrameError
+from ..errors import FrameError, JacinthpathError
 from .cluster_view import ClusterView
 from .directory import ServerDelta
 from .limit_messages import has_other_limits, read_limit, write_limits
@@ -133,8 +133,13 @@
         _write_server(entry, backend)
 
 
-def apply_documents(content: Any, view: ClusterView, source: str) -> None:
-    """Apply the documents that a peer has sent."""
+def apply_documents(content: Any, view: ClusterView, source: str) -> frozenset[str]:
+    """Apply the documents that a peer has sent.
+
+    :return: the parts that could not be applied; what the peer tells of their age holds
+        for its own copies alone.
+    """
+    failed = set()
     for name, apply in (
         ("configuration", _apply_configuration),
         ("assignment", _apply_assignment),
@@ -146,7 +151,16 @@
             apply(content, view, source)
         except Exception as error:
             # One part that cannot be applied must not keep back the others.
-            view.record_refused(f"{name} of {source}", 0, error)
+            failed.add(name)
+            _record_failure(f"{name} of {source}", view, error)
+    return frozenset(failed)
+
+
+def _record_failure(part: str, view: ClusterView, error: Exception) -> None:
+    if isinstance(error, JacinthpathError):
+        view.record_refused(part, 0, error)
+    else:
+        view.record_error("peer-documents", error)
 
 
 def configuration_age_s(content: Any) -> float:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
 from mode import Service
 
@@ -64,6 +64,16 @@
 documents twice as often."""
 
 
+class _AppliedDocuments(NamedTuple):
+    """Documents of a peer, applied except for some parts.
+
+    :param failed: names of the parts that could not be applied.
+    """
+
+    content: Any
+    failed: frozenset[str]
+
+
 class Peering(Service):
     """Serves documents to the other gateways, and fetches theirs.
 
@@ -173,7 +183,7 @@
             response = await self._fetch_documents(leader.address, 0.0)
         except JacinthpathError:
             return False
-        return not response.leading
+        return not response.content.leading
 
     async def fetch_from_peer(self) -> None:
         """Fetch and apply the documents of the first peer that responds.
@@ -218,26 +228,32 @@
                 await asyncio.sleep(FOLLOW_PAUSE_S)
                 continue
             self._record_leader_response(leader, response)
-            if not response.confirmed:
+            if not response.content.confirmed:
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             # Updates come in bursts. The pause lets one response carry several, and
             # bounds the message rate if the documents of two hosts never converge.
             await asyncio.sleep(FOLLOW_PAUSE_S * self._random.random())
 
-    def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
-        age_s = configuration_age_s(response)
-        self._leader_has_news = age_s < MAX_CONFIGURATION_AGE_S
-        if response.confirmed and response.ageMs < MAX_LEADER_AGE_S * 1000:
+    def _record_leader_response(
+        self, leader: LeaderRecord, response: _AppliedDocuments
+    ) -> None:
+        content, failed = response
+        self._leader_has_news = (
+            configuration_age_s(content) < MAX_CONFIGURATION_AGE_S
+            and "configuration" not in failed
+        )
+        is_fresh = content.ageMs < MAX_LEADER_AGE_S * 1000 and "servers" not in failed
+        if content.confirmed and is_fresh:
             self._followed_at_s = boottime_s()
             self._followed_process_id = leader.process_id
             self._unresponsive_process_id = ""
-        elif not response.confirmed:
+        elif not content.confirmed:
             # It may not be followed: another host may lead already, and the store alone
             # tells which.
             self._followed_at_s = float("-inf")
             self._unresponsive_process_id = leader.process_id
 
-    async def _fetch_documents(self, address: str, wait_s: float) -> Any:
+    async def _fetch_documents(self, address: str, wait_s: float) -> _AppliedDocuments:
         """Fetch newer documents from one peer, apply them and return its response."""
         view = self._view
         newest = view.newest_documents()
@@ -259,12 +275,12 @@
         sent_s = boottime_s()
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
-        apply_documents(content, view, f"peer {address}")
+        failed = apply_documents(content, view, f"peer {address}")
         for blocked in read_blocked(content):
             self._merge_blocked(blocked, address)
         if content.countsShares:
             self._permits.record_counted(sent_s)
-        return content
+        return _AppliedDocuments(content, failed)
 
     def _merge_blocked(self, blocked: BlockedRequest, address: str) -> None:
         if self._ledger.merge_blocked(blocked):
--- a/tests/test_drain_beside_odd_entry.py
+++ b/tests/test_drain_beside_odd_entry.py
@@ -143,3 +143,17 @@
     leader._view.replace_servers = fail
     await lose_history(fleet)
     await assert_drain_is_followed(fleet)
+
+
+async def test_drain_is_followed_by_a_host_that_cannot_apply_a_peer_list(fleet):
+    """A follower trusted its leader's age, although it had applied nothing of the
+    leader's list."""
+    leader = leader_of(fleet)
+    follower = next(g for g in fleet.gateways if g is not leader)
+
+    def fail(*_args):
+        raise KeyError("an error of our own")
+
+    follower._view.apply_peer_servers = fail
+    follower._view.apply_peer_server_delta = fail
+    await assert_drain_is_followed(fleet)
--- a/tests/test_unapplied_documents.py
+++ b/tests/test_unapplied_documents.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from jacinthpath.codec import new_frame
 from jacinthpath.errors import JacinthpathError
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.directory import ServerDelta
+from jacinthpath.gateway.peer_messages import apply_documents, write_documents
 from jacinthpath.gateway.store import Item
 from jacinthpath.platform import decode_backend, decode_route_table
 
@@ -150,3 +152,44 @@
     assert "s-a" not in host.state()
     assert host.state()["s-z"]
     assert len(host.errors) == 1
+
+
+def fetch(follower, leader):
+    """Return the documents of a host for another one, and what applies them there."""
+    wanted = new_frame().body.init("documentsWanted")
+    wanted.serversDigest = follower.view.directory.digest()
+    wanted.takesChanges = True
+    content = new_frame().body.init("documents")
+    write_documents(content, wanted, leader.view)
+    return content, lambda: apply_documents(content, follower.view, "peer")
+
+
+@pytest.fixture
+def leader():
+    leader = Host()
+    leader.view.replace_servers(items(), 1)
+    leader.view.record_servers_contact()
+    return leader
+
+
+def test_servers_of_a_peer_that_were_not_applied_are_reported(host, leader):
+    """A host that reports them as applied is taken to know of all drains."""
+    _, apply = fetch(host, leader)
+    host.view.apply_peer_servers = Failing(host.view, "apply_peer_servers", "s-")
+    assert apply() == {"servers"}
+    assert host.view.servers_age_s() > 1e9
+    assert len(host.errors) == 1
+
+
+def test_change_for_another_list_is_reported(host, leader):
+    """The change was left out, and its age was recorded for the old list."""
+    fetch(host, leader)[1]()
+    leader.view.directory.digest()
+    leader.view.apply_server("s-a", entry("draining"), 2)
+    content, apply = fetch(host, leader)
+    assert content.serversBase
+    host.view.servers_contact_s = contact_s = float("-inf")
+    host.view.apply_server("s-z", entry("draining"), 3)
+    failed = apply()
+    assert host.view.servers_contact_s == contact_s
+    assert failed == {"servers"}
