Compare lists of servers by the store's revision before their age

What callers saw: nothing that was observed. By the constants, a host would have learned up to 1.2 s late that a server had told another host that it was leaving.

Cause: a list was applied only if it was younger than the follower's. Ages are sent in whole milliseconds, rounded down, so that a follower took its list for up to 1 ms younger than the leader's, from which it came. A list that had changed without a response of the store since, by a server's own announcement, was left out or not by the fraction of a millisecond, and asked for again at once.

Evidence: test_newer_servers_of_the_same_age_are_applied and test_drain_that_no_revision_of_the_store_tells_is_applied set this age and failed before.

Fix: a list whose revision is not lower than the host's is no older, whatever the ages are. The rule guards against a list that lacks changes that the host has read from the store since: such a list has a lower revision, and then the age decides as before (test_older_servers_are_not_applied). For this the revision of a list is that of the store at the newest response, also after a watch without changes; it was the store's after a list and that of the last change of a server after a watch, so that a leader that watched looked older than a host that had listed. Senders of an earlier build go on with the lower one, and their lists are judged by age as before. Messages are unchanged.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -293,11 +293,15 @@
         """Record that the store responded."""
         self.store_contact_s = boottime_s()
 
-    def record_servers_contact(self, heard_s: float | None = None) -> None:
+    def record_servers_contact(
+        self, heard_s: float | None = None, revision: int = 0
+    ) -> None:
         """Record that what the store sent of the servers at a time has been applied.
 
         :param heard_s: time of the response, now by default.
+        :param revision: revision of the store that the list is as new as.
         """
+        self.directory.record_revision(revision)
         self.servers_contact_s = boottime_s() if heard_s is None else heard_s
 
     def record_peer_store_contact(self, age_s: float) -> None:
@@ -309,7 +313,7 @@
     def apply_peer_servers(self, backends: list[Backend], revision: int) -> None:
         """Apply the whole list of servers of a peer whose data is newer.
 
-        :param revision: newest revision of an entry that the peer has seen.
+        :param revision: newest revision of the store that the peer's list reflects.
         :raises ServersNotApplied: no entry could be applied.
         """
         self._entries.replace_all_by_peer(backends, revision)
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -64,6 +64,9 @@
     """Tracks servers' entries across outages of the store.
 
     Times are seconds of the boot clock.
+
+    :ivar revision: newest revision of the store that the entries reflect. A host whose
+        revision is higher has heard of all that is known here.
     """
 
     def __init__(self) -> None:
@@ -97,6 +100,10 @@
             for server, pending in self._pending_removals.items()
         }
 
+    def record_revision(self, revision: int) -> None:
+        """Record the revision of the store that the entries reflect."""
+        self.revision = max(self.revision, revision)
+
     def put(self, backend: Backend, now_s: float) -> None:
         """Record an entry unless a newer revision is known."""
         self.revision = max(self.revision, backend.revision)
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -30,7 +30,7 @@
 
 MAX_SERVERS_AGE_S = 2.0
 """A list of servers of this age or older is not applied: its sender may have lost the
-store. A younger list is applied if it is newer than the list of this host."""
+store."""
 
 
 class DocumentParts(enum.IntEnum):
@@ -208,11 +208,24 @@
 
 def _apply_servers(content: Any, view: ClusterView, _source: str) -> None:
     age_s = content.ageMs / 1000
-    if age_s < min(MAX_SERVERS_AGE_S, view.servers_age_s()):
+    if age_s < MAX_SERVERS_AGE_S and not _has_older_servers(content, age_s, view):
         _apply_server_list(content, view)
     view.record_peer_store_contact(age_s)
 
 
+def _has_older_servers(content: Any, age_s: float, view: ClusterView) -> bool:
+    """Return whether the servers in a message are older than those of this host.
+
+    Ages alone do not tell: they are sent in whole milliseconds, and a drain that a
+    server has announced to a host changes the list between responses of the store. The
+    revision of a sender of an earlier build is that of the last change of a server, and
+    may be lower than that of an older list.
+    """
+    if content.serversRevision >= view.directory.revision:
+        return False
+    return age_s >= view.servers_age_s()
+
+
 def _apply_server_list(content: Any, view: ClusterView) -> None:
     backends = [_read_server(entry) for entry in content.servers]
     if content.serversBase:
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -259,7 +259,7 @@
         heard_s = self._health.record_response("configuration")
         for item in listing.items:
             self._apply_change("configuration", Change(*item))
-        self._record_applied("configuration", heard_s)
+        self._record_applied("configuration", heard_s, listing.revision)
         await self._watch_changes(
             "configuration", self._keys.configuration, listing.revision
         )
@@ -289,7 +289,7 @@
         self._view.replace_servers(listing.items, listing.revision)
         if self._view.server_failures() > failures:
             self._listings["servers"].record_failure(boottime_s())
-        self._record_applied("servers", heard_s)
+        self._record_applied("servers", heard_s, listing.revision)
         await self._watch_changes(
             "servers",
             self._keys.servers_prefix,
@@ -340,22 +340,23 @@
             revision = max(revision, batch.revision)
             for change in batch.changes:
                 self._apply_change(part, change)
-            self._record_applied(part, heard_s)
+            self._record_applied(part, heard_s, batch.revision)
             if interval_s:
                 await asyncio.sleep(interval_s * (0.9 + 0.2 * self._random.random()))
 
-    def _record_applied(self, part: str, heard_s: float) -> None:
+    def _record_applied(self, part: str, heard_s: float, revision: int) -> None:
         """Record that what the store sent for a part is in force.
 
         Peers trust the age of a part, so it must not tell of a response that was never
         applied.
 
         :param heard_s: time of the response.
+        :param revision: revision of the store in the response.
         """
         if part == "configuration" and not self._listings[part].is_scheduled():
             self._view.configuration.record_confirmed(boottime_s() - heard_s)
         elif part == "servers":
-            self._view.record_servers_contact(heard_s)
+            self._view.record_servers_contact(heard_s, revision)
 
     def _apply_change(self, part: str, change: Change) -> None:
         """Apply a change; an error that nothing foresaw costs this change alone.
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -19,6 +19,7 @@
     apply_delta,
     encode_delta,
 )
+from jacinthpath.gateway.clock import boottime_s
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.directory import ServerDirectory
 from jacinthpath.gateway.model import Backend
@@ -230,3 +231,69 @@
     assert server_states(follower.view.directory) == server_states(
         leader.view.directory
     )
+
+
+AGE_S = 0.5
+
+
+@pytest.fixture
+def equally_old_hosts(leader_and_follower):
+    """Two hosts that know the same servers, of nearly the same age.
+
+    Ages are sent in whole milliseconds, so the follower's list seems to be younger.
+    """
+    leader, follower = leader_and_follower
+    for host in leader_and_follower:
+        host.view.directory.put(backend("s1"), 0.0)
+        host.view.directory.put(backend("s2"), 0.0)
+        host.view.directory.digest()
+    leader.view.servers_contact_s = boottime_s() - AGE_S
+    follower.view.servers_contact_s = leader.view.servers_contact_s + 0.001
+    return leader, follower
+
+
+def test_newer_servers_of_the_same_age_are_applied(equally_old_hosts):
+    """A list within a millisecond of the last one was left out, though newer."""
+    leader, follower = equally_old_hosts
+    leader.view.directory.put(backend("s1", draining=True, revision=4), 0.0)
+    follower.fetch_from(leader)
+    assert follower.view.directory.find("s1").draining
+
+
+def test_drain_that_no_revision_of_the_store_tells_is_applied(equally_old_hosts):
+    """A server said to a host that it is leaving; its entry had not changed."""
+    leader, follower = equally_old_hosts
+    leader.view.record_leaving("s1", 1)
+    follower.fetch_from(leader)
+    assert follower.view.directory.find("s1").draining
+
+
+def test_older_servers_are_not_applied(equally_old_hosts):
+    """A host that has read the store since must not return to its leader's list."""
+    leader, follower = equally_old_hosts
+    follower.view.directory.remove("s2", 7, 1.0)
+    follower.view.record_servers_contact()
+    follower.fetch_from(leader)
+    assert follower.view.directory.find("s2") is None
+
+
+def test_servers_of_a_peer_without_news_are_not_applied(equally_old_hosts):
+    """A peer that has lost the store may list servers that have left."""
+    leader, follower = equally_old_hosts
+    leader.view.directory.put(backend("s1", started_ms=9, revision=4), 0.0)
+    leader.view.servers_contact_s -= 2.0
+    follower.fetch_from(leader)
+    assert follower.view.directory.find("s1").started_ms == 1
+
+
+def test_servers_that_a_watch_has_confirmed_are_not_older_than_a_list(
+    equally_old_hosts,
+):
+    """The revision of a list is the store's, that of a watch was its last change's."""
+    leader, follower = equally_old_hosts
+    # Other keys have changed meanwhile.
+    follower.view.directory.replace_all([backend("s1"), backend("s2")], 90, 1.0)
+    leader.view.record_servers_contact(boottime_s() - AGE_S, 92)
+    leader.view.record_leaving("s1", 1)
+    follower.fetch_from(leader)
+    assert follower.view.directory.find("s1").draining
