Stop following a leader at once when its list of servers is old

What callers saw: requests reached a drained server up to 2.4 s after its leaving had been acknowledged, by all hosts that followed a leader whose watch of the servers hung.

Cause: a response was trusted while the leader's list was younger than 1.5 s, and the leader was followed for FOLLOWING_TIMEOUT_S (1.0 s) after the last such response, also when a later one told of an older list. Both together exceed the two seconds in which requests to a draining server must stop. A waiting request was answered after 0.5 s besides.

Fix: a response that tells of an old list ends the following. The leader responds to waiting requests when its list becomes too old, as it does for the configuration, so that followers have 0.5 s left to read the store. A list that could not be applied does not refresh the following, and does not end it either: a change for another list happens when two hosts learn of a drain at the same time, and the next response repairs it.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -48,7 +48,9 @@
 instead: requests to a draining server must stop within two seconds."""
 
 MAX_LEADER_AGE_S = 1.5
-"""A response is fresh if the leader's list of servers is younger than this."""
+"""A leader whose list of servers is older than this is not followed. Its followers have
+the rest of two seconds to read the store, before requests to a draining server must
+stop."""
 
 MAX_CONFIGURATION_AGE_S = 1.3
 """A leader whose configuration was confirmed longer ago is not followed in it."""
@@ -242,15 +244,16 @@
             configuration_age_s(content) < MAX_CONFIGURATION_AGE_S
             and "configuration" not in failed
         )
-        is_fresh = content.ageMs < MAX_LEADER_AGE_S * 1000 and "servers" not in failed
-        if content.confirmed and is_fresh:
+        has_news = content.confirmed and content.ageMs < MAX_LEADER_AGE_S * 1000
+        if not has_news:
+            # Drains that it has not heard of are late already.
+            self._followed_at_s = float("-inf")
+        elif "servers" not in failed:
             self._followed_at_s = boottime_s()
             self._followed_process_id = leader.process_id
             self._unresponsive_process_id = ""
-        elif not content.confirmed:
-            # It may not be followed: another host may lead already, and the store alone
-            # tells which.
-            self._followed_at_s = float("-inf")
+        if not content.confirmed:
+            # Another host may lead already, and the store alone tells which.
             self._unresponsive_process_id = leader.process_id
 
     async def _fetch_documents(self, address: str, wait_s: float) -> _AppliedDocuments:
@@ -302,28 +305,36 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
-        had_news = self._has_news()
+        had_news = self._parts_with_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
-            and self._has_news() is had_news
+            and self._parts_with_news() == had_news
             and loop.time() < deadline_s
         ):
-            wait_s = deadline_s - loop.time()
-            if had_news:
-                # Followers learn at once that they have to read the store.
-                wait_s = min(wait_s, self._news_left_s())
+            # Followers learn at once that they have to read the store.
+            wait_s = min(deadline_s - loop.time(), self._news_left_s())
             await wait_for_event(self._view.changed, wait_s)
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
-    def _has_news(self) -> bool:
-        """Return whether the store has lately confirmed the configuration."""
-        return self._news_left_s() > 0
+    def _parts_with_news(self) -> tuple[str, ...]:
+        """Return the parts that the store has lately confirmed."""
+        return tuple(part for part, left_s in self._news().items() if left_s > 0)
 
     def _news_left_s(self) -> float:
-        return MAX_CONFIGURATION_AGE_S - self._view.configuration.age_s()
+        """Return the time until one of these parts is not confirmed any more."""
+        left_s = (left_s for left_s in self._news().values() if left_s > 0)
+        return min(left_s, default=float("inf"))
+
+    def _news(self) -> dict[str, float]:
+        """Return by part for how long followers may still trust it."""
+        view = self._view
+        return {
+            "configuration": MAX_CONFIGURATION_AGE_S - view.configuration.age_s(),
+            "servers": MAX_LEADER_AGE_S - view.servers_age_s(),
+        }
 
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
--- a/tests/test_drain_beside_odd_entry.py
+++ b/tests/test_drain_beside_odd_entry.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from jacinthpath.errors import StoreUnavailable
+
 from .gateway_system import GatewaySystem
 
 DRAIN_LIMIT_S = 2.0
@@ -157,3 +159,26 @@
     follower._view.apply_peer_servers = fail
     follower._view.apply_peer_server_delta = fail
     await assert_drain_is_followed(fleet)
+
+
+async def test_drain_is_followed_while_the_leader_hears_nothing_of_the_servers(fleet):
+    """Followers trusted a list until it was 1.5 s old, and its leader for 1 s more."""
+    leader = leader_of(fleet)
+    watch = leader._watcher._store.watch
+
+    async def watch_all_but_the_servers(prefix, revision, wait_s):
+        if prefix == "servers/":
+            await asyncio.sleep(wait_s + 1.0)
+            raise StoreUnavailable("unavailable", "")
+        return await watch(prefix, revision, wait_s)
+
+    leader._watcher._store.watch = watch_all_but_the_servers
+    # Ends the leader's watch that is waiting.
+    fleet.store.put("servers/p0", fleet.servers["p0"].entry())
+    while leader._view.servers_age_s() > 0.1:
+        await asyncio.sleep(0.01)
+    fleet.gateways.remove(leader)
+    try:
+        await assert_drain_is_followed(fleet)
+    finally:
+        fleet.gateways.append(leader)
