--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -32,7 +32,7 @@
 from .model import Backend, Documents, RouteTable
 from .revisions import era_of_revision
 from .route_index import RouteIndex
-from .server_entries import ServerEntries
+from .server_entries import ServerEntries, ServersNotApplied
 from .server_limits import LimitObservation, ServerLimits
 from .store import Item
 
@@ -309,11 +309,15 @@
         """Record that the store responded."""
         self.store_contact_s = boottime_s()
 
-    def record_servers_contact(self, heard_s: float | None = None) -> None:
+    def record_servers_contact(
+        self, heard_s: float | None = None, revision: int = 0
+    ) -> None:
         """Record that what the store sent of the servers at a time has been applied.
 
         :param heard_s: time of the response, now by default.
+        :param revision: revision of the store that the list is as new as.
         """
+        self.directory.record_revision(revision)
         self.servers_contact_s = boottime_s() if heard_s is None else heard_s
 
     def record_peer_store_contact(self, age_s: float) -> None:
@@ -325,7 +329,7 @@
     def apply_peer_servers(self, backends: list[Backend], revision: int) -> None:
         """Apply the whole list of servers of a peer whose data is newer.
 
-        :param revision: newest revision of an entry that the peer has seen.
+        :param revision: newest revision of the store that the peer's list reflects.
         :raises ServersNotApplied: no entry could be applied.
         """
         self._entries.replace_all_by_peer(backends, revision)
@@ -337,10 +341,14 @@
         """Apply a delta of the servers from a peer whose data is newer.
 
         :param base: digest of the servers that the delta applies to.
-        :raises ServersNotApplied: no entry could be applied.
+        :raises ServersNotApplied: the servers of this host have another digest, or no
+            entry could be applied.
         """
         if base != self.directory.digest():
-            return
+            raise ServersNotApplied(
+                "A change of the servers applies to another list.",
+                "Fetch the servers again.",
+            )
         self._entries.apply_delta(delta, revision)
         self._record_servers_known()
 
