Compress large frames between hosts

Cause: besides the configuration, servers and the assignment go whole to each host that starts, some 50 KB each, so that restarts of many hosts meet the same link.

Change: frames of 1 KB to 256 KB are compressed for peers of this release or later, which the handshake tells. The code of a compressed frame covers that it is one.

Measured: tests of tests/test_peers.py, with a peer of the release before too.

--- a/src/jacinthpath/codec.py
+++ b/src/jacinthpath/codec.py
@@ -10,13 +10,16 @@
 
 __all__ = [
     "MAX_FRAME_BYTES",
+    "compress_frame",
     "decode_frame",
+    "decompress_frame",
     "encode_frame",
     "fits_frame",
     "new_frame",
     "schema",
 ]
 
+import zlib
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +31,10 @@
 MAX_PACKED_WORD_BYTES = 10
 """The packed encoding adds up to two bytes to a word of eight."""
 
+MIN_COMPRESSED_BYTES = 1_024
+MAX_COMPRESSED_BYTES = 256 * 1024
+"""Compressing a larger frame would hold up the event loop for milliseconds."""
+
 # Limits how much data a hostile message can make the decoder traverse, in 8-byte
 # words.
 TRAVERSAL_LIMIT_WORDS = MAX_FRAME_BYTES
@@ -87,3 +94,30 @@
             "The frame is of an unknown kind.", "Upgrade the older host."
         ) from error
     return reader
+
+
+def compress_frame(encoded: bytes) -> bytes | None:
+    """Return the bytes of a frame compressed, ``None`` if that is not worth it."""
+    if not MIN_COMPRESSED_BYTES <= len(encoded) <= MAX_COMPRESSED_BYTES:
+        return None
+    compressed = zlib.compress(encoded, level=1)
+    return compressed if len(compressed) < len(encoded) else None
+
+
+def decompress_frame(compressed: bytes) -> bytes:
+    """Return the bytes of a frame that :func:`compress_frame` has compressed.
+
+    :raises FrameError: they are damaged, or those of a frame that is too large.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        encoded = decompressor.decompress(compressed, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise FrameError(
+            "A compressed frame is malformed.", "Check the peer's release."
+        ) from error
+    if not decompressor.eof:
+        raise FrameError(
+            "A compressed frame is cut short or too large.", "Check the peer's release."
+        )
+    return encoded
--- a/src/jacinthpath/peer_connections.py
+++ b/src/jacinthpath/peer_connections.py
@@ -1,10 +1,10 @@
 """One authenticated connection between two processes of the system.
 
-Each frame is preceded by its length (4 bytes, big-endian) and a 16-byte
-message authentication code over direction, frame number and content. In the frames
-of the handshake the code is zero; there, proofs of the cluster key authenticate both
-ends. A refused frame is counted and logged; it may close its connection but never
-ends the process.
+Each frame is preceded by its length (4 bytes, big-endian; the highest bit tells whether
+it is compressed) and a 16-byte message authentication code over direction, frame number
+and content. In the frames of the handshake the code is zero; there, proofs of the
+cluster key authenticate both ends. A refused frame is counted and logged; it may close
+its connection but never ends the process.
 """
 
 from __future__ import annotations
@@ -25,17 +25,29 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, NamedTuple
 
-from .codec import MAX_FRAME_BYTES, decode_frame, encode_frame, new_frame
+from .codec import (
+    MAX_FRAME_BYTES,
+    compress_frame,
+    decode_frame,
+    decompress_frame,
+    encode_frame,
+    new_frame,
+)
 from .errors import AuthenticationError, FrameError, PeerUnavailable
 from .frame_age import FrameAge
 from .keyring import ClusterKey, KeySource
 from .logs import get_logger
 from .metrics import Metrics
 
-PROTOCOL_RELEASE = 2
+PROTOCOL_RELEASE = 3
 RELAYING_RELEASE = 2
 """Release from which on processes relay requests."""
 
+COMPRESSING_RELEASE = 3
+"""Release from which on processes read compressed frames."""
+
+COMPRESSED_FLAG = 1 << 31
+
 MAC_BYTES = 16
 HEADER_BYTES = 4 + MAC_BYTES
 MAX_HANDLERS_PER_CONNECTION = 256
@@ -242,10 +254,16 @@
         self.frame_age.record(sent_ms, boottime_ms() / 1000)
 
     def _write(self, encoded: bytes) -> None:
-        mac = self._mac(self._accepting, self._frames_sent, encoded)
+        compressed = None
+        if self.remote_release >= COMPRESSING_RELEASE:
+            compressed = compress_frame(encoded)
+        flag = 0 if compressed is None else COMPRESSED_FLAG
+        content = encoded if compressed is None else compressed
+        mac = self._mac(self._accepting, self._frames_sent, content, bool(flag))
         self._frames_sent += 1
         self.last_used_at_s = asyncio.get_running_loop().time()
-        message = b"".join((len(encoded).to_bytes(4, "big"), mac, encoded))
+        header = (len(content) | flag).to_bytes(4, "big")
+        message = b"".join((header, mac, content))
         self.bytes_sent += len(message)
         self._metrics.count("peer_sent_bytes_total", len(message))
         self._writer.write(message)
@@ -254,6 +272,8 @@
         header = await self._read_exactly(HEADER_BYTES, may_end=True)
         started_s = asyncio.get_running_loop().time()
         length = int.from_bytes(header[:4], "big")
+        is_compressed = bool(length & COMPRESSED_FLAG)
+        length &= ~COMPRESSED_FLAG
         if length > MAX_FRAME_BYTES:
             raise FrameError(
                 f"The peer announced a frame of {length} bytes.",
@@ -261,14 +281,16 @@
             )
         encoded = await self._read_exactly(length)
         self._record_transfer(length, asyncio.get_running_loop().time() - started_s)
-        mac = self._mac(not self._accepting, self._frames_received, encoded)
+        mac = self._mac(
+            not self._accepting, self._frames_received, encoded, is_compressed
+        )
         self._frames_received += 1
         if not hmac.compare_digest(mac, header[4:]):
             raise AuthenticationError(
                 "A frame has an invalid message authentication code.",
                 "Check the network.",
             )
-        return encoded
+        return decompress_frame(encoded) if is_compressed else encoded
 
     def _record_transfer(self, length: int, duration_s: float) -> None:
         """Record how long a frame took from its first to its last byte."""
@@ -295,15 +317,18 @@
     async def _read_frame(self) -> Any:
         return decode_frame(await self._read_bytes())
 
-    def _mac(self, accepting: bool, number: int, encoded: bytes) -> bytes:
+    def _mac(
+        self, accepting: bool, number: int, content: bytes, is_compressed: bool
+    ) -> bytes:
         if not self._session_key:
             return bytes(MAC_BYTES)
+        direction = bytes([accepting, 1]) if is_compressed else bytes([accepting])
         digest = hashlib.blake2b(
             key=self._session_key,
             digest_size=MAC_BYTES,
-            salt=number.to_bytes(8, "big") + bytes([accepting]),
+            salt=number.to_bytes(8, "big") + direction,
         )
-        digest.update(encoded)
+        digest.update(content)
         return digest.digest()
 
     async def _receive(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,11 +1,13 @@
 import asyncio
 import gc
 import time
+import zlib
 
 import pytest
+from hypothesis import given, strategies as st
 
-from jacinthpath import peers
-from jacinthpath.codec import new_frame
+from jacinthpath import peer_connections, peers
+from jacinthpath.codec import MAX_FRAME_BYTES, decompress_frame, new_frame
 from jacinthpath.errors import FrameError, PeerUnavailable
 from jacinthpath.keyring import KeyRing
 from jacinthpath.metrics import Metrics
@@ -213,3 +215,41 @@
         gc.enable()
     await asyncio.gather(connecting, return_exceptions=True)
     silent.close()
+
+
+LARGE_STATUS = '{"host": "name"}' * 2_000
+
+
+async def handle_large_status(connection, frame):
+    response = new_frame()
+    response.body.statusAnswer = LARGE_STATUS
+    return response
+
+
+@pytest.mark.parametrize("release", [2, 3])
+async def test_large_frames_are_compressed_for_peers_that_read_them(
+    server, key_file, monkeypatch, release
+):
+    """Documents for all hosts filled the link of a weak leader; earlier builds do not
+    read compressed frames."""
+    server._handlers["status"] = handle_large_status
+    monkeypatch.setattr(peer_connections, "PROTOCOL_RELEASE", release)
+    pool = make_pool(key_file)
+    response = await pool.request(server.address, make_status_frame())
+    assert response.body.statusAnswer == LARGE_STATUS
+    (connection,) = server.connections
+    is_compressed = connection.bytes_sent < len(LARGE_STATUS) / 4
+    assert is_compressed is (release == 3)
+    await pool.close()
+
+
+@given(st.binary(max_size=2_000))
+def test_damaged_compressed_frame_raises_the_declared_error(content):
+    with pytest.raises(FrameError):
+        decompress_frame(content + b"x")
+
+
+def test_compressed_frame_beyond_the_limit_is_refused():
+    """A small frame must not expand to more than a frame may have."""
+    with pytest.raises(FrameError):
+        decompress_frame(zlib.compress(bytes(MAX_FRAME_BYTES + 1)))
