Lead the soak's peer connections through links with a capacity

Change: each host of the soak has a proxy before its peer port, and each proxy a Link: a capacity that its connections share in both directions, none by default, and a count of the bytes. The configuration can have any number of routes that no caller uses.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-__all__ = ["Proxy"]
+__all__ = ["Link", "Proxy"]
 
 import asyncio
 import socket
 import struct
+import time
 
 CHUNK_BYTES = 65_536
+LIMITED_CHUNK_BYTES = 4_096
+"""Chunk on a link with a limit: its connections take turns, as packets do."""
+
 DELAY_S = 0.15
 
 
@@ -16,8 +20,34 @@
     """One end of a proxied connection has closed it."""
 
 
+class Link:
+    """Capacity that the connections of one or more proxies share in both directions.
+
+    :ivar rate_bytes_per_s: capacity, ``None`` without a limit.
+    :ivar carried_bytes: bytes that were forwarded so far.
+    """
+
+    def __init__(self, rate_bytes_per_s: float | None = None) -> None:
+        self.rate_bytes_per_s = rate_bytes_per_s
+        self.carried_bytes = 0
+        self._free_at_s = 0.0
+
+    def chunk_bytes(self) -> int:
+        """Return the largest size that one connection may send at once."""
+        return CHUNK_BYTES if self.rate_bytes_per_s is None else LIMITED_CHUNK_BYTES
+
+    async def carry(self, size: int) -> None:
+        """Return when ``size`` bytes have passed, after those of earlier calls."""
+        self.carried_bytes += size
+        if self.rate_bytes_per_s is None:
+            return
+        now_s = time.monotonic()
+        self._free_at_s = max(now_s, self._free_at_s) + size / self.rate_bytes_per_s
+        await asyncio.sleep(self._free_at_s - now_s)
+
+
 class Proxy:
-    """Forwards connections to ``target``.
+    """Forwards connections to ``target`` over ``link``.
 
     ``mode`` applies to open connections too: ``pass``, ``delay``, ``reset`` (each new
     connection is reset together with all open ones), ``silent`` (discards the data of
@@ -25,8 +55,9 @@
     ``refuse-new``, open connections live on while each new one is reset.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, link: Link | None = None) -> None:
         self.target = target
+        self.link = link or Link()
         self.address = ""
         self.mode = "pass"
         self._listener: asyncio.Server | None = None
@@ -83,7 +114,8 @@
         writer: asyncio.StreamWriter,
         discarding_modes: tuple[str, ...],
     ) -> None:
-        while chunk := await _read_chunk(reader, writer):
+        while chunk := await self._read_chunk(reader, writer):
+            await self.link.carry(len(chunk))
             if self.mode == "delay":
                 await asyncio.sleep(DELAY_S)
             if self.mode not in discarding_modes:
@@ -92,16 +124,15 @@
         # Closes the other direction too, as when a process closes its socket.
         raise _ConnectionEnded
 
-
-async def _read_chunk(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> bytes:
-    """Read a chunk to forward; a reset is propagated to the other end as a reset."""
-    try:
-        return await reader.read(CHUNK_BYTES)
-    except ConnectionError:
-        _reset(writer)
-        raise
+    async def _read_chunk(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        """Read a chunk to forward; a reset is propagated to the other end as one."""
+        try:
+            return await reader.read(self.link.chunk_bytes())
+        except ConnectionError:
+            _reset(writer)
+            raise
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
--- a/soak/system.py
+++ b/soak/system.py
@@ -49,6 +49,8 @@
 class Gateway:
     """One host: its gateway process, and its proxies to the store and the servers.
 
+    :ivar peer_proxy: leads the connections of the other hosts to this one.
+    :ivar proxies_to_peers: the same of the other hosts.
     :ivar cut_mode: mode of all its paths to servers, ``pass`` unless it is cut off.
     :ivar signals: signals that were sent to its processes.
     :ivar cut_since_s: monotonic time since when it is cut off, ``None`` if it is not.
@@ -65,6 +67,8 @@
         self.ip = f"{address_block()}.{index + 1}"
         self.front_port, self.ready_port, self.peer_port = _free_ports(self.ip, 3)
         self.store_proxy = Proxy(store.address)
+        self.peer_proxy = Proxy(f"{self.ip}:{self.peer_port}")
+        self.proxies_to_peers: list[Proxy] = []
         self.server_proxies: dict[str, Proxy] = {}
         self.cut_mode = "pass"
         self.cut_since_s: float | None = None
@@ -90,9 +94,8 @@
         path = self._log_dir / f"{self.name}.toml"
         path.write_text(self._format_settings())
         paths = self._log_dir / f"{self.name}-paths.json"
-        paths.write_text(
-            json.dumps({p.target: p.address for p in self.server_proxies.values()})
-        )
+        proxies = (*self.server_proxies.values(), *self.proxies_to_peers)
+        paths.write_text(json.dumps({p.target: p.address for p in proxies}))
         with (self._log_dir / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -165,7 +168,10 @@
 
 
 class System:
-    """Store, servers, proxies and gateways of one run."""
+    """Store, servers, proxies and gateways of one run.
+
+    :ivar more_routes: routes of the configuration that no caller uses.
+    """
 
     def __init__(self, log_dir: Path, random: Random) -> None:
         self.log_dir = log_dir
@@ -176,7 +182,9 @@
         self.server_modes: dict[str, str] = {}
         self.gateways: list[Gateway] = []
         self.version = 1
+        self.more_routes = 0
         self.version_written_s = 0.0
+        self.configuration_bytes = 0
         self.last_disturbance_s = 0.0
         self.draining_since_s: dict[str, float] = {}
         self.limited_since_s: dict[str, float] = {}
@@ -193,6 +201,7 @@
                 await self._add_server(f"{service}-{index}", service, keyed)
         for index in range(hosts):
             self.gateways.append(Gateway(index, self.log_dir, self.store, self.program))
+        await self._start_peer_proxies()
         for gateway in self.gateways:
             await gateway.store_proxy.start()
             for name, server in self.servers.items():
@@ -200,11 +209,20 @@
                 await gateway.server_proxies[name].start()
             await gateway.start()
 
+    async def _start_peer_proxies(self) -> None:
+        for gateway in self.gateways:
+            await gateway.peer_proxy.start()
+        for gateway in self.gateways:
+            gateway.proxies_to_peers = [
+                other.peer_proxy for other in self.gateways if other is not gateway
+            ]
+
     async def close(self) -> None:
         """Kill all processes and close the proxies and stand-ins."""
         for gateway in self.gateways:
             await gateway.kill()
-            for proxy in (gateway.store_proxy, *gateway.server_proxies.values()):
+            proxies = (gateway.store_proxy, gateway.peer_proxy)
+            for proxy in (*proxies, *gateway.server_proxies.values()):
                 await proxy.close()
         for server in self.servers.values():
             await server.close()
@@ -253,6 +271,7 @@
 
     def _put_configuration(self) -> None:
         content = configuration(self.version, self._route_rows(), max_connections=200)
+        self.configuration_bytes = len(content)
         self.store.put(CONFIGURATION_KEY, content)
 
     def record_disturbance(self) -> None:
@@ -310,6 +329,10 @@
                 (f"v{version}", f"{VERSION_PREFIX}{version}/", "plain", "idempotent")
                 for version in range(2, self.version + 1)
             ),
+            *(
+                (f"more-{number}", f"/more-{number}/", "plain", "idempotent")
+                for number in range(self.more_routes)
+            ),
         ]
         return [
             route(*row, timeout=SLOW_TIMEOUT if row[0] == "slow" else ROUTE_TIMEOUT)
