--- a/tests/test_unreadable_documents.py
+++ b/tests/test_unreadable_documents.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from random import Random
 from types import SimpleNamespace
 
 import pytest
@@ -21,6 +22,7 @@
 from jacinthpath.gateway.assignment_delta import apply_delta
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.crash_ledger import CrashLedger
+from jacinthpath.gateway.link_budget import LinkBudget
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
 from jacinthpath.gateway.peering import Peering
 from jacinthpath.gateway.route_index import SmoothWeightedRoundRobin
@@ -32,7 +34,7 @@
     parse_json,
 )
 from jacinthpath.peers import split_address
-from jacinthpath.platform import decode_backend, decode_route_table
+from jacinthpath.platform import RouteTableDecoder, decode_backend, decode_route_table
 from standins.platform_documents import CONFIGURATION_KEY, configuration, route
 
 from .gateway_simulation import NullEventLog
@@ -97,6 +99,34 @@
         parse_json(content)
 
 
+@pytest.mark.parametrize("place", ["row", "table", "document"])
+@pytest.mark.parametrize("is_known", [False, True])
+def test_nested_part_of_a_configuration_is_refused(place, is_known):
+    """Rows that are known are not checked again, whatever is new has to be."""
+    decoder = RouteTableDecoder()
+    document = json.loads(configuration(3, [route("r", "/r/", "plain")]))
+    document["routes"]["columns"].append("comment")
+    document["routes"]["rows"][0].append(None)
+    if is_known:
+        decoder.decode(json.dumps(document).encode())
+    for depth in (MAX_DEPTH - 4, MAX_DEPTH + 1):
+        nested = "x"
+        for _ in range(depth):
+            nested = [nested]
+        if place == "row":
+            document["routes"]["rows"][0][-1] = nested
+        elif place == "table":
+            document["routes"]["comment"] = nested
+        else:
+            document["comment"] = nested
+        content = json.dumps(document).encode()
+        if depth < MAX_DEPTH:
+            assert decoder.decode(content).version == 3
+        else:
+            with pytest.raises(JacinthpathError, match="nested"):
+                decoder.decode(content)
+
+
 def test_brackets_in_strings_are_no_nesting():
     value = {"a": "[" * 500 + '\\"[', "b": [[1]]}
     assert parse_json(json.dumps(value).encode()) == value
@@ -264,7 +294,7 @@
     for route_in_force in routes.routes:
         found = view.routes.find(route_in_force.host, route_in_force.prefix + "a")
         if found is not None:
-            assert SmoothWeightedRoundRobin().choose(found)
+            assert SmoothWeightedRoundRobin(Random(1)).choose(found)
 
 
 @MUTATIONS
@@ -310,6 +340,7 @@
     peering = Peering.__new__(Peering)
     peering._view, peering._events = leader, NullEventLog()
     peering._ledger = CrashLedger()
+    peering._link_budget = LinkBudget(1e9)
     peering._permits = SimpleNamespace(is_confirmed=lambda: True)
     peering.authority = lambda: None
     frame = peering._make_documents_frame(wanted)
