Do not refuse the parts of a configuration that is in force already

Callers: none seen; hosts logged document_refused for a version that was in order, and asked for the next one whole, which takes the leader's link.

Cause: a watch of the store from before a host followed the leader sends the version while the leader's parts, which are of the version before, are on their way.

Change: parts of the version in force only raise its revision.

--- a/src/jacinthpath/gateway/configuration_state.py
+++ b/src/jacinthpath/gateway/configuration_state.py
@@ -117,6 +117,9 @@
         :param digest: of the configuration that they should make.
         :return: whether it came into force.
         """
+        if digest == self.digest:
+            # The store was faster; the parts are of the version before.
+            return self.apply(self.content, revision, source)
         try:
             content = apply_parts(self.content, parts, digest)
         except Exception as error:
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -124,6 +124,16 @@
     assert view.configuration.age_s() > 1_000_000
 
 
+def test_parts_of_a_version_that_the_store_sent_first(view, leader, events):
+    """The version was logged as refused, and the next one requested whole."""
+    whole = configuration(2, ROUTES)
+    view.apply_configuration(whole, 2, "store")
+    view.configuration.apply_parts((), view.configuration.digest, 3, "peer")
+    assert "document_refused" not in [event for event, _ in events.lines]
+    assert view.configuration.accepts_parts
+    assert view.configuration.revision == 3
+
+
 def test_builds_that_know_neither_parts_nor_compression_get_the_whole(view, leader):
     leader.apply_configuration(configuration_with_change(3), 1, "store")
     content = fetch(view, leader, lambda _size_bytes: False, is_old=True)
