Add weak links, large configurations and odd entries to the soak

Change: three faults: `slow-leader-link` (2 or 10 Mbit/s for the leader's peer port), `large-configuration` (300 to 1,500 routes more, then changes 0.05 to 0.5 s apart) and `odd-entry-and-drain` (lone surrogates in fields and keys, negative numbers, an empty and a long key).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,9 +5,11 @@
 __all__ = ["FAULTS", "fault", "heal"]
 
 import asyncio
+import json
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from .system import CRASHING_PATH, GRACE_PERIOD_S, Gateway, System
 from .uploads import send_uploads
@@ -40,6 +42,11 @@
 MIN_CRASHING_S = 6.0
 PROXY_MODES = ["delay", "reset", "silent", "one-way"]
 CUT_MODES = ["reset", "silent", "one-way", "refuse-new"]
+LINK_RATES_BYTES_PER_S = [250_000, 1_250_000]
+"""2 and 10 Mbit/s; most hosts of the users' largest deployments have 10 or less."""
+
+MORE_ROUTES = (300, 1_500)
+CHANGE_INTERVALS_S = (0.05, 0.5)
 MIN_CUT_S = 5.0
 """Callers of a host that is cut off are served by others from some seconds after."""
 
@@ -50,6 +57,21 @@
 CONTACT_S = 3.0
 """A process that was started later may get the signal before it handles signals."""
 
+ODD_FIELDS = [
+    {"info": {"service": "\ud800"}},
+    {"info": {"zone": "\ud800"}},
+    {"info": {"version": "\ud800"}},
+    {"info": {"slots": -1}},
+    {"status": {"sequence": -1}},
+    {"status": {"state": "\ud800"}},
+    {"born": -1},
+    {"address": "\ud800:1"},
+]
+"""Fields that replace those of a server's entry. Escaped surrogates are valid JSON, but
+cannot be encoded as UTF-8."""
+
+ODD_KEYS = ["servers/", 'servers/ \n="/..', "servers/\ud800", "servers/" + "k" * 900]
+
 UNREADABLE_ENTRIES = [
     b"[" * 5_000,
     b"\xff\xfe",
@@ -152,6 +174,43 @@
         system.store.delete(key)
 
 
+@fault("odd-entry-and-drain")
+async def _drain_beside_odd_entries(system: System, duration_s: float) -> None:
+    """A server drains while other entries have fields or keys that no server writes."""
+    name = system.random.choice([*system.servers])
+    entry = json.loads(system.servers[name].entry())
+    entry["address"] = "127.0.0.1:1"
+    odd = {f"servers/odd-{n}": fields for n, fields in enumerate(ODD_FIELDS)}
+    odd.update(dict.fromkeys(ODD_KEYS, {}))
+    for key, fields in odd.items():
+        system.store.put(key, json.dumps(_replace_fields(entry, fields)).encode())
+        await asyncio.sleep(system.random.uniform(0.0, 0.2))
+    await _drain_server_named(system, name, duration_s)
+    for key in odd:
+        system.store.delete(key)
+
+
+def _replace_fields(entry: dict[str, Any], fields: dict[str, Any]) -> dict[str, Any]:
+    """Return an entry with some of its fields replaced, also those of its objects."""
+    replaced = dict(entry)
+    for name, value in fields.items():
+        is_object = isinstance(value, dict)
+        replaced[name] = {**entry[name], **value} if is_object else value
+    return replaced
+
+
+@fault("slow-leader-link")
+async def _slow_leader_link(system: System, duration_s: float) -> None:
+    """The peer port of the leader has a link that carries little."""
+    leader = system.leader()
+    if leader is None:
+        return
+    link = leader.peer_proxy.link
+    link.rate_bytes_per_s = system.random.choice(LINK_RATES_BYTES_PER_S)
+    await asyncio.sleep(duration_s)
+    link.rate_bytes_per_s = None
+
+
 @fault("host-paused")
 async def _pause_host(system: System, duration_s: float) -> None:
     gateway = _random_gateway(system)
@@ -287,6 +346,10 @@
 @fault("server-drained")
 async def _drain_server(system: System, duration_s: float) -> None:
     name = system.random.choice([*system.servers])
+    await _drain_server_named(system, name, duration_s)
+
+
+async def _drain_server_named(system: System, name: str, duration_s: float) -> None:
     system.put_entry(name, "draining")
     await asyncio.sleep(max(4.0, duration_s))
     system.servers[name].restart()
@@ -307,12 +370,26 @@
         await asyncio.sleep(0.02)
 
 
+@fault("large-configuration")
+async def _write_large_configurations(system: System, duration_s: float) -> None:
+    """Hundreds of routes are added, and others change in quick succession."""
+    routes = system.random.randint(*MORE_ROUTES)
+    system.more_routes += routes
+    until_s = time.monotonic() + duration_s
+    while time.monotonic() < until_s:
+        system.configure()
+        await asyncio.sleep(system.random.uniform(*CHANGE_INTERVALS_S))
+    system.more_routes -= routes
+    system.configure()
+
+
 async def heal(system: System) -> None:
     """Undo every fault that may still be in effect."""
     system.store.mode = "up"
     system.server_modes.clear()
     for gateway in system.gateways:
         gateway.store_proxy.mode = "pass"
+        gateway.peer_proxy.link.rate_bytes_per_s = None
         gateway.restore_paths()
     system.apply_path_modes()
     for name, server in system.servers.items():
