--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 
 from soak.__main__ import run_seed
 from soak.guarantees import CallerResponse, GuaranteeChecker
-from soak.proxy import Proxy
+from soak.proxy import Link, Proxy
 from soak.system import Gateway, System
 from soak.uploads import UploadOutcome
 from standins.platform_server import HeldRange, PlatformServerStandIn
@@ -156,3 +156,12 @@
             pass
     await proxy.close()
     await server.close()
+
+
+async def test_connections_share_the_capacity_of_a_link():
+    """With a limit for each connection, many hosts would not feel a weak link."""
+    link = Link(rate_bytes_per_s=100_000)
+    started_s = time.monotonic()
+    await asyncio.gather(*(link.carry(5_000) for _ in range(4)))
+    assert time.monotonic() - started_s >= 0.2
+    assert link.carried_bytes == 20_000
