--- a/soak/faults.py
+++ b/soak/faults.py
@@ -185,6 +185,8 @@
     for key, fields in odd.items():
         system.store.put(key, json.dumps(_replace_fields(entry, fields)).encode())
         await asyncio.sleep(system.random.uniform(0.0, 0.2))
+    # Hosts list again, as those do that start beside such entries.
+    system.store.forget_history()
     await _drain_server_named(system, name, duration_s)
     for key in odd:
         system.store.delete(key)
