--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -14,7 +14,7 @@
 import enum
 from typing import Any
 
-from ..errors import FrameError
+from ..errors import FrameError, JacinthpathError
 from .cluster_view import ClusterView
 from .configuration_messages import (
     MAX_AGE_MS,
@@ -31,7 +31,7 @@
 
 MAX_SERVERS_AGE_S = 2.0
 """A list of servers of this age or older is not applied: its sender may have lost the
-store. A younger list is applied if it is newer than the list of this host."""
+store."""
 
 
 class DocumentParts(enum.IntEnum):
@@ -121,8 +121,13 @@
         _write_server(entry, backend)
 
 
-def apply_documents(content: Any, view: ClusterView, source: str) -> None:
-    """Apply the documents that a peer has sent."""
+def apply_documents(content: Any, view: ClusterView, source: str) -> frozenset[str]:
+    """Apply the documents that a peer has sent.
+
+    :return: the parts that could not be applied; what the peer tells of their age holds
+        for its own copies alone.
+    """
+    failed = set()
     for name, apply in (
         ("configuration", apply_configuration),
         ("assignment", _apply_assignment),
@@ -134,7 +139,16 @@
             apply(content, view, source)
         except Exception as error:
             # One part that cannot be applied must not keep back the others.
-            view.record_refused(f"{name} of {source}", 0, error)
+            failed.add(name)
+            _record_failure(f"{name} of {source}", view, error)
+    return frozenset(failed)
+
+
+def _record_failure(part: str, view: ClusterView, error: Exception) -> None:
+    if isinstance(error, JacinthpathError):
+        view.record_refused(part, 0, error)
+    else:
+        view.record_error("peer-documents", error)
 
 
 def _apply_hosts(content: Any, view: ClusterView, _source: str) -> None:
@@ -160,11 +174,24 @@
 
 def _apply_servers(content: Any, view: ClusterView, _source: str) -> None:
     age_s = content.ageMs / 1000
-    if age_s < min(MAX_SERVERS_AGE_S, view.servers_age_s()):
+    if age_s < MAX_SERVERS_AGE_S and not _has_older_servers(content, age_s, view):
         _apply_server_list(content, view)
     view.record_peer_store_contact(age_s)
 
 
+def _has_older_servers(content: Any, age_s: float, view: ClusterView) -> bool:
+    """Return whether the servers in a message are older than those of this host.
+
+    Ages alone do not tell: they are sent in whole milliseconds, and a drain that a
+    server has announced to a host changes the list between responses of the store. The
+    revision of a sender of an earlier build is that of the last change of a server, and
+    may be lower than that of an older list.
+    """
+    if content.serversRevision >= view.directory.revision:
+        return False
+    return age_s >= view.servers_age_s()
+
+
 def _apply_server_list(content: Any, view: ClusterView) -> None:
     backends = [_read_server(entry) for entry in content.servers]
     if content.serversBase:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -52,7 +52,9 @@
 instead: requests to a draining server must stop within two seconds."""
 
 MAX_LEADER_AGE_S = 1.5
-"""A response is fresh if the leader's list of servers is younger than this."""
+"""A leader whose list of servers is older than this is not followed. Its followers have
+the rest of two seconds to read the store, before requests to a draining server must
+stop."""
 
 MAX_CONFIGURATION_AGE_S = 1.5
 """A host whose configuration was confirmed longer ago reads the store: the leader may
@@ -92,6 +94,16 @@
 _NOTHING_AT_STORE = _ConfigurationAtStore(0, 0, float("-inf"))
 
 
+class _AppliedDocuments(NamedTuple):
+    """Documents of a peer, applied except for some parts.
+
+    :param failed: names of the parts that could not be applied.
+    """
+
+    content: Any
+    failed: frozenset[str]
+
+
 class Peering(Service):
     """Serves documents to the other gateways, and fetches theirs.
 
@@ -213,7 +225,7 @@
             response = await self._fetch_documents(leader.address, 0.0)
         except JacinthpathError:
             return False
-        return not response.leading
+        return not response.content.leading
 
     async def fetch_from_peer(self) -> None:
         """Fetch and apply the documents of the first peer that responds.
@@ -258,7 +270,7 @@
                 await asyncio.sleep(FOLLOW_PAUSE_S)
                 continue
             self._record_leader_response(leader, response)
-            if not response.confirmed:
+            if not response.content.confirmed:
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             # Updates come in bursts. The pause lets one response carry several, and
             # bounds the message rate if the documents of two hosts never converge.
@@ -269,24 +281,29 @@
         pause_s = max(FOLLOW_PAUSE_S * self._random.random(), busy_s)
         return min(MAX_FOLLOW_PAUSE_S, pause_s)
 
-    def _record_leader_response(self, leader: LeaderRecord, response: Any) -> None:
-        if response.configurationAtStore:
+    def _record_leader_response(
+        self, leader: LeaderRecord, response: _AppliedDocuments
+    ) -> None:
+        content, failed = response
+        if content.configurationAtStore:
             self._at_store = _ConfigurationAtStore(
-                response.configurationDigest,
-                response.configurationRevision,
+                content.configurationDigest,
+                content.configurationRevision,
                 boottime_s(),
             )
-        if response.confirmed and response.ageMs < MAX_LEADER_AGE_S * 1000:
+        has_news = content.confirmed and content.ageMs < MAX_LEADER_AGE_S * 1000
+        if not has_news:
+            # Drains that it has not heard of are late already.
+            self._followed_at_s = float("-inf")
+        elif "servers" not in failed:
             self._followed_at_s = boottime_s()
             self._followed_process_id = leader.process_id
             self._unresponsive_process_id = ""
-        elif not response.confirmed:
-            # It may not be followed: another host may lead already, and the store alone
-            # tells which.
-            self._followed_at_s = float("-inf")
+        if not content.confirmed:
+            # Another host may lead already, and the store alone tells which.
             self._unresponsive_process_id = leader.process_id
 
-    async def _fetch_documents(self, address: str, wait_s: float) -> Any:
+    async def _fetch_documents(self, address: str, wait_s: float) -> _AppliedDocuments:
         """Fetch newer documents from one peer, apply them and return its response."""
         view = self._view
         newest = view.newest_documents()
@@ -314,13 +331,13 @@
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
         received_s = boottime_s()
-        apply_documents(content, view, f"peer {address}")
+        failed = apply_documents(content, view, f"peer {address}")
         self._applying_s = boottime_s() - received_s
         for blocked in read_blocked(content):
             self._merge_blocked(blocked, address)
         if content.countsShares:
             self._permits.record_counted(sent_s)
-        return content
+        return _AppliedDocuments(content, failed)
 
     def _is_behind_store(self) -> bool:
         """Return whether the leader has referred this host to the store."""
@@ -355,16 +372,29 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
+        had_news = self._has_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
+            and self._has_news() is had_news
             and loop.time() < deadline_s
         ):
-            await wait_for_event(self._view.changed, deadline_s - loop.time())
+            wait_s = deadline_s - loop.time()
+            if had_news:
+                # Followers learn at once that they have to read the store.
+                wait_s = min(wait_s, self._news_left_s())
+            await wait_for_event(self._view.changed, wait_s)
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
+    def _has_news(self) -> bool:
+        """Return whether the store has lately confirmed the list of servers."""
+        return self._news_left_s() > 0
+
+    def _news_left_s(self) -> float:
+        return MAX_LEADER_AGE_S - self._view.servers_age_s()
+
     def _has_updates(self, wanted: Any) -> bool:
         newest = self._view.newest_documents()
         return (
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -17,7 +17,8 @@
 from .cluster_view import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, ClusterView
 from .events import EventLog
 from .loops import LoopSupervisor
-from .store import Change, HistoryLost, Store
+from .relisting import ListingSchedule
+from .store import Change, HistoryLost, Listing, Store
 from .store_health import RETRY_DELAY_S, StoreHealth
 from .waiting import wait_for_event
 
@@ -142,6 +143,7 @@
         self._leader_record_read = asyncio.Event()
         self._was_leading = False
         self._not_served = {part: asyncio.Event() for part in PARTS}
+        self._listings = {part: ListingSchedule() for part in PARTS}
 
     async def on_start(self) -> None:
         """Start a loop for each watched part of the store."""
@@ -179,7 +181,8 @@
     ) -> None:
         """Repeatedly list and then watch one part, with a delay after each failure.
 
-        Pauses while the leader keeps the part up to date.
+        Pauses while the leader keeps the part up to date. Errors of our own are left to
+        the supervisor of the loop: they are no failures of the store.
         """
         while not self.should_stop:
             if self._is_served_by_leader(part):
@@ -194,7 +197,7 @@
                     "store_history_lost", part=part, error=str(error)
                 )
                 await asyncio.sleep(RETRY_DELAY_S * self._random.random())
-            except (StoreError, KeyError, TypeError, ValueError) as error:
+            except StoreError as error:
                 await self._health.record_failure(
                     part, error, self._is_served_by_leader(part)
                 )
@@ -256,17 +259,17 @@
             await asyncio.sleep(START_POLL_S)
 
     async def _list_and_watch_configuration(self) -> None:
-        listing = await self._store.list(self._keys.configuration)
-        self._health.record_response("configuration")
+        listing = await self._list("configuration", self._keys.configuration)
+        heard_s = self._health.record_response("configuration")
         for item in listing.items:
             self._apply_change("configuration", Change(*item))
-        self._record_applied("configuration")
+        self._record_applied("configuration", heard_s, listing.revision)
         await self._watch_changes(
             "configuration", self._keys.configuration, listing.revision
         )
 
     async def _list_and_watch_leader(self) -> None:
-        listing = await self._store.list(LEADER_KEY)
+        listing = await self._list("leader", LEADER_KEY)
         self._health.record_response("leader")
         for item in listing.items:
             self._apply_change("leader", Change(*item))
@@ -277,16 +280,20 @@
         await self._watch_changes("leader", LEADER_KEY, listing.revision)
 
     async def _list_and_watch_gateway_keys(self) -> None:
-        listing = await self._store.list(GATEWAY_PREFIX)
+        listing = await self._list("own", GATEWAY_PREFIX)
         self._health.record_response("own")
         for item in listing.items:
             self._apply_change("own", Change(*item))
         await self._watch_changes("own", GATEWAY_PREFIX, listing.revision)
 
     async def _list_and_watch_servers(self) -> None:
-        listing = await self._store.list(self._keys.servers_prefix)
-        self._health.record_response("servers")
+        listing = await self._list("servers", self._keys.servers_prefix)
+        heard_s = self._health.record_response("servers")
+        failures = self._view.server_failures()
         self._view.replace_servers(listing.items, listing.revision)
+        if self._view.server_failures() > failures:
+            self._listings["servers"].record_failure(boottime_s())
+        self._record_applied("servers", heard_s, listing.revision)
         await self._watch_changes(
             "servers",
             self._keys.servers_prefix,
@@ -295,6 +302,11 @@
             SERVERS_WATCH_INTERVAL_S,
         )
 
+    async def _list(self, part: str, prefix: str) -> Listing:
+        listing = await self._store.list(prefix)
+        self._listings[part].record_listing()
+        return listing
+
     async def _watch_changes(
         self,
         part: str,
@@ -303,11 +315,17 @@
         wait_s: float = WATCH_TIMEOUT_S,
         interval_s: float = 0.0,
     ) -> None:
-        """Apply changes to one part; stop once the leader keeps it up to date."""
+        """Apply changes to one part.
+
+        Stops once the leader keeps the part up to date, or it has to be listed again.
+        """
         while not self._is_served_by_leader(part) and not self.should_stop:
-            timeout_s = wait_s
+            timeout_s = self._listings[part].left_s(boottime_s())
+            if not timeout_s:
+                return
+            timeout_s = min(wait_s, timeout_s)
             if part == "configuration" and self._peers.is_leading():
-                timeout_s = CONFIRMING_WATCH_TIMEOUT_S
+                timeout_s = min(timeout_s, CONFIRMING_WATCH_TIMEOUT_S)
             try:
                 batch = await self._health.run_until_recovered(
                     self._store.watch(prefix, revision, timeout_s)
@@ -323,24 +341,39 @@
                 continue
             if batch is None:
                 continue
-            self._health.record_response(part)
+            heard_s = self._health.record_response(part)
             revision = max(revision, batch.revision)
             for change in batch.changes:
                 self._apply_change(part, change)
-            self._record_applied(part)
-            if part == "configuration" and self._view.configuration.refuses_newer():
-                # Lists it again: the error may have been one of this moment.
-                return
+            self._record_applied(part, heard_s, batch.revision)
             if interval_s:
                 await asyncio.sleep(interval_s * (0.9 + 0.2 * self._random.random()))
 
-    def _record_applied(self, part: str) -> None:
-        """Record that what the store sent for a part is in force."""
+    def _record_applied(self, part: str, heard_s: float, revision: int) -> None:
+        """Record that what the store sent for a part is in force.
+
+        Peers trust the age of a part, so it must not tell of a response that was never
+        applied.
+
+        :param heard_s: time of the response.
+        :param revision: revision of the store in the response.
+        """
+        listings = self._listings[part]
         if part == "configuration":
-            self._view.configuration.record_confirmed()
+            if self._view.configuration.refuses_newer():
+                # It may have been refused for an error of this moment.
+                listings.record_failure(boottime_s())
+            if not listings.is_scheduled():
+                self._view.configuration.record_confirmed(boottime_s() - heard_s)
+        elif part == "servers":
+            self._view.record_servers_contact(heard_s, revision)
 
     def _apply_change(self, part: str, change: Change) -> None:
-        """Apply a change; an error that nothing foresaw costs this change alone."""
+        """Apply a change; an error that nothing foresaw costs this change alone.
+
+        The store sends a change once, so what was not applied is listed again.
+        """
+        failures = self._view.server_failures()
         apply = {
             "configuration": self._apply_configuration,
             "leader": self._apply_gateway_key,
@@ -351,6 +384,9 @@
             apply(change)
         except Exception as error:
             self._loops.record_error(f"change-{part}", error)
+            self._listings[part].record_failure(boottime_s())
+        if self._view.server_failures() > failures:
+            self._listings[part].record_failure(boottime_s())
 
     def _apply_configuration(self, change: Change) -> None:
         if change.key == self._keys.configuration and change.value is not None:
@@ -373,7 +409,7 @@
             self._view.apply_server(server, change.value, change.revision)
 
     async def _fetch_from_peers(self) -> None:
-        """Fetch documents from peers while any part of the store fails."""
+        """Fetch documents from peers while any part of the store is not read."""
         peers_available = True
         while not self.should_stop:
             await asyncio.sleep(
@@ -392,10 +428,16 @@
                 peers_available = False
 
     def _needs_peers(self) -> bool:
-        """Return whether a part fails of which peers have newer documents."""
+        """Return whether peers have newer documents of a part than this host."""
+        parts = [
+            part
+            for part in PARTS
+            if part in self._health.failing_parts()
+            or self._loops.is_failing(f"watch-{part}")
+        ]
         return any(
             not self._is_served_by_leader(part)
-            for part in self._health.failing_parts()
+            for part in parts
             if part != "leader" or not self._peers.is_following()
         )
 
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -63,7 +63,9 @@
     shutdown_window = ShutdownWindow()
     servers = ServerClient(memory)
     keys = SharedKey()
-    view = ClusterView(events, RouteTableDecoder().decode, decode_backend)
+    view = ClusterView(
+        events, RouteTableDecoder().decode, decode_backend, loops.record_error
+    )
     load_recorder = LoadRecorder()
     load_aggregator = LoadAggregator(view.directory.slots_of)
     pool = ServerPool(settings.data_centre, random)
@@ -146,6 +148,7 @@
         settings.peer_address,
         process_id,
         settings.lease_min_s,
+        settings.link_bytes_per_s,
         loops,
     )
     election.knows_better_host = peering.knows_host_with_path
