Send hosts the new address of a host

Callers: a relay to a host whose address had changed went to the old one.

Cause: followers told the leader how many hosts they know, and only a different number brought them the list.

Change: they send a digest of names and addresses; earlier builds go on with the number.

Measured: test_new_address_of_a_host_reaches_the_followers; its count alone, as before, left the old address.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -25,7 +25,7 @@
 from .assignment_delta import AssignmentHistory, apply_delta
 from .clock import boottime_s
 from .configuration_state import ConfigurationState
-from .content_delta import Part
+from .content_delta import Part, content_digest
 from .directory import ServerDelta, ServerDirectory
 from .events import EventLog
 from .leader_record import LeaderRecord, decode_leader_record
@@ -83,6 +83,7 @@
         self.moving_since_s: dict[RangeMoveId, float] = {}
         self.leader: LeaderRecord | None = None
         self.peer_addresses: dict[str, str] = {}
+        self._hosts_digest = 0
         self.store_contact_s = float("-inf")
         self.peer_store_contact_s = float("-inf")
         self.servers_contact_s = float("-inf")
@@ -297,6 +298,7 @@
 
     def apply_peer_address(self, name: str, content: bytes | None) -> None:
         """Apply the address of a peer, or its removal."""
+        self._hosts_digest = 0
         if content is None:
             self.peer_addresses.pop(name, None)
             return
@@ -305,6 +307,13 @@
         except UNREADABLE as error:
             self.record_refused(f"host {describe(name)}", 0, error)
 
+    def hosts_digest(self) -> int:
+        """Return a digest of the hosts' names and addresses."""
+        if not self._hosts_digest:
+            rows = repr(sorted(self.peer_addresses.items()))
+            self._hosts_digest = content_digest(rows.encode())
+        return self._hosts_digest
+
     def record_store_contact(self) -> None:
         """Record that the store responded."""
         self.store_contact_s = boottime_s()
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -73,7 +73,7 @@
     """Write the servers, their limits and the hosts."""
     if view.directory.digest() != wanted.serversDigest:
         _write_servers(content, wanted, view)
-    if len(view.peer_addresses) != wanted.hosts:
+    if _has_other_hosts(view, wanted):
         hosts = content.init("hosts", len(view.peer_addresses))
         for entry, (host, address) in zip(
             hosts, view.peer_addresses.items(), strict=True
@@ -83,6 +83,16 @@
         write_limits(content, view.limits.all())
 
 
+def _has_other_hosts(view: ClusterView, wanted: Any) -> bool:
+    """Return whether the requester knows other hosts than this one.
+
+    A requester of an earlier build only tells how many it knows.
+    """
+    if not wanted.hostsDigest:
+        return len(view.peer_addresses) != wanted.hosts
+    return view.hosts_digest() != wanted.hostsDigest
+
+
 def has_newer_assignment(newest: Documents, wanted: Any) -> bool:
     """Return whether this host has a newer assignment than the requester.
 
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -320,6 +320,7 @@
         wanted.takesCompressed = True
         wanted.serversDigest = view.directory.digest()
         wanted.hosts = len(view.peer_addresses)
+        wanted.hostsDigest = view.hosts_digest()
         wanted.takesChanges = view.accepts_deltas
         wanted.waitMs = int(wait_s * 1000)
         wanted.takesLimits = True
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -388,6 +388,7 @@
   configurationUnwanted @16 :UInt64;  # Digest of bytes that it could not read, or that
                                       # it reads from the store; 0 for none.
   storeFails @17 :Bool;               # Whether the store does not respond to it.
+  hostsDigest @18 :UInt64;            # Of the hosts that it knows; 0 if not stated.
 }
 
 struct ServerEntry {
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -242,3 +242,13 @@
     peering = Peering.__new__(Peering)
     peering._random, peering._applying_s = Random(1), applying_s
     assert least_s - 1e-9 <= peering._follow_pause_s() <= most_s
+
+
+def test_new_address_of_a_host_reaches_the_followers(view, leader):
+    """Only the number of hosts was compared: relays went on to a host's old address."""
+    for peer in (view, leader):
+        peer.apply_peer_address("a", b"10.0.0.1:7")
+    leader.apply_peer_address("a", b"10.0.0.2:7")
+    fetch(view, leader, hosts=1, hostsDigest=view.hosts_digest())
+    assert view.peer_addresses == {"a": "10.0.0.2:7"}
+    assert not len(fetch(view, leader, hostsDigest=view.hosts_digest()).hosts)
