--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -28,7 +28,7 @@
 from .crash_ledger import BlockedRequest, CrashLedger
 from .crash_messages import has_other_blocked, read_blocked, write_blocked
 from .events import EventLog
-from .leader_record import LeaderRecord
+from .following import MAX_LEADER_AGE_S, PAUSE_S, Following
 from .limit_messages import has_other_limits
 from .link_budget import LinkBudget
 from .loops import LoopSupervisor
@@ -47,29 +47,6 @@
 LONG_POLL_WAIT_S = 0.5
 """The leader responds as soon as it has updates, and after this time at the latest."""
 
-FOLLOWING_TIMEOUT_S = 1.0
-"""A host that gets no fresh response from the leader for this long reads the store
-instead: requests to a draining server must stop within two seconds."""
-
-MAX_LEADER_AGE_S = 1.5
-"""A leader whose list of servers is older than this is not followed. Its followers have
-the rest of two seconds to read the store, before requests to a draining server must
-stop."""
-
-MAX_CONFIGURATION_AGE_S = 1.5
-"""A host whose configuration was confirmed longer ago reads the store: the leader may
-have no news. The leader has it confirmed every half second."""
-
-STORE_READ_TIMEOUT_S = 1.0
-"""A host that has not read a configuration from the store for this long asks the leader
-for it again."""
-
-FOLLOW_PAUSE_S = 0.15
-MAX_APPLYING_SHARE = 0.2
-"""Share of a host's time for applying documents: it waits longer after one that took
-long, so that the next carries several changes."""
-
-MAX_FOLLOW_PAUSE_S = 0.3
 UNCONFIRMED_PAUSE_S = 0.8
 """Longest additional pause after a response of a leader whose lease is not confirmed:
 it responds at once, and all hosts ask it during an outage of the store."""
@@ -80,20 +57,6 @@
 documents twice as often."""
 
 
-class _ConfigurationAtStore(NamedTuple):
-    """A configuration that the leader referred this host to the store for.
-
-    :param referred_s: when it did, on the boot clock.
-    """
-
-    digest: int
-    revision: int
-    referred_s: float
-
-
-_NOTHING_AT_STORE = _ConfigurationAtStore(0, 0, float("-inf"))
-
-
 class _AppliedDocuments(NamedTuple):
     """Documents of a peer, applied except for some parts.
 
@@ -148,12 +111,8 @@
         self._events = events
         self._random = random
         self._loops = loops
-        self._followed_at_s = float("-inf")
-        self._followed_process_id = ""
-        self._unresponsive_process_id = ""
         self.store_fails: Callable[[], bool] = lambda: False
-        self._at_store = _NOTHING_AT_STORE
-        self._applying_s = 0.0
+        self._following = Following(view, address)
         self.is_seed = address in seeds
         self.authority: Callable[[], LeaderAuthority | None] = lambda: None
         all_handlers = {**handlers, "documentsWanted": self._handle_documents_wanted}
@@ -177,22 +136,11 @@
 
     def is_following(self) -> bool:
         """Return whether the leader keeps this host up to date."""
-        leader = self._view.leader
-        return (
-            leader is not None
-            and leader.process_id == self._followed_process_id
-            and boottime_s() - self._followed_at_s < FOLLOWING_TIMEOUT_S
-        )
+        return self._following.is_following()
 
     def keeps_configuration_current(self) -> bool:
         """Return whether the leader keeps the configuration of this host up to date."""
-        state = self._view.configuration
-        return (
-            self.is_following()
-            and state.age_s() < MAX_CONFIGURATION_AGE_S
-            and not state.refuses_newer()
-            and not self._is_behind_store()
-        )
+        return self._following.keeps_configuration_current()
 
     def is_leading(self) -> bool:
         """Return whether this host leads."""
@@ -200,12 +148,7 @@
 
     def may_follow(self) -> bool:
         """Return whether another host leads and could be followed when last asked."""
-        leader = self._view.leader
-        return (
-            leader is not None
-            and leader.address != self._address
-            and leader.process_id != self._unresponsive_process_id
-        )
+        return self._following.may_follow()
 
     def knows_host_with_path(self) -> bool:
         """Return whether a host that follows this one has lately reached servers."""
@@ -255,53 +198,24 @@
         while not self.should_stop:
             leader = self._view.leader
             if leader is None or leader.address == self._address:
-                await asyncio.sleep(FOLLOW_PAUSE_S)
+                await asyncio.sleep(PAUSE_S)
                 continue
             try:
                 # Asks for the first response at once: it shows that the leader leads.
                 wait_s = LONG_POLL_WAIT_S if self.is_following() else 0.0
                 response = await self._fetch_documents(leader.address, wait_s)
             except JacinthpathError as error:
-                self._unresponsive_process_id = leader.process_id
+                self._following.record_no_response(leader)
                 if self.is_following():
                     self._events.log_process_event(
                         "leader_silent", leader=leader.host, error=str(error)
                     )
-                await asyncio.sleep(FOLLOW_PAUSE_S)
+                await asyncio.sleep(PAUSE_S)
                 continue
-            self._record_leader_response(leader, response)
+            self._following.record_response(leader, *response)
             if not response.content.confirmed:
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
-            # Updates come in bursts. The pause lets one response carry several, and
-            # bounds the message rate if the documents of two hosts never converge.
-            await asyncio.sleep(self._follow_pause_s())
-
-    def _follow_pause_s(self) -> float:
-        busy_s = self._applying_s * (1 / MAX_APPLYING_SHARE - 1)
-        pause_s = max(FOLLOW_PAUSE_S * self._random.random(), busy_s)
-        return min(MAX_FOLLOW_PAUSE_S, pause_s)
-
-    def _record_leader_response(
-        self, leader: LeaderRecord, response: _AppliedDocuments
-    ) -> None:
-        content, failed = response
-        if content.configurationAtStore:
-            self._at_store = _ConfigurationAtStore(
-                content.configurationDigest,
-                content.configurationRevision,
-                boottime_s(),
-            )
-        has_news = content.confirmed and content.ageMs < MAX_LEADER_AGE_S * 1000
-        if not has_news:
-            # Drains that it has not heard of are late already.
-            self._followed_at_s = float("-inf")
-        elif "servers" not in failed:
-            self._followed_at_s = boottime_s()
-            self._followed_process_id = leader.process_id
-            self._unresponsive_process_id = ""
-        if not content.confirmed:
-            # Another host may lead already, and the store alone tells which.
-            self._unresponsive_process_id = leader.process_id
+            await asyncio.sleep(self._following.pause_s(self._random))
 
     async def _fetch_documents(self, address: str, wait_s: float) -> _AppliedDocuments:
         """Fetch newer documents from one peer, apply them and return its response."""
@@ -313,7 +227,7 @@
         wanted.configurationVersion = newest.configuration_version
         wanted.assignmentFence = newest.assignment_fence
         wanted.assignmentRevision = newest.assignment_revision
-        wanted.configurationUnwanted = self._unwanted_digest()
+        wanted.configurationUnwanted = self._following.unwanted_digest()
         wanted.storeFails = self.store_fails()
         wanted.configurationDigest = view.configuration.digest
         wanted.takesParts = view.configuration.accepts_parts
@@ -333,26 +247,13 @@
         content = response.body.documents
         received_s = boottime_s()
         failed = apply_documents(content, view, f"peer {address}")
-        self._applying_s = boottime_s() - received_s
+        self._following.applying_s = boottime_s() - received_s
         for blocked in read_blocked(content):
             self._merge_blocked(blocked, address)
         if content.countsShares:
             self._permits.record_counted(sent_s)
         return _AppliedDocuments(content, failed)
 
-    def _is_behind_store(self) -> bool:
-        """Return whether the leader has referred this host to the store."""
-        return self._view.configuration.revision < self._at_store.revision
-
-    def _unwanted_digest(self) -> int:
-        """Return the digest of the configuration that the leader need not send."""
-        if self._view.configuration.refuses_newer():
-            return self._view.configuration.refused_digest
-        waited_s = boottime_s() - self._at_store.referred_s
-        if self._is_behind_store() and waited_s < STORE_READ_TIMEOUT_S:
-            return self._at_store.digest
-        return 0
-
     def _merge_blocked(self, blocked: BlockedRequest, address: str) -> None:
         if self._ledger.merge_blocked(blocked):
             self._events.log_state_change(
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -7,9 +7,9 @@
 from jacinthpath.codec import new_frame
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.configuration_messages import choose_form
+from jacinthpath.gateway.following import Following
 from jacinthpath.gateway.link_budget import LinkBudget
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
-from jacinthpath.gateway.peering import Peering
 from jacinthpath.platform import decode_backend, decode_route_table
 from standins.platform_documents import configuration, route
 
@@ -237,11 +237,11 @@
     ("applying_s", "least_s", "most_s"),
     [(0.0, 0.0, 0.15), (0.07, 0.28, 0.3), (9, 0.3, 0.3)],
 )
-def test_slow_host_asks_less_often(applying_s, least_s, most_s):
+def test_slow_host_asks_less_often(view, applying_s, least_s, most_s):
     """In a storm of versions, decoding them took most of a weak host's time."""
-    peering = Peering.__new__(Peering)
-    peering._random, peering._applying_s = Random(1), applying_s
-    assert least_s - 1e-9 <= peering._follow_pause_s() <= most_s
+    following = Following(view, "10.0.0.1:7")
+    following.applying_s = applying_s
+    assert least_s - 1e-9 <= following.pause_s(Random(1)) <= most_s
 
 
 def test_new_address_of_a_host_reaches_the_followers(view, leader):
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -22,7 +22,7 @@
     ("watch-servers", "_watcher._health", "record_response", "servers"),
     ("expire-servers", "_view", "expire_servers"),
     ("fetch-from-peers", "_watcher", "_needs_peers"),
-    ("follow-leader", "_peering", "_record_leader_response"),
+    ("follow-leader", "_peering._following", "record_response"),
     ("host-report", "_reporter", "_leaving_servers"),
     ("reach-probes", "_reach._reach", "due_probes"),
     ("publish-gauges", "_view", "store_age_s"),
