Choose each port of a test run once

What callers saw: set-ups of tests failed with 'address already in use', and all later ones of the run with them, since hosts of the failed set-up went on running (seen once here, in tests/test_gateway_fleet.py).

Cause, suspected and not shown: the ports of a host are chosen one after the other, each is free until the host starts, and two choices of 12,000 may be the same.

Fix: a port is chosen once in a process.

--- a/tests/gateway_system.py
+++ b/tests/gateway_system.py
@@ -31,15 +31,21 @@
 between its choice and its use."""
 
 
+_chosen_ports = set()
+
+
 def free_port():
     while True:
         port = random.choice(PORTS)
+        if port in _chosen_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("0.0.0.0", port))
             except OSError:
                 continue
-            return port
+        _chosen_ports.add(port)
+        return port
 
 
 class GatewaySystem:
