Answer at once a request that may have been sent before the news ended

Cause: the leader answered a waiting request when its list became too old. A request that came just after this waited for the whole 0.5 s, since nothing changed any more. Its sender had paused between two requests and still took the list for young. The configuration has the same rule and the same gap.

Evidence: in a failing run one follower learned of the drain at 1.53 s and the other one at 2.11 s.

Fix: for as long as a request may wait, a leader whose servers or configuration have become too old lets none wait. A host that does not follow for this reason pauses between its requests as with an unconfirmed leader, since they are answered at once.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -57,8 +57,9 @@
 
 FOLLOW_PAUSE_S = 0.15
 UNCONFIRMED_PAUSE_S = 0.8
-"""Longest additional pause after a response of a leader whose lease is not confirmed:
-it responds at once, and all hosts ask it during an outage of the store."""
+"""Longest additional pause after a response of a leader whose lease is not confirmed,
+or whose servers are too old: it responds at once, and all hosts ask it during an outage
+of the store."""
 
 MAX_PEERS_TRIED = 3
 FOLLOWER_REACH_S = 1.5
@@ -230,7 +231,7 @@
                 await asyncio.sleep(FOLLOW_PAUSE_S)
                 continue
             self._record_leader_response(leader, response)
-            if not response.content.confirmed:
+            if not self.is_following():
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             # Updates come in bursts. The pause lets one response carry several, and
             # bounds the message rate if the documents of two hosts never converge.
@@ -305,11 +306,10 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
-        had_news = self._parts_with_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
-            and self._parts_with_news() == had_news
+            and not self._lost_news_lately()
             and loop.time() < deadline_s
         ):
             # Followers learn at once that they have to read the store.
@@ -319,12 +319,15 @@
         response.body.documents.countsShares = counted
         return response
 
-    def _parts_with_news(self) -> tuple[str, ...]:
-        """Return the parts that the store has lately confirmed."""
-        return tuple(part for part, left_s in self._news().items() if left_s > 0)
+    def _lost_news_lately(self) -> bool:
+        """Return whether a part is too old, and a follower may not know it yet.
+
+        Its request may have been sent before.
+        """
+        return any(-LONG_POLL_WAIT_S < left_s <= 0 for left_s in self._news().values())
 
     def _news_left_s(self) -> float:
-        """Return the time until one of these parts is not confirmed any more."""
+        """Return the time until the next part becomes too old for followers."""
         left_s = (left_s for left_s in self._news().values() if left_s > 0)
         return min(left_s, default=float("inf"))
 
