Add live servers while a list of many pages is read

A host that started beside 40 entries of 0.9 MB, which take a page each, served nobody before it had read all pages, and one that listed anew followed no drain meanwhile.

Cause: the pages were applied as one list after the last one.

Fix: each page is applied as it arrives, which helps only for the servers that sort before the large entries. So the changes since the first page are watched from then on: live servers write their entries every half second, wherever their keys sort. Removals, the age that peers trust and the leadership still wait for the whole list, since a server that is not known yet must not be taken for gone. After a restore nothing is applied early: the whole list tells which entries are outdated. A host is ready after 1.2 s of this watch. A list of one page makes no additional call.

The stand-in for the store bounds the bytes of a page, as the platform does.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -50,6 +50,9 @@
     :param decode_server: decoder of a server's entry.
     :param record_error: called with the place and an error that nothing foresaw, after
         which the view goes on.
+    :ivar servers_known: whether a whole list of the servers has been applied.
+    :ivar live_servers_known: whether the servers are known that write their entries;
+        enough to serve by, and not to take the others for gone.
     :ivar accepts_deltas: whether the next change of the assignment may be a delta;
         after a delta that did not apply, the whole assignment is requested.
     """
@@ -75,6 +78,7 @@
         )
         self.limits = ServerLimits()
         self.servers_known = False
+        self.live_servers_known = False
         self._first_servers_era: int | None = None
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
@@ -350,8 +354,14 @@
             self._events.log_state_change("servers_gone_after_outage", version=version)
             self.notify()
 
+    def record_live_servers_known(self) -> None:
+        """Record that the servers are known that have lately written their entries."""
+        if not self.live_servers_known:
+            self.live_servers_known = True
+            self.notify()
+
     def _record_servers_known(self) -> None:
-        self.servers_known = True
+        self.servers_known = self.live_servers_known = True
         if self._first_servers_era is None:
             self._first_servers_era = era_of_revision(self.directory.revision)
         self.notify()
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -264,7 +264,7 @@
             return "leaving"
         if self._view.routes is None:
             return "no-configuration"
-        if not self._view.servers_known:
+        if not self._view.live_servers_known:
             return "no-servers"
         if VITAL_LOOPS.intersection(self._loops.failing()):
             return "failing-loop"
--- a/src/jacinthpath/gateway/store.py
+++ b/src/jacinthpath/gateway/store.py
@@ -17,7 +17,7 @@
     "Write",
 ]
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple, Protocol
 
 from ..errors import StoreError
@@ -134,8 +134,13 @@
     async def read(self, key: str) -> Item | None:
         """Return the item of a key, or ``None`` if it does not exist."""
 
-    async def list(self, prefix: str) -> Listing:
-        """Return all items under a prefix."""
+    async def list(
+        self, prefix: str, handle_page: Callable[[Listing], None] | None = None
+    ) -> Listing:
+        """Return all items under a prefix.
+
+        :param handle_page: called with each page but the last as it arrives.
+        """
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> ChangeBatch:
         """Wait for changes after a revision.
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -15,6 +15,7 @@
 from ..errors import JacinthpathError, StoreError
 from .clock import boottime_s
 from .cluster_view import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, ClusterView
+from .early_servers import EarlyServers
 from .events import EventLog
 from .loops import LoopSupervisor
 from .relisting import ListingSchedule
@@ -143,6 +144,9 @@
         self._leader_record_read = asyncio.Event()
         self._was_leading = False
         self._not_served = {part: asyncio.Event() for part in PARTS}
+        self._early_servers = EarlyServers(
+            store, view, loops, self._apply_server, SERVERS_WATCH_INTERVAL_S
+        )
         self._listings = {part: ListingSchedule() for part in PARTS}
 
     async def on_start(self) -> None:
@@ -283,7 +287,9 @@
         await self._watch_changes("own", GATEWAY_PREFIX, listing.revision)
 
     async def _list_and_watch_servers(self) -> None:
-        listing = await self._list("servers", self._keys.servers_prefix)
+        prefix = self._keys.servers_prefix
+        with self._early_servers.applied(prefix) as handle_page:
+            listing = await self._list("servers", prefix, handle_page)
         heard_s = self._health.record_response("servers")
         failures = self._view.server_failures()
         self._view.replace_servers(listing.items, listing.revision)
@@ -298,8 +304,13 @@
             SERVERS_WATCH_INTERVAL_S,
         )
 
-    async def _list(self, part: str, prefix: str) -> Listing:
-        listing = await self._store.list(prefix)
+    async def _list(
+        self,
+        part: str,
+        prefix: str,
+        handle_page: Callable[[Listing], None] | None = None,
+    ) -> Listing:
+        listing = await self._store.list(prefix, handle_page)
         self._listings[part].record_listing()
         return listing
 
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -8,6 +8,7 @@
 import json
 import re
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -103,7 +104,9 @@
         with reading("GET", "kv-key"):
             return response.item()
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(
+        self, prefix: str, handle_page: Callable[[Listing], None] | None = None
+    ) -> Listing:
         """See :meth:`Store.list`."""
         items: list[Item] = []
         revision = 0
@@ -114,7 +117,8 @@
                 "GET", path + cursor, max_value_bytes=_max_value_bytes(prefix)
             )
             with reading("GET", "kv-range"):
-                items.extend(page.items())
+                page_items = page.items()
+                items += page_items
                 last_key = page.last_key()
                 # Later pages may hold newer items. A watch from the revision of the
                 # first page delivers these changes again.
@@ -123,6 +127,8 @@
                 raise unavailable_error("kv-range", "the store was restored")
             if not page.body.get("has_more") or last_key is None:
                 return Listing(tuple(items), revision)
+            if handle_page is not None:
+                handle_page(Listing(tuple(page_items), revision))
             cursor = f"&after={quote(last_key, safe='', errors='replace')}"
 
     async def watch(self, prefix: str, after: int, wait_s: float) -> ChangeBatch:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -12,6 +12,8 @@
 from aiohttp import web
 
 MAX_PAGE_ITEMS = 500
+MAX_PAGE_BYTES = 1_000_000
+"""Sum of the values of a page, as encoded; a page has one item at least."""
 
 
 class StoreCopy(NamedTuple):
@@ -29,13 +31,14 @@
     ``mode`` is ``up``, ``busy`` (every call gets a 503), ``silent`` (calls are
     delayed by 60 s) or ``lossy`` (POST calls take effect, but the connection is closed
     without a response). Leases expire in the mode ``up`` only. ``era`` is sent in all
-    responses unless it is 0.
+    responses unless it is 0. Each page of a range takes ``page_delay_s``.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.mode = "up"
         self.era = 0
+        self.page_delay_s = 0.0
         self.revision = 10
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
@@ -147,14 +150,24 @@
         after = request.query.get("after", "")
         prefix = request.query["prefix"]
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = [self.items[key] for key in keys[:MAX_PAGE_ITEMS]]
-        return web.json_response(
-            {
-                "items": page,
-                "has_more": len(keys) > MAX_PAGE_ITEMS,
-                "current_rev": self.revision,
-            }
-        )
+        page = self._first_page(keys)
+        body = {
+            "items": page,
+            "has_more": len(keys) > len(page),
+            "current_rev": self.revision,
+        }
+        await asyncio.sleep(self.page_delay_s)
+        return web.json_response(body)
+
+    def _first_page(self, keys: list[str]) -> list[dict[str, Any]]:
+        page: list[dict[str, Any]] = []
+        left_bytes = MAX_PAGE_BYTES
+        for key in keys[:MAX_PAGE_ITEMS]:
+            left_bytes -= len(self.items[key]["value"])
+            if page and left_bytes < 0:
+                break
+            page.append(self.items[key])
+        return page
 
     async def _handle_watch(self, request: web.Request) -> web.Response:
         prefix = request.query["prefix"]
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -60,7 +60,7 @@
     def __init__(self):
         self.calls = 0
 
-    async def list(self, _prefix):
+    async def list(self, _prefix, _handle_page=None):
         self.calls += 1
         return Listing((), 5)
 
@@ -246,7 +246,7 @@
         super().__init__()
         self.item, self.lists = Item(key, value, 6), 0
 
-    async def list(self, _prefix):
+    async def list(self, _prefix, _handle_page=None):
         self.lists += 1
         return Listing((self.item,), 6) if self.lists > 1 else Listing((), 5)
 
