Send followers what can be written when a part of the documents cannot

Cause: an exception in writing one part left the handler of the request.

Evidence: test_servers_that_cannot_be_written_keep_back_no_configuration, with slots of -1 in the directory, raised KjException before and passes now.

Fix: the response is written anew with fewer parts, as one that is too large is. It then has the largest age, so that followers read the servers from the store.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -350,9 +350,18 @@
         )
 
     def _make_documents_frame(self, wanted: Any) -> Any:
-        """Return the response, with as many of the documents as fit into a frame."""
+        """Return the response, with as many of the documents as fit into a frame.
+
+        One that cannot be written is left out with those that are written after it.
+        """
         for parts in sorted(DocumentParts, reverse=True):
-            response = self._make_frame_with(parts, wanted)
+            try:
+                response = self._make_frame_with(parts, wanted)
+            except Exception as error:
+                if parts is min(DocumentParts):
+                    raise
+                self._loops.record_error("write-documents", error)
+                continue
             if fits_frame(response):
                 break
             self._events.log_process_event("documents_too_large", parts=parts.name)
--- a/tests/test_unapplied_documents.py
+++ b/tests/test_unapplied_documents.py
@@ -1,18 +1,24 @@
 """Documents that raise while they are applied: none costs another one."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 
 from jacinthpath.codec import new_frame
 from jacinthpath.errors import JacinthpathError
+from jacinthpath.gateway.clock import boottime_s
 from jacinthpath.gateway.cluster_view import ClusterView
+from jacinthpath.gateway.crash_ledger import CrashLedger
 from jacinthpath.gateway.directory import ServerDelta
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
+from jacinthpath.gateway.peering import Peering
 from jacinthpath.gateway.store import Item
 from jacinthpath.platform import decode_backend, decode_route_table
+from standins.platform_documents import configuration
 
 from .gateway_simulation import NullEventLog
+from .gateway_system import ROUTES
 
 BAD = "s-bad"
 SERVERS = ["s-a", BAD, "s-z"]
@@ -193,3 +199,33 @@
     failed = apply()
     assert host.view.servers_contact_s == contact_s
     assert failed == {"servers"}
+
+
+class Loops:
+    """Keeps the places of errors."""
+
+    def __init__(self):
+        self.places = []
+
+    def record_error(self, place, _error):
+        self.places.append(place)
+
+
+def test_servers_that_cannot_be_written_keep_back_no_configuration(leader):
+    """Issue 43: one entry that could not be encoded kept all documents of the leader
+    from all followers."""
+    view = leader.view
+    view.apply_configuration(configuration(3, ROUTES), 1, "store")
+    odd = view.directory.find("s-a")._replace(slots=-1, revision=2)
+    view.directory.put(odd, boottime_s())
+    peering = Peering.__new__(Peering)
+    peering._view, peering._events, peering._loops = view, NullEventLog(), Loops()
+    peering._ledger = CrashLedger()
+    peering._permits = SimpleNamespace(is_confirmed=lambda: True)
+    peering.authority = lambda: None
+    wanted = new_frame().body.init("documentsWanted")
+    content = peering._make_documents_frame(wanted).body.documents
+    assert content.configuration
+    assert not len(content.servers)
+    assert content.ageMs > 1_000_000
+    assert peering._loops.places == ["write-documents"]
