Apply blocked requests without ending the following of the leader

Cause: blocked requests were merged outside of the parts of which each costs itself alone. An exception there left the loop that follows the leader before the response was recorded, so that the host never followed it and was not ready.

Evidence: test_blocked_requests_that_cannot_be_applied_end_no_following failed before (the host did not follow after 2.5 s) and passes now.

--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -280,8 +280,11 @@
         response = await self._pool.request(address, frame, REQUEST_TIMEOUT_S + wait_s)
         content = response.body.documents
         failed = apply_documents(content, view, f"peer {address}")
-        for blocked in read_blocked(content):
-            self._merge_blocked(blocked, address)
+        try:
+            for blocked in read_blocked(content):
+                self._merge_blocked(blocked, address)
+        except Exception as error:
+            self._loops.record_error("peer-documents", error)
         if content.countsShares:
             self._permits.record_counted(sent_s)
         return _AppliedDocuments(content, failed)
--- a/tests/test_unapplied_documents.py
+++ b/tests/test_unapplied_documents.py
@@ -1,5 +1,6 @@
 """Documents that raise while they are applied: none costs another one."""
 
+import asyncio
 import json
 from types import SimpleNamespace
 
@@ -9,7 +10,7 @@
 from jacinthpath.errors import JacinthpathError
 from jacinthpath.gateway.clock import boottime_s
 from jacinthpath.gateway.cluster_view import ClusterView
-from jacinthpath.gateway.crash_ledger import CrashLedger
+from jacinthpath.gateway.crash_ledger import BlockedRequest, CrashLedger
 from jacinthpath.gateway.directory import ServerDelta
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
 from jacinthpath.gateway.peering import Peering
@@ -18,7 +19,7 @@
 from standins.platform_documents import configuration
 
 from .gateway_simulation import NullEventLog
-from .gateway_system import ROUTES
+from .gateway_system import ROUTES, GatewaySystem
 
 BAD = "s-bad"
 SERVERS = ["s-a", BAD, "s-z"]
@@ -229,3 +230,24 @@
     assert not len(content.servers)
     assert content.ageMs > 1_000_000
     assert peering._loops.places == ["write-documents"]
+
+
+async def test_blocked_requests_that_cannot_be_applied_end_no_following(tmp_path):
+    """A host whose loop raised after each response of its leader never followed it."""
+    system = await GatewaySystem(tmp_path).start(gateways=2)
+    try:
+        await system.wait_until_ready()
+        follower = next(g for g in system.gateways if g._election.authority is None)
+        leader = next(g for g in system.gateways if g is not follower)
+        ledger = leader._peering._ledger
+        ledger.merge_blocked(BlockedRequest(7, boottime_s() + 30.0, 1))
+
+        def fail(*_args):
+            raise KeyError("an error of our own")
+
+        follower._peering._merge_blocked = fail
+        await asyncio.sleep(2.5)
+        assert follower._peering.is_following()
+        assert follower.unready_reason() == ""
+    finally:
+        await system.close()
