Merge the drains of a report although another part of it is odd

A limit of a server that is no rate kept all that a host reported from the leader as long as it stood: the servers that had said that they are leaving, crashes and loads.

Cause: the report was read as a whole before anything was merged.

Evidence: test_report_with_an_odd_limit_keeps_back_no_drain failed before and passes now.

Fix: drains, crashes and loads are merged one after the other, drains first. The error is raised in the end as before, so that the frame is refused and the sender reports its crashes again.

--- a/src/jacinthpath/gateway/host_reports.py
+++ b/src/jacinthpath/gateway/host_reports.py
@@ -19,7 +19,7 @@
 from .events import EventLog
 from .loads import HostReport, LeavingServer, LoadAggregator, LoadRecorder
 from .loops import LoopSupervisor
-from .peer_messages import read_report, write_report
+from .peer_messages import read_leaving, read_report, write_report
 
 REPORT_INTERVAL_S = 0.3
 REQUEST_TIMEOUT_S = 0.4
@@ -114,14 +114,32 @@
         self._crash_detector.mark_reported(leader.process_id, evidence)
 
     async def handle_report(self, _connection: Any, frame: Any) -> None:
-        """Merge the report in a frame of another host."""
-        report = read_report(frame.body.hostReport)
-        self._load_aggregator.add(report)
-        for server, started_ms in report.leaving:
+        """Merge the report in a frame of another host, drains first.
+
+        A part that raises keeps back no other. The error is raised in the end, so that
+        the sender does not take its crashes for reported.
+        """
+        errors = []
+        for merge in (self._merge_leaving, self._merge_crashes, self._merge_loads):
+            try:
+                merge(frame.body.hostReport)
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise errors[0]
+
+    def _merge_leaving(self, content: Any) -> None:
+        for server, started_ms in read_leaving(content):
             self._view.record_leaving(server, started_ms)
-        for limit in report.limits:
-            self._view.record_limit(limit, f"host {report.host}")
-        for crash in read_crash_reports(frame.body.hostReport):
+
+    def _merge_crashes(self, content: Any) -> None:
+        for crash in read_crash_reports(content):
             self._crash_detector.record(crash)
-        for answered in read_answered(frame.body.hostReport):
+        for answered in read_answered(content):
             self._crash_detector.clear(answered)
+
+    def _merge_loads(self, content: Any) -> None:
+        report = read_report(content)
+        self._load_aggregator.add(report)
+        for limit in report.limits:
+            self._view.record_limit(limit, f"host {report.host}")
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -8,6 +8,7 @@
     "configuration_age_s",
     "has_newer_assignment",
     "has_newer_configuration",
+    "read_leaving",
     "read_report",
     "write_documents",
     "write_report",
@@ -301,8 +302,16 @@
             for row in entry.servers
         )
         services.append(ServiceReport(entry.service, keys, servers))
-    leaving = tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
     limits = tuple(read_limit(entry) for entry in content.limits)
     return HostReport(
-        content.host, content.spanMs / 1000, tuple(services), leaving, limits
+        content.host,
+        content.spanMs / 1000,
+        tuple(services),
+        read_leaving(content),
+        limits,
     )
+
+
+def read_leaving(content: Any) -> tuple[LeavingServer, ...]:
+    """Return the servers in a load report that have said that they are leaving."""
+    return tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
--- a/tests/test_unapplied_documents.py
+++ b/tests/test_unapplied_documents.py
@@ -12,6 +12,7 @@
 from jacinthpath.gateway.cluster_view import ClusterView
 from jacinthpath.gateway.crash_ledger import BlockedRequest, CrashLedger
 from jacinthpath.gateway.directory import ServerDelta
+from jacinthpath.gateway.host_reports import HostReporter
 from jacinthpath.gateway.peer_messages import apply_documents, write_documents
 from jacinthpath.gateway.peering import Peering
 from jacinthpath.gateway.store import Item
@@ -251,3 +252,22 @@
         assert follower.unready_reason() == ""
     finally:
         await system.close()
+
+
+async def test_report_with_an_odd_limit_keeps_back_no_drain(leader):
+    """The leader refused all that a host reported as long as one limit was odd."""
+    frame = new_frame()
+    content = frame.body.init("hostReport")
+    row = content.init("leaving", 1)[0]
+    row.server, row.bornMs = "s-a", 5
+    entry = content.init("limits", 1)[0]
+    entry.server, entry.named, entry.perSecond = "s-a", True, float("inf")
+    content.init("crashes", 1)[0].server = "s-z"
+    crashes = []
+    reporter = HostReporter.__new__(HostReporter)
+    reporter._view, reporter._load_aggregator = leader.view, NullEventLog()
+    reporter._crash_detector = SimpleNamespace(record=crashes.append)
+    with pytest.raises(JacinthpathError, match="limit"):
+        await reporter.handle_report(None, frame)
+    assert leader.state()["s-a"]
+    assert [crash.server for crash in crashes] == ["s-z"]
