Record the revision of a list of servers only when it was applied

Cause: the revision of a list was recorded before its entries were put.

Evidence: test_list_of_which_nothing_can_be_applied_is_refused now checks the revision; in two of its three cases it was that of the refused list, and is not any more.

Fix: the revision is recorded after the entries and the removals.

--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -202,13 +202,13 @@
             self.put(backend, now_s)
         for server in self.unlisted({backend.server for backend in backends}):
             self.remove_unlisted(server, revision, now_s, may_be_outage)
+        self.record_revision(revision)
         self.expire(now_s)
 
     def begin_list(self, backends: list[Backend], revision: int, now_s: float) -> None:
         """Prepare for the entries of a whole list, which are put next."""
         if self.revision and era_of_revision(revision) > era_of_revision(self.revision):
             self._prepare_for_restored(backends, now_s)
-        self.revision = max(self.revision, revision)
 
     def unlisted(self, listed: Collection[str]) -> list[str]:
         """Return the servers that are present and not in a list."""
--- a/src/jacinthpath/gateway/server_entries.py
+++ b/src/jacinthpath/gateway/server_entries.py
@@ -103,6 +103,7 @@
         remove = directory.remove_unlisted
         for server in directory.unlisted({backend.server for backend in backends}):
             self._contain(partial(remove, server, revision, now_s, may_be_outage))
+        directory.record_revision(revision)
         directory.expire(now_s)
 
     def _append(self, backends: list[Backend], server: str, item: Item) -> None:
--- a/tests/test_unapplied_documents.py
+++ b/tests/test_unapplied_documents.py
@@ -133,8 +133,10 @@
     host.view.replace_servers(items(), 1)
     fail(host.view, "s-")
     with pytest.raises(JacinthpathError, match="None of 3"):
-        host.view.replace_servers(items("draining", 2), 2)
+        host.view.replace_servers(items("draining", 2), 9)
     assert {*host.state()} == {*SERVERS}
+    # Peers take a list of a higher revision for a newer one.
+    assert host.view.directory.revision < 9
 
 
 @pytest.mark.parametrize("fail", [fail_in_log, fail_in_directory])
