Set a revision only after what it belongs to

Cause: the revision of an assignment was set before its owners were built, and that of the leader's record before it was decoded. An error in between left the old content under the new revision, which no later listing could replace.

Change: both are set last.

Measured: the tests of unapplied, unreadable and changed documents, and of ownership, pass.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -198,14 +198,15 @@
     def _set_assignment(
         self, assignment: Assignment, content: bytes | None, revision: int, source: str
     ) -> None:
+        owners = {
+            service: OwnerIndex(ranges) for service, ranges in assignment.ranges.items()
+        }
         self._track_moves(assignment)
+        self.owners = owners
         self.assignment = assignment
         self.assignment_revision = revision
         self._encoded_assignment = content
         self._assignment_history.add(revision, assignment)
-        self.owners = {
-            service: OwnerIndex(ranges) for service, ranges in assignment.ranges.items()
-        }
         self._events.log_state_change(
             "assignment_seen",
             revision=revision,
@@ -278,7 +279,6 @@
         """Apply the leader's record, or its removal, unless a newer one is known."""
         if revision < self._leader_revision:
             return
-        self._leader_revision = revision
         previous = self.leader
         if content is None:
             self.leader = None
@@ -288,6 +288,7 @@
             except UNREADABLE as error:
                 self.record_refused("leader", revision, error)
                 return
+        self._leader_revision = revision
         if (previous and previous.process_id) != (
             self.leader and self.leader.process_id
         ):
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -202,7 +202,6 @@
             self.put(backend, now_s)
         for server in self.unlisted({backend.server for backend in backends}):
             self.remove_unlisted(server, revision, now_s, may_be_outage)
-        self.record_revision(revision)
         self.expire(now_s)
         self.record_revision(revision)
 
--- a/src/jacinthpath/gateway/server_entries.py
+++ b/src/jacinthpath/gateway/server_entries.py
@@ -110,7 +110,6 @@
         remove = directory.remove_unlisted
         for server in directory.unlisted({backend.server for backend in backends}):
             self._contain(partial(remove, server, revision, now_s, may_be_outage))
-        directory.record_revision(revision)
         directory.expire(now_s)
         if self.failures == failures:
             directory.record_revision(revision)
