List the newest configuration after a failure, instead of all that was missed

Cause: after a failed watch a host watched again from the same revision, which brings each version that it missed, whole: 1.3 MB by estimate, on a link of 10 Mbit/s. The assignments under the gateways' own keys are the same.

Change: these two parts are listed after a failure, which brings the newest alone.

Measured: test_newest_configuration_is_listed_after_a_failure fails on the code before, which watched on.

--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -50,6 +50,10 @@
 PARTS = ("configuration", "leader", "own", "servers")
 """Parts of the store that are watched, each by a loop of its own."""
 
+LISTED_AFTER_FAILURE = frozenset({"configuration", "own"})
+"""Parts with large documents that change often: a watch from the same revision would
+bring each version that was missed, and a list only the newest."""
+
 LEADER_RECORD_TIMEOUT_S = 0.3
 """A starting host waits at most this long until it has read the leader record."""
 
@@ -348,6 +352,8 @@
             except HistoryLost:
                 raise
             except StoreError as error:
+                if part in LISTED_AFTER_FAILURE:
+                    raise
                 # Watches from the same revision again, which costs the store less than
                 # listing the keys.
                 await self._health.record_failure(
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -131,6 +131,16 @@
     watcher._health.record_response("servers")
 
 
+async def test_newest_configuration_is_listed_after_a_failure(watcher):
+    """A host that was cut off in a storm of versions was sent all that it had missed,
+    for seconds of its link."""
+    watcher._random.random = lambda: 0.0
+    watcher._store = FailingStore()
+    with pytest.raises(StoreUnavailable):
+        await watcher._list_and_watch_configuration()
+    assert watcher._store.calls == 2
+
+
 class UnresponsiveStore:
     """A store that never responds to a watch."""
 
