--- a/src/jacinthpath/codec.py
+++ b/src/jacinthpath/codec.py
@@ -116,8 +116,9 @@
         raise FrameError(
             "A compressed frame is malformed.", "Check the peer's release."
         ) from error
-    if not decompressor.eof:
+    if not decompressor.eof or decompressor.unused_data:
         raise FrameError(
-            "A compressed frame is cut short or too large.", "Check the peer's release."
+            "A compressed frame has another length than it should.",
+            "Check the peer's release.",
         )
     return encoded
--- a/src/jacinthpath/gateway/configuration_state.py
+++ b/src/jacinthpath/gateway/configuration_state.py
@@ -7,6 +7,7 @@
 import zlib
 from collections.abc import Callable, Iterable
 
+from ..errors import JacinthpathError
 from .clock import boottime_s
 from .content_delta import (
     MAX_CONTENT_BYTES,
@@ -30,6 +31,8 @@
     :ivar content: the operator's document as stored.
     :ivar revision: its newest revision in the store.
     :ivar refused_digest: names the newest content that could not be read, 0 if none.
+    :ivar refused_unexpectedly: whether an error that its decoder does not declare was
+        the reason.
     :ivar digest: names the content.
     :ivar accepts_parts: whether the next version may come as parts; after parts that
         did not apply, the whole is requested.
@@ -87,21 +90,23 @@
         """
         if content == self.content:
             self.revision = max(self.revision, revision)
+            self._forget_refusal_before(self.revision)
             return False
         heard_s = boottime_s()
         try:
             routes = RouteIndex(self._decode_routes(content))
         except Exception as error:
-            self._refused_revision = max(self._refused_revision, revision)
-            self.refused_digest = content_digest(content)
+            self._note_refusal(content, revision, error)
             self._record_refused("configuration", revision, error)
             return False
         version = routes.table.version
         if self.routes is not None:
             if (version, revision) <= (self.version, self.revision):
+                self._forget_refusal_before(revision)
                 return False
         self.routes = routes
         self.content, self.revision = content, revision
+        self._forget_refusal_before(revision)
         self.digest = content_digest(content)
         self.accepts_parts = True
         self._history.add(self.digest, content)
@@ -167,6 +172,19 @@
             self._compressed = zlib.compress(self.content, level=1)
         return self._compressed
 
+    def _note_refusal(self, content: bytes, revision: int, error: Exception) -> None:
+        if revision < self._refused_revision:
+            return
+        self._refused_revision = revision
+        self.refused_digest = content_digest(content)
+        self.refused_unexpectedly = not isinstance(error, JacinthpathError)
+
+    def _forget_refusal_before(self, revision: int) -> None:
+        """Forget what was refused once a newer document can be read."""
+        if revision > self._refused_revision:
+            self._refused_revision = self.refused_digest = 0
+            self.refused_unexpectedly = False
+
     def _confirmed_ms(self) -> int | str:
         """Return how long ago the one in force before was last confirmed."""
         age_s = self.age_s()
--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -106,7 +106,6 @@
 
     def put(self, backend: Backend, now_s: float) -> None:
         """Record an entry unless a newer revision is known."""
-        self.revision = max(self.revision, backend.revision)
         current = self._present.get(backend.server)
         if current is not None and current.revision > backend.revision:
             return
@@ -127,6 +126,7 @@
             != backend
         ):
             self.version += 1
+        self.record_revision(backend.revision)
 
     def mark_leaving(self, server: str, started_ms: int, now_s: float) -> bool:
         """Record that an incarnation of a server has said that it is leaving.
@@ -203,12 +203,15 @@
         for server in self.unlisted({backend.server for backend in backends}):
             self.remove_unlisted(server, revision, now_s, may_be_outage)
         self.expire(now_s)
+        self.record_revision(revision)
 
     def begin_list(self, backends: list[Backend], revision: int, now_s: float) -> None:
-        """Prepare for the entries of a whole list, which are put next."""
+        """Prepare for the entries of a whole list, which are put next.
+
+        Its revision is recorded by :meth:`record_revision` when all are in force.
+        """
         if self.revision and era_of_revision(revision) > era_of_revision(self.revision):
             self._prepare_for_restored(backends, now_s)
-        self.revision = max(self.revision, revision)
 
     def unlisted(self, listed: Collection[str]) -> list[str]:
         """Return the servers that are present and not in a list."""
@@ -238,12 +241,12 @@
 
         See :meth:`delta_since`.
         """
-        self.revision = max(self.revision, revision)
         for backend in delta.backends:
             self.put(backend, now_s)
         for server in delta.removed:
             self.schedule_removal(server, revision, now_s)
         self.expire(now_s)
+        self.record_revision(revision)
 
     def digest(self) -> int:
         """Return a digest of the servers' ids, addresses, start times and states."""
--- a/src/jacinthpath/gateway/peer_messages.py
+++ b/src/jacinthpath/gateway/peer_messages.py
@@ -6,6 +6,7 @@
     "DocumentParts",
     "apply_documents",
     "has_newer_assignment",
+    "read_leaving",
     "read_report",
     "write_documents",
     "write_report",
@@ -26,6 +27,7 @@
 from .limit_messages import has_other_limits, read_limit, write_limits
 from .loads import HostReport, LeavingServer, ServerEvidence, ServiceReport
 from .model import KEY_COUNT, Backend, Documents
+from .revisions import era_of_revision
 
 MAX_REPORTED_KEYS = 4_096
 
@@ -71,6 +73,7 @@
 
 def _write_cluster(content: Any, wanted: Any, view: ClusterView) -> None:
     """Write the servers, their limits and the hosts."""
+    content.serversRevision = view.directory.revision
     if view.directory.digest() != wanted.serversDigest:
         _write_servers(content, wanted, view)
     if _has_other_hosts(view, wanted):
@@ -118,7 +121,6 @@
 
 def _write_servers(content: Any, wanted: Any, view: ClusterView) -> None:
     directory = view.directory
-    content.serversRevision = directory.revision
     delta = directory.delta_since(wanted.serversDigest) if wanted.takesChanges else None
     if delta is None:
         backends = tuple(directory.all().values())
@@ -211,6 +213,13 @@
         )
     elif backends:
         view.apply_peer_servers(backends, content.serversRevision)
+    elif _is_same_era(content.serversRevision, view.directory.revision):
+        # Both have the same list.
+        view.directory.record_revision(content.serversRevision)
+
+
+def _is_same_era(revision: int, other: int) -> bool:
+    return era_of_revision(revision) == era_of_revision(other)
 
 
 def _write_server(entry: Any, backend: Backend) -> None:
@@ -277,8 +286,16 @@
             for row in entry.servers
         )
         services.append(ServiceReport(entry.service, keys, servers))
-    leaving = tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
     limits = tuple(read_limit(entry) for entry in content.limits)
     return HostReport(
-        content.host, content.spanMs / 1000, tuple(services), leaving, limits
+        content.host,
+        content.spanMs / 1000,
+        tuple(services),
+        read_leaving(content),
+        limits,
     )
+
+
+def read_leaving(content: Any) -> tuple[LeavingServer, ...]:
+    """Return the servers in a load report that have said that they are leaving."""
+    return tuple(LeavingServer(row.server, row.bornMs) for row in content.leaving)
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -48,8 +48,9 @@
 """The leader responds as soon as it has updates, and after this time at the latest."""
 
 UNCONFIRMED_PAUSE_S = 0.8
-"""Longest additional pause after a response of a leader whose lease is not confirmed:
-it responds at once, and all hosts ask it during an outage of the store."""
+"""Longest additional pause after a response of a leader whose lease is not confirmed,
+or whose servers are too old: it responds at once, and all hosts ask it during an outage
+of the store."""
 
 MAX_PEERS_TRIED = 3
 FOLLOWER_REACH_S = 1.5
@@ -213,7 +214,7 @@
                 await asyncio.sleep(PAUSE_S)
                 continue
             self._following.record_response(leader, *response)
-            if not response.content.confirmed:
+            if not self.is_following():
                 await asyncio.sleep(UNCONFIRMED_PAUSE_S * self._random.random())
             await asyncio.sleep(self._following.pause_s(self._random))
 
@@ -227,8 +228,8 @@
         wanted.configurationVersion = newest.configuration_version
         wanted.assignmentFence = newest.assignment_fence
         wanted.assignmentRevision = newest.assignment_revision
-        wanted.configurationUnwanted = self._following.unwanted_digest()
-        wanted.storeFails = self.store_fails()
+        wanted.storeFails = store_fails = self.store_fails()
+        wanted.configurationUnwanted = self._following.unwanted_digest(store_fails)
         wanted.configurationDigest = view.configuration.digest
         wanted.takesParts = view.configuration.accepts_parts
         wanted.takesCompressed = True
@@ -248,8 +249,11 @@
         received_s = boottime_s()
         failed = apply_documents(content, view, f"peer {address}")
         self._following.applying_s = boottime_s() - received_s
-        for blocked in read_blocked(content):
-            self._merge_blocked(blocked, address)
+        try:
+            for blocked in read_blocked(content):
+                self._merge_blocked(blocked, address)
+        except Exception as error:
+            self._loops.record_error("peer-documents", error)
         if content.countsShares:
             self._permits.record_counted(sent_s)
         return _AppliedDocuments(content, failed)
@@ -274,27 +278,21 @@
             self._followers_reached_s[connection.remote.host] = boottime_s()
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + min(LONG_POLL_WAIT_S, wanted.waitMs / 1000)
-        had_news = self._has_news()
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
-            and self._has_news() is had_news
+            and self._news_left_s() > 0
             and loop.time() < deadline_s
         ):
-            wait_s = deadline_s - loop.time()
-            if had_news:
-                # Followers learn at once that they have to read the store.
-                wait_s = min(wait_s, self._news_left_s())
+            # Followers learn at once that they have to read the store.
+            wait_s = min(deadline_s - loop.time(), self._news_left_s())
             await wait_for_event(self._view.changed, wait_s)
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
-    def _has_news(self) -> bool:
-        """Return whether the store has lately confirmed the list of servers."""
-        return self._news_left_s() > 0
-
     def _news_left_s(self) -> float:
+        """Return for how long followers may still trust the servers of this host."""
         return MAX_LEADER_AGE_S - self._view.servers_age_s()
 
     def _has_updates(self, wanted: Any) -> bool:
@@ -308,10 +306,19 @@
         )
 
     def _make_documents_frame(self, wanted: Any) -> Any:
-        """Return the response, with as many of the documents as fit into a frame."""
+        """Return the response, with as many of the documents as fit into a frame.
+
+        One that cannot be written is left out with those that are written after it.
+        """
         form = choose_form(self._view, wanted, self._link_budget.take)
         for parts in sorted(DocumentParts, reverse=True):
-            response = self._make_frame_with(parts, wanted, form)
+            try:
+                response = self._make_frame_with(parts, wanted, form)
+            except Exception as error:
+                if parts is min(DocumentParts):
+                    raise
+                self._loops.record_error("write-documents", error)
+                continue
             if fits_frame(response):
                 break
             self._events.log_process_event("documents_too_large", parts=parts.name)
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -15,6 +15,7 @@
 from ..errors import JacinthpathError, StoreError
 from .clock import boottime_s
 from .cluster_view import ASSIGNMENT_KEY, HOSTS_PREFIX, LEADER_KEY, ClusterView
+from .early_servers import EarlyServers
 from .events import EventLog
 from .loops import LoopSupervisor
 from .relisting import ListingSchedule
@@ -38,10 +39,14 @@
 interval, mostly by the leader alone; requests to a draining server must stop within two
 seconds."""
 
-SERVERS_WATCH_TIMEOUT_S = 0.8
+SERVERS_WATCH_TIMEOUT_S = 0.5
 """Longest wait of one watch of the servers, so that a response regularly confirms the
 list."""
 
+MAX_SERVERS_AGE_S = 1.5
+"""A host whose list of servers is older asks its peers as well, before its watch fails:
+requests to a draining server must stop within two seconds."""
+
 PARTS = ("configuration", "leader", "own", "servers")
 """Parts of the store that are watched, each by a loop of its own."""
 
@@ -143,6 +148,9 @@
         self._leader_record_read = asyncio.Event()
         self._was_leading = False
         self._not_served = {part: asyncio.Event() for part in PARTS}
+        self._early_servers = EarlyServers(
+            store, view, loops, self._apply_server, SERVERS_WATCH_INTERVAL_S
+        )
         self._listings = {part: ListingSchedule() for part in PARTS}
 
     async def on_start(self) -> None:
@@ -287,7 +295,9 @@
         await self._watch_changes("own", GATEWAY_PREFIX, listing.revision)
 
     async def _list_and_watch_servers(self) -> None:
-        listing = await self._list("servers", self._keys.servers_prefix)
+        prefix = self._keys.servers_prefix
+        with self._early_servers.applied(prefix) as handle_page:
+            listing = await self._list("servers", prefix, handle_page)
         heard_s = self._health.record_response("servers")
         failures = self._view.server_failures()
         self._view.replace_servers(listing.items, listing.revision)
@@ -302,8 +312,13 @@
             SERVERS_WATCH_INTERVAL_S,
         )
 
-    async def _list(self, part: str, prefix: str) -> Listing:
-        listing = await self._store.list(prefix)
+    async def _list(
+        self,
+        part: str,
+        prefix: str,
+        handle_page: Callable[[Listing], None] | None = None,
+    ) -> Listing:
+        listing = await self._store.list(prefix, handle_page)
         self._listings[part].record_listing()
         return listing
 
@@ -359,12 +374,10 @@
         :param revision: revision of the store in the response.
         """
         listings = self._listings[part]
+        if listings.is_scheduled():
+            return
         if part == "configuration":
-            if self._view.configuration.refuses_newer():
-                # It may have been refused for an error of this moment.
-                listings.record_failure(boottime_s())
-            if not listings.is_scheduled():
-                self._view.configuration.record_confirmed(boottime_s() - heard_s)
+            self._view.configuration.record_confirmed(boottime_s() - heard_s)
         elif part == "servers":
             self._view.record_servers_contact(heard_s, revision)
 
@@ -389,8 +402,12 @@
             self._listings[part].record_failure(boottime_s())
 
     def _apply_configuration(self, change: Change) -> None:
-        if change.key == self._keys.configuration and change.value is not None:
-            self._view.apply_configuration(change.value, change.revision, "store")
+        if change.key != self._keys.configuration or change.value is None:
+            return
+        self._view.apply_configuration(change.value, change.revision, "store")
+        if self._view.configuration.refused_unexpectedly:
+            # It may have been refused for an error of this moment.
+            self._listings["configuration"].record_failure(boottime_s())
 
     def _apply_gateway_key(self, change: Change) -> None:
         if change.key == LEADER_KEY:
@@ -429,6 +446,8 @@
 
     def _needs_peers(self) -> bool:
         """Return whether peers have newer documents of a part than this host."""
+        if self._view.servers_known and self._view.servers_age_s() > MAX_SERVERS_AGE_S:
+            return not self._peers.is_following()
         parts = [
             part
             for part in PARTS
--- a/tests/test_late_configuration.py
+++ b/tests/test_late_configuration.py
@@ -12,6 +12,9 @@
 """Time in which a change has to be in force on every host (according to the platform's
 documentation)."""
 
+MAX_CALLS = 2
+"""One list and one watch."""
+
 NEW_ROUTES = [*ROUTES, route("new", "/new/", "plain")]
 
 
@@ -74,3 +77,13 @@
 
     leader._view.configuration._decode_routes = refuse_new
     await assert_served_by(fleet, followers)
+
+
+async def test_followers_read_a_configuration_that_nobody_can_read_once(fleet):
+    """Each host of a fleet listed it again and again as long as it stood."""
+    _, followers = leader_and_followers(fleet)
+    before = [sum(gateway._store.calls.values()) for gateway in followers]
+    fleet.store.put(CONFIGURATION_KEY, b'{"version": "r10", "routes"')
+    await asyncio.sleep(6.0)
+    after = [sum(gateway._store.calls.values()) for gateway in followers]
+    assert max(a - b for a, b in zip(after, before, strict=True)) <= MAX_CALLS
