Wait for two heartbeats of the servers beside a list of many pages

Cause: the time was a constant, and each list of more than one page made an additional call.

Change: the settings name the heartbeat, of which two are waited for; the watch begins 0.3 s after the first page.

--- a/src/jacinthpath/gateway/early_servers.py
+++ b/src/jacinthpath/gateway/early_servers.py
@@ -15,8 +15,11 @@
 from .revisions import era_of_revision
 from .store import Change, Listing, Store
 
-HEARTBEATS_S = 1.2
-"""Each live server writes its entry again within this time."""
+START_DELAY_S = 0.3
+"""A list that is complete by then makes no additional call."""
+
+HEARTBEATS = 2
+"""Each live server writes its entry again within the time of this many heartbeats."""
 
 WATCH_TIMEOUT_S = 0.8
 
@@ -25,8 +28,8 @@
     """Adds servers while a list of many pages is being read.
 
     Large entries of other writers take a page each, and may come before all others.
-    Live servers write their entries again every half second, so a watch from the first
-    page on finds them at once. It removes none: that takes the whole list.
+    Live servers write their entries again with each heartbeat, so a watch from the
+    first page on finds them at once. It removes none: that takes the whole list.
 
     :param apply: applies a change of a server.
     """
@@ -38,12 +41,14 @@
         loops: LoopSupervisor,
         apply: Callable[[Change], None],
         interval_s: float,
+        heartbeat_s: float,
     ) -> None:
         self._store = store
         self._view = view
         self._loops = loops
         self._apply = apply
         self._interval_s = interval_s
+        self._heartbeats_s = HEARTBEATS * heartbeat_s
 
     @contextmanager
     def applied(self, prefix: str) -> Iterator[Callable[[Listing], None]]:
@@ -78,7 +83,8 @@
 
     async def _watch(self, prefix: str, revision: int) -> None:
         """Apply changes; a failure of the store is left to the reader of the list."""
-        complete_s = boottime_s() + HEARTBEATS_S
+        await asyncio.sleep(START_DELAY_S)
+        complete_s = boottime_s() + self._heartbeats_s
         while True:
             try:
                 batch = await self._store.watch(prefix, revision, WATCH_TIMEOUT_S)
--- a/src/jacinthpath/gateway/model.py
+++ b/src/jacinthpath/gateway/model.py
@@ -148,6 +148,7 @@
     :param seeds: addresses of peers to ask while the store is unavailable.
     :param first_start: whether the whole system starts for the first time.
     :param link_bytes_per_s: what the link of the host carries.
+    :param heartbeat_s: interval at which a server writes its entry to the store.
     """
 
     host: str
@@ -162,3 +163,4 @@
     metrics_address: str
     first_start: bool
     link_bytes_per_s: float
+    heartbeat_s: float
--- a/src/jacinthpath/gateway/store_watcher.py
+++ b/src/jacinthpath/gateway/store_watcher.py
@@ -125,6 +125,7 @@
 
     :param first_start: whether all hosts start for the first time, before any caller
         waits.
+    :param heartbeat_s: interval at which a server writes its entry.
     :param loops: runs the loops of this service.
     """
 
@@ -137,6 +138,7 @@
         events: EventLog,
         random: Random,
         first_start: bool,
+        heartbeat_s: float,
         loops: LoopSupervisor,
     ) -> None:
         super().__init__()
@@ -153,7 +155,12 @@
         self._was_leading = False
         self._not_served = {part: asyncio.Event() for part in PARTS}
         self._early_servers = EarlyServers(
-            store, view, loops, self._apply_server, SERVERS_WATCH_INTERVAL_S
+            store,
+            view,
+            loops,
+            self._apply_server,
+            SERVERS_WATCH_INTERVAL_S,
+            heartbeat_s,
         )
         self._listings = {part: ListingSchedule() for part in PARTS}
 
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -136,6 +136,7 @@
         events,
         random,
         settings.first_start,
+        settings.heartbeat_s,
         loops,
     )
     election = LeaderElection(
--- a/src/jacinthpath/platform/settings.py
+++ b/src/jacinthpath/platform/settings.py
@@ -66,6 +66,7 @@
             lease_min_s=self._get_duration_s("provider.ttl_min", "1000ms"),
             metrics_address=f"{ip}:{METRICS_PORT}",
             first_start=self._get_value("bootstrap", False) is True,
+            heartbeat_s=self._get_duration_s("heartbeat", "1s"),
             link_bytes_per_s=BYTES_PER_S_OF_MBPS
             * self._get_converted(
                 "limits.link_mbps", DEFAULT_LINK_MBPS, _positive_number
--- a/tests/test_gateway_store_watcher.py
+++ b/tests/test_gateway_store_watcher.py
@@ -52,7 +52,7 @@
     peers = Peers()
     events = NullEventLog()
     loops = LoopSupervisor(events, events, Random(1))
-    return StoreWatcher(None, keys, view, peers, events, Random(1), False, loops)
+    return StoreWatcher(None, keys, view, peers, events, Random(1), False, 1.0, loops)
 
 
 class FailingStore:
