--- a/src/jacinthpath/gateway/early_servers.py
+++ b/src/jacinthpath/gateway/early_servers.py
@@ -32,6 +32,8 @@
     first page on finds them at once. It removes none: that takes the whole list.
 
     :param apply: applies a change of a server.
+    :param interval_s: pause between two watches.
+    :param heartbeat_s: interval at which a server writes its entry.
     """
 
     def __init__(
