--- a/src/jacinthpath/gateway/following.py
+++ b/src/jacinthpath/gateway/following.py
@@ -23,7 +23,7 @@
 
 MAX_CONFIGURATION_AGE_S = 1.5
 """A host whose configuration was confirmed longer ago reads the store: the leader may
-have no news. The leader has it confirmed every half second."""
+not hear of a newer one. The leader has its own confirmed every half second."""
 
 STORE_READ_TIMEOUT_S = 1.0
 """A host that has not read a configuration from the store for this long asks the leader
@@ -136,8 +136,8 @@
                 content.configurationRevision,
                 self._clock(),
             )
-        has_news = content.confirmed and content.ageMs < MAX_LEADER_AGE_S * 1000
-        if not has_news:
+        is_fresh = content.confirmed and content.ageMs < MAX_LEADER_AGE_S * 1000
+        if not is_fresh:
             # Drains that it has not heard of are late already.
             self._followed_at_s = float("-inf")
         elif "servers" not in failed:
--- a/src/jacinthpath/gateway/peering.py
+++ b/src/jacinthpath/gateway/peering.py
@@ -281,17 +281,17 @@
         while (
             not self._has_updates(wanted)
             and self._permits.is_confirmed()
-            and self._news_left_s() > 0
+            and self._fresh_for_s() > 0
             and loop.time() < deadline_s
         ):
             # Followers learn at once that they have to read the store.
-            wait_s = min(deadline_s - loop.time(), self._news_left_s())
+            wait_s = min(deadline_s - loop.time(), self._fresh_for_s())
             await wait_for_event(self._view.changed, wait_s)
         response = self._make_documents_frame(wanted)
         response.body.documents.countsShares = counted
         return response
 
-    def _news_left_s(self) -> float:
+    def _fresh_for_s(self) -> float:
         """Return for how long followers may still trust the servers of this host."""
         return MAX_LEADER_AGE_S - self._view.servers_age_s()
 
