soak: keep the traffic of odd entries on loopback

Cause: two odd entries of servers in soak/faults.py named 10.0.0.1, an address outside of loopback, and the hosts of a soak take the second of them for a server. Change: both name port 1 of 127.0.0.1, where nothing listens, like the third entry.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -76,10 +76,10 @@
     b"[" * 5_000,
     b"\xff\xfe",
     b'{"info": {"service": "\\ud800", "version": "v", "zone": "a", "slots": 1},'
-    b' "status": {"state": "ready", "sequence": 1}, "address": "10.0.0.1:1"}',
+    b' "status": {"state": "ready", "sequence": 1}, "address": "127.0.0.1:1"}',
     b'{"info": {"service": "plain", "version": "v", "zone": "a", "slots": 1},'
     b' "status": {"state": "ready", "warmup_left": "' + b"9" * 400 + b's"},'
-    b' "address": "10.0.0.1:1"}',
+    b' "address": "127.0.0.1:1"}',
     b'{"info": {"service": "unknown", "version": "v", "zone": "a", "slots": 1},'
     b' "status": {"state": "ready", "sequence": 1}, "address": "127.0.0.1:1"}',
 ]
