Take no entry with missing fields for a server

Callers: requests were sent to an address that another writer of the store had named. PROTOCOL.md of the platform: an entry with fields missing or of another type names no server to use. Cause: decode_backend took 0 for a missing start time and no cold time for a missing or mistyped one, and never looked at the version and the sequence number. Change: an entry without one of its nine fields, or with one of another type, is refused. A cold time that is text but no duration is still ignored and logged. The soak keeps the entry with fields missing, now of a known service, and its entry of an unknown service names all fields.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -80,8 +80,11 @@
     b'{"info": {"service": "plain", "version": "v", "zone": "a", "slots": 1},'
     b' "status": {"state": "ready", "warmup_left": "' + b"9" * 400 + b's"},'
     b' "address": "127.0.0.1:1"}',
-    b'{"info": {"service": "unknown", "version": "v", "zone": "a", "slots": 1},'
+    b'{"info": {"service": "plain", "version": "v", "zone": "a", "slots": 1},'
     b' "status": {"state": "ready", "sequence": 1}, "address": "127.0.0.1:1"}',
+    b'{"info": {"service": "unknown", "version": "v", "zone": "a", "slots": 1},'
+    b' "status": {"state": "ready", "sequence": 1, "warmup_left": "0ms"},'
+    b' "address": "127.0.0.1:1", "born": 5}',
 ]
 
 
--- a/src/jacinthpath/platform/documents.py
+++ b/src/jacinthpath/platform/documents.py
@@ -131,6 +131,9 @@
 ) -> Backend:
     """Decode the entry of a server.
 
+    One with a field missing or of another type comes from another writer, and names no
+    server to use. A duration that cannot be read is ignored.
+
     :param ignored: is told of values that are ignored.
     :raises MalformedValue: the entry does not describe a usable server.
     """
@@ -138,6 +141,9 @@
         entry = parse_json(content)
         info = entry["info"]
         status = entry["status"]
+        _check_type(info["version"], str)
+        _check_type(status["sequence"], int)
+        _check_type(status["warmup_left"], str)
         backend = Backend(
             server=check_text(server),
             service=check_text(info["service"]),
@@ -148,11 +154,11 @@
             warmup_left_s=_read_warmup_s(
                 f"server {describe(server)}",
                 "warmup_left",
-                status.get("warmup_left"),
+                status["warmup_left"],
                 ignored or IgnoredValues(),
             ),
             # "born" is the start time of the server, beside "info" and "status".
-            started_ms=check_integer(entry.get("born", 0), 0, MAX_STARTED_MS),
+            started_ms=check_integer(entry["born"], 0, MAX_STARTED_MS),
             revision=revision,
         )
     except UNREADABLE as error:
@@ -294,6 +300,12 @@
     return float(value)
 
 
+def _check_type(value: Any, expected: type) -> None:
+    """Check the type of a field of which nothing else matters."""
+    if not isinstance(value, expected) or isinstance(value, bool):
+        raise ValueError(f"{describe(value)} is not of type {expected.__name__}")
+
+
 def _check_state(value: Any) -> str:
     if not isinstance(value, str) or value not in SERVER_STATES:
         raise ValueError(f"{describe(value)} is not a server state")
--- a/tests/test_gateway_decoding.py
+++ b/tests/test_gateway_decoding.py
@@ -151,6 +151,33 @@
         decode_backend("s", json.dumps({**SERVER_ENTRY, field: value}).encode(), 1)
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "address",
+        "born",
+        "info.service",
+        "info.version",
+        "info.zone",
+        "info.slots",
+        "status.state",
+        "status.sequence",
+        "status.warmup_left",
+    ],
+)
+def test_server_entry_without_a_field_or_with_another_type_is_refused(path):
+    """Guards against requests to an address that only another writer has named."""
+    for replacement in ({}, {"value": None}, {"value": {}}, {"value": True}):
+        entry = json.loads(json.dumps(SERVER_ENTRY))
+        *parents, name = path.split(".")
+        part = entry[parents[0]] if parents else entry
+        del part[name]
+        if replacement:
+            part[name] = replacement["value"]
+        with pytest.raises(JacinthpathError):
+            decode_backend("s", json.dumps(entry).encode(), 1)
+
+
 def test_server_entry_is_decoded():
     backend = decode_backend("s", json.dumps(SERVER_ENTRY).encode(), 9)
     assert backend.address == "10.0.0.1:80"
