End the waits of requests when a stop begins, in time to respond

Cause: ShutdownWindow.admits was asked once, when a request began. One that was taken before the signal waited up to its own deadline (SlotClient.request), and GatewayService.drain closed the connections of all that were left at the end. Change: the time that a request has left is the earlier of its own and the last moment at which this process can send a response, for every wait: a slot here or at a coordinator, an owner, a permit, a connection, a pause before a retry, a response. ShutdownTimeout moves the end of what waits already forward when the window opens; uploads use it too, in place of a way of their own. A coordinator is told the earlier deadline with the next question, and refuses what can't be served by then at once, with the time to return. A request that gets its slot late is sent if twice the expected latency is left. What no server has received gets 503, what may have run 504. The test of an upload whose time is up is replaced: its method is gone, and the new one opens the window while the timeout is ending, which is stricter.

--- a/src/jacinthpath/gateway/capacity/slot_client.py
+++ b/src/jacinthpath/gateway/capacity/slot_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ...codec import new_frame
@@ -90,14 +91,19 @@
         return coordinator if boottime_s() >= suspected_until_s else None
 
     async def request(
-        self, coordinator: Coordinator, request: SlotRequest, fingerprint: int
+        self,
+        coordinator: Coordinator,
+        request: SlotRequest,
+        fingerprint: int,
+        remaining_s: Callable[[], float],
     ) -> SlotDecision | None:
         """Ask for a slot, again and again while the coordinator lets the request wait.
 
         :param fingerprint: what the request has in common with its repetitions.
+        :param remaining_s: returns the time until the request's deadline, which may
+            move forward.
         :return: ``None`` if the host does not respond, or no longer lends the slots.
         """
-        deadline_s = boottime_s() + request.deadline_left_s
         objective_s = boottime_s() + request.objective_left_s
         decision: SlotDecision | None = None
         try:
@@ -105,10 +111,9 @@
                 decision = await self._ask(coordinator, request, fingerprint)
                 if decision is None or decision.state is not SlotState.WAITING:
                     return decision
-                now_s = boottime_s()
                 request = request._replace(
-                    deadline_left_s=deadline_s - now_s,
-                    objective_left_s=objective_s - now_s,
+                    deadline_left_s=remaining_s(),
+                    objective_left_s=objective_s - boottime_s(),
                 )
         except asyncio.CancelledError:
             # The caller has left: nobody would use a lease that is granted now.
--- a/src/jacinthpath/gateway/capacity/slot_coordinator.py
+++ b/src/jacinthpath/gateway/capacity/slot_coordinator.py
@@ -57,6 +57,9 @@
 its latest start. Otherwise estimates that vary could refuse a request that was just
 allowed to wait."""
 
+DEADLINE_TOLERANCE_S = 0.05
+"""A deadline that comes by message varies by rounding, and by less than this."""
+
 IDLE_ADVANCE_S = 1.0
 """Time until the next call of :meth:`SlotCoordinator.advance` if nothing is due."""
 
@@ -141,6 +144,7 @@
         self._advance_to(now_s)
         known = self._find_decision(request)
         if known is not None:
+            self._shorten_wait(request, now_s)
             return known
         if not self._selection.has_server(request):
             return self._refuse(request.slot, NO_SERVER, NO_SERVER_RETRY_S)
@@ -247,6 +251,19 @@
             return None
         return known
 
+    def _shorten_wait(self, request: SlotRequest, now_s: float) -> None:
+        """Apply a deadline that has moved forward, as on a host that is to stop.
+
+        The next review refuses the request if it can't be served in time any more.
+        """
+        waiting = self._queue.find(request.slot)
+        deadline_s = now_s + request.deadline_left_s
+        if waiting is None or deadline_s > waiting.deadline_s - DEADLINE_TOLERANCE_S:
+            return
+        service_s = self._waits.expected_service_s(request.server)
+        latest_start_s = min(waiting.latest_start_s, deadline_s - service_s)
+        self._queue.set_deadline(waiting, deadline_s, latest_start_s)
+
     def _present(self, slot: SlotId, decision: SlotDecision) -> SlotDecision:
         """Return the decision that holds now: a granted lease may have ended."""
         if decision.state is SlotState.GRANTED and self._ledger.find(slot) is None:
--- a/src/jacinthpath/gateway/capacity/slot_finder.py
+++ b/src/jacinthpath/gateway/capacity/slot_finder.py
@@ -130,7 +130,7 @@
     async def _ask(self, coordinator: Coordinator, wanted: SlotRequest) -> SlotOffer:
         asked_s = self._loop.time()
         decision = await self._client.request(
-            coordinator, wanted, fingerprint_of(self._request)
+            coordinator, wanted, fingerprint_of(self._request), self._remaining_s
         )
         waited_s = self._loop.time() - asked_s
         self._log.record(coordinator, wanted, decision, waited_s)
--- a/src/jacinthpath/gateway/capacity/slot_queue.py
+++ b/src/jacinthpath/gateway/capacity/slot_queue.py
@@ -71,6 +71,10 @@
         count = self.counts.get(waiting.slot_class, 0)
         self.counts[waiting.slot_class] = count + 1
 
+    def replace(self, waiting: WaitingRequest) -> None:
+        flow = self.classes[waiting.slot_class][waiting.request.flow]
+        flow[waiting.request.slot] = waiting
+
     def remove(self, waiting: WaitingRequest) -> None:
         flows = self.classes[waiting.slot_class]
         flow = flows[waiting.request.flow]
@@ -114,6 +118,14 @@
         self._waiting[waiting.request.slot] = waiting
         self._by_scope.setdefault(waiting.scope, _ScopeQueue()).add(waiting)
 
+    def set_deadline(
+        self, waiting: WaitingRequest, deadline_s: float, latest_start_s: float
+    ) -> None:
+        """Change the deadline of a request that waits; it keeps its place."""
+        changed = waiting._replace(deadline_s=deadline_s, latest_start_s=latest_start_s)
+        self._waiting[waiting.request.slot] = changed
+        self._by_scope[waiting.scope].replace(changed)
+
     def remove(self, slot: SlotId) -> WaitingRequest | None:
         """Remove a request, and return it if it waited."""
         waiting = self._waiting.pop(slot, None)
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -19,11 +19,12 @@
     Response,
 )
 from .fingerprints import fingerprint_of
-from .model import Route, Service
+from .model import Backend, Route, Service
 from .owner_lookup import MOVING_RETRY_S, ServerChoice
 from .request_dependencies import RequestDependencies
 from .retry_budget import RetryBudget
 from .server_chooser import ServerChooser
+from .waiting import ShutdownTimeout
 
 DEFAULT_TIMEOUT_S = 30.0
 
@@ -73,7 +74,13 @@
         self._deadline_s = request.received_s + min(timeout_s, route.timeout_s)
         # The loop's clock stops while the host is suspended, but the caller's does not.
         self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
-        self._sender = AttemptSender(dependencies, request, service)
+        self._window = dependencies.shutdown_window
+        self._was_handed_over = False
+        self._sender = AttemptSender(
+            dependencies,
+            request._replace(check_wanted=self._check_before_sending),
+            service,
+        )
         self._results: list[AttemptResult] = []
         self._receivers: set[str] = set()
         self._fingerprint: int | None = None
@@ -84,14 +91,20 @@
 
     async def run(self) -> Response:
         """Return the response."""
+        timeout = ShutdownTimeout(self._window)
         try:
-            return await self._run()
+            async with timeout:
+                return await self._run()
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            return self._respond_leaving()
         finally:
             self._give_back_kept()
 
     async def _run(self) -> Response:
-        if not self._may_end_in_time():
-            return self._respond_unavailable("leaving", 0.0)
+        if not self._is_taken():
+            return self._respond_leaving()
         self._retry_budget.record_request(self._loop.time())
         if self._service.keyed:
             if self._request.key is None:
@@ -104,10 +117,13 @@
             if blocked_left_s:
                 return self._respond_blocked(blocked_left_s)
             choice = await self._choose()
-            if self._remaining_s() < MIN_ATTEMPT_S:
+            if self._own_remaining_s() < MIN_ATTEMPT_S:
                 # The wait for an owner, or a suspension, has used up the time.
                 self._chooser.give_back(choice)
                 choice = ServerChoice(None, "too-little-time")
+            if choice.backend is not None and not self._ends_in_time(choice.backend):
+                self._chooser.give_back(choice)
+                return self._respond_leaving()
             if choice.backend is None:
                 return self._respond_without_server(choice)
             result = await self._attempt(choice)
@@ -120,15 +136,30 @@
                 self._retry_budget.record_retry(self._loop.time())
             await self._back_off(result)
 
-    def _may_end_in_time(self) -> bool:
+    def _is_taken(self) -> bool:
         """Return whether the request ends before a process that is to stop."""
-        window = self._dependencies.shutdown_window
-        return not window.is_open or window.admits(
+        return self._window.admits(
+            self._deadline_s,
+            idempotent=self._route.idempotent,
+            now_s=self._loop.time(),
+        )
+
+    def _ends_in_time(self, backend: Backend) -> bool:
+        """Return whether a server responds before a process that is to stop ends."""
+        if not self._window.is_open:
+            return True
+        return self._window.admits_attempt(
             self._deadline_s,
+            self._dependencies.pool.latency_s(backend, boottime_s()),
             idempotent=self._route.idempotent,
             now_s=self._loop.time(),
         )
 
+    def _check_before_sending(self) -> None:
+        """Check whether the caller is still there; the server gets the request then."""
+        self._request.check_wanted()
+        self._was_handed_over = True
+
     def _blocked_left_s(self) -> float:
         """Return for how much longer the request is sent to no server, mostly 0."""
         ledger = self._dependencies.crash_ledger
@@ -150,11 +181,22 @@
         )
 
     def _may_have_executed(self) -> bool:
-        return any(
+        """Return whether a server may have executed the request.
+
+        An attempt that was cut off has no result.
+        """
+        return self._was_handed_over or any(
             result.outcome not in NOT_EXECUTED_OUTCOMES for result in self._results
         )
 
     def _remaining_s(self) -> float:
+        """Return the time until a response is due, or can't be sent any more."""
+        return min(
+            self._own_remaining_s(), self._window.last_response_s - self._loop.time()
+        )
+
+    def _own_remaining_s(self) -> float:
+        """Return the time until the caller or the operator gives the request up."""
         return min(
             self._deadline_s - self._loop.time(),
             self._boot_deadline_s - boottime_s(),
@@ -202,6 +244,7 @@
                 slot.end(result)
         self._chooser.tried.append(backend.server)
         self._results.append(result)
+        self._was_handed_over = False
         if was_received([result]):
             self._receivers.add(backend.server)
         return result
@@ -280,12 +323,18 @@
         """Return the response when there is no server for the next attempt."""
         if self._may_have_executed():
             return self._respond_locally(choice.reason, 502)
-        if self._remaining_s() < MIN_ATTEMPT_S:
+        if self._own_remaining_s() < MIN_ATTEMPT_S:
             return self._respond_locally(choice.reason, 504)
         return self._respond_unavailable(
             choice.reason, choice.wait_s, choice.is_planned
         )
 
+    def _respond_leaving(self) -> Response:
+        """Return the response to a request that this process has no time for."""
+        if self._may_have_executed():
+            return self._respond_locally("leaving", 504)
+        return self._respond_unavailable("leaving", 0.0)
+
     def _respond(self, step: Step) -> Response:
         """Return the response for the final step."""
         if step.kind is StepKind.REFUSE:
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -77,9 +77,6 @@
     def abort_left_connections(self) -> None:
         """End the requests of callers that have left while nothing is read."""
 
-    def limit_uploads(self) -> None:
-        """Refuse the requests whose bodies do not arrive before the process ends."""
-
     def close_idle_connections(self) -> int:
         """Close connections that wait for a request.
 
@@ -189,7 +186,6 @@
         """
         loop = asyncio.get_running_loop()
         self._shutdown_window.open(loop.time(), self.settings.timing.grace_s)
-        self.listener.limit_uploads()
         self._events.log_process_event("draining", in_flight=self._forwarder.in_flight)
         await self._election.resign()
         await asyncio.sleep(LEAVE_ROTATION_S)
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -133,10 +133,6 @@
         if self._callers_site is not None:
             await self._callers_site.stop()
 
-    def limit_uploads(self) -> None:
-        """Refuse the requests whose bodies do not arrive before the process ends."""
-        self._uploads.limit_to_shutdown()
-
     async def close(self) -> None:
         """Close all connections."""
         for runner in (self._callers_runner, self._readiness_runner):
--- a/src/jacinthpath/platform/uploads.py
+++ b/src/jacinthpath/platform/uploads.py
@@ -4,7 +4,6 @@
 
 __all__ = ["Upload", "UploadReader"]
 
-import asyncio
 from random import uniform
 
 from aiohttp import web
@@ -13,6 +12,7 @@
 from ..gateway.body_memory import BodyMemory
 from ..gateway.exchange import Response, local_response
 from ..gateway.shutdown_window import ShutdownWindow
+from ..gateway.waiting import ShutdownTimeout
 from ..metrics import Metrics
 
 LEAVING_RETRY_S = 0.1
@@ -35,7 +35,7 @@
     def __init__(self) -> None:
         self.held_bytes = 0
         self.was_refused = False
-        self.timeout: asyncio.Timeout | None = None
+        self.timeout: ShutdownTimeout | None = None
 
 
 class UploadReader:
@@ -63,7 +63,7 @@
         max_bytes = min(max_bytes, self._memory.max_request_bytes)
         if request.content_length is not None and request.content_length > max_bytes:
             return local_response(413, "body-too-large")
-        upload.timeout = asyncio.timeout_at(self._end_s(end_s))
+        upload.timeout = ShutdownTimeout(self._shutdown_window, end_s)
         self._uploads.add(upload)
         try:
             async with upload.timeout:
@@ -81,12 +81,6 @@
         self._memory.release(upload.held_bytes)
         upload.held_bytes = 0
 
-    def limit_to_shutdown(self) -> None:
-        """Refuse the requests whose bodies do not arrive before the process ends."""
-        for upload in self._uploads:
-            if not upload.timeout.expired():
-                upload.timeout.reschedule(self._end_s(upload.timeout.when()))
-
     async def _read_parts(
         self, upload: Upload, request: web.BaseRequest, max_bytes: float
     ) -> bytes | None:
@@ -115,7 +109,7 @@
         if largest.held_bytes < MIN_REFUSED_BYTES:
             return
         largest.was_refused = True
-        largest.timeout.reschedule(asyncio.get_running_loop().time())
+        largest.timeout.end_now()
         self.end(largest)
         self._metrics.count("uploads_refused_total")
 
@@ -127,7 +121,3 @@
         if self._shutdown_window.is_open:
             return local_response(503, "leaving", LEAVING_RETRY_S)
         return local_response(408, "body-timeout")
-
-    def _end_s(self, end_s: float) -> float:
-        """Return until when a body may arrive, given the end by its own timeout."""
-        return min(end_s, self._shutdown_window.last_response_s)
--- a/standins/queueing_server.py
+++ b/standins/queueing_server.py
@@ -21,6 +21,7 @@
     :ivar hung: requests that it never responds to.
     :ivar refused: requests that it refused for want of room.
     :ivar most_held: most requests that it ran and queued at a time.
+    :ivar received_attempts: attempts that it ran or queued.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self.hung = 0
         self.refused = 0
         self.most_held = 0
+        self.received_attempts: set[str] = set()
         self._run_s = work_s
         self._answers_when_full = answers_when_full
         self._places = slots + queue_length
@@ -50,6 +52,7 @@
             return await super()._handle_request(request, writer)
         if self._held >= self._places:
             return await self._turn_away(request, writer)
+        self.received_attempts.add(request.headers.get("x-attempt-id", ""))
         self._held += 1
         self.most_held = max(self.most_held, self._held)
         try:
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -6,7 +6,7 @@
 import pytest
 
 from jacinthpath.gateway.shutdown_window import ShutdownWindow
-from jacinthpath.platform import uploads
+from jacinthpath.gateway.waiting import ShutdownTimeout
 from standins.platform_documents import CONFIGURATION_KEY, configuration, route
 
 from .gateway_system import GatewaySystem
@@ -146,13 +146,37 @@
     assert window.admits(15.0, idempotent=True, now_s=14.0)
 
 
-async def test_upload_whose_time_is_up_does_not_disturb_a_stop(system):
-    """Its timeout could not be set again, and the stop failed."""
-    listener = system.gateways[0].listener
-    upload = uploads.Upload()
-    upload.timeout = asyncio.timeout(0.0)
-    listener._uploads._uploads.add(upload)
+def test_window_lets_what_has_waited_be_sent_while_it_very_likely_ends_in_time():
+    window = ShutdownWindow()
+    assert window.admits_attempt(100.0, 50.0, idempotent=False, now_s=0.0)
+    window.open(10.0, GRACE_S)
+    assert window.admits_attempt(40.0, 1.0, idempotent=False, now_s=13.3)
+    assert not window.admits_attempt(40.0, 1.0, idempotent=False, now_s=13.5)
+    assert window.admits_attempt(40.0, 9.0, idempotent=True, now_s=12.9)
+    assert not window.admits_attempt(40.0, 9.0, idempotent=True, now_s=13.1)
+
+
+async def test_wait_ends_when_the_window_opens_in_time_to_respond():
+    """Guards against waits that learn of a stop only if they begin after it."""
+    window, loop = ShutdownWindow(), asyncio.get_running_loop()
+    with pytest.raises(TimeoutError):
+        async with ShutdownTimeout(window):
+            now_s = loop.time()
+            loop.call_later(0.1, window.open, now_s, 0.8)
+            await asyncio.sleep(5.0)
+    assert 0.1 < loop.time() - now_s < 0.3
+    assert not window.on_open
+
+
+async def test_wait_whose_time_is_up_does_not_disturb_a_stop():
+    """The timeout of an upload could not be set again, and the stop failed."""
+    window = ShutdownWindow()
     with pytest.raises(TimeoutError):
-        async with upload.timeout:
-            await asyncio.sleep(0.01)
-    listener.limit_uploads()
+        async with ShutdownTimeout(window, 0.0) as timeout:
+            try:
+                await asyncio.sleep(1.0)
+            except asyncio.CancelledError:
+                window.open(asyncio.get_running_loop().time(), GRACE_S)
+                timeout.end_now()
+                raise
+    assert not window.on_open
--- a/tests/test_shared_slots.py
+++ b/tests/test_shared_slots.py
@@ -34,9 +34,13 @@
     """Gateways before servers that never answer a request that they cannot queue."""
 
     routes = ROUTES
+    work_s = WORK_S
+    answers_when_full = False
 
     async def add_server(self, name, service, keyed=False):
-        server = QueueingServerStandIn(name, service, keyed, WORK_S, False, SLOTS)
+        server = QueueingServerStandIn(
+            name, service, keyed, self.work_s, self.answers_when_full, SLOTS
+        )
         await server.start()
         self.servers[name] = server
         self.store.put(f"servers/{name}", server.entry())
--- a/tests/test_slot_coordinator.py
+++ b/tests/test_slot_coordinator.py
@@ -345,3 +345,20 @@
         harness.now_s = harness.coordinator.next_change_s(before_s)
         harness.advance(0.0)
         assert harness.now_s - before_s > 0.001
+
+
+def test_wait_is_refused_at_once_when_its_deadline_moves_before_its_turn():
+    """Guards against requests of a host that stops, which wait until its end."""
+    harness = Harness(s0=1)
+    while harness.state(harness.ask()) is SlotState.GRANTED:
+        pass
+    first = harness.ask(objective_left_s=50.0, deadline_left_s=60.0)
+    second = harness.ask(objective_left_s=50.0, deadline_left_s=60.0)
+    assert harness.state(first) is harness.state(second) is SlotState.WAITING
+    for asked, deadline_left_s in ((first, 2.0), (second, 0.25)):
+        again = asked._replace(deadline_left_s=deadline_left_s)
+        harness.coordinator.request(again, harness.now_s)
+    harness.advance(slot_coordinator.REVIEW_INTERVAL_S)
+    assert harness.state(first) is SlotState.WAITING
+    assert harness.state(second) is SlotState.REFUSED
+    assert harness.decisions[second.slot].retry_s > 0
