Let a repeated SIGTERM change nothing

Cause: the daemon took any second signal for the wish to cut the drain short. Signals come in series: whoever restarts hosts may repeat them. Change: during a drain another SIGTERM is logged and does nothing, for gateways, entry and control processes alike. SIGINT, as from a terminal, cancels the drain as before. From the end of the service to the end of the process signals are blocked; the closing event loop would restore their default actions, and one of them would then decide on the exit status.

--- a/src/jacinthpath/daemon.py
+++ b/src/jacinthpath/daemon.py
@@ -10,6 +10,8 @@
 
 from .logs import get_logger
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 _log = get_logger()
 
 
@@ -32,18 +34,31 @@
 def run_daemon(service: Drainable) -> int:
     """Run ``service`` until SIGTERM or SIGINT; return the exit status.
 
-    The first signal starts the drain; a second one cancels it. A service that has
-    crashed is drained too: a process whose loops have ended recovers only by a restart.
+    The first signal starts the drain. Another SIGTERM changes nothing, since whatever
+    sends signals may repeat them; SIGINT, from a terminal, cancels the drain. A service
+    that has crashed is drained too: a process whose loops have ended recovers only by a
+    restart.
 
     :return: 0 after a complete drain, 1 when work was lost or the service had crashed.
     """
-    return asyncio.run(_run(service))
+    return asyncio.run(_run_until_exit(service))
+
+
+async def _run_until_exit(service: Drainable) -> int:
+    """Run ``service``; block signals from its end on.
+
+    The event loop restores their default actions when it closes, and a signal that is
+    repeated then would decide on the exit status.
+    """
+    status = await _run(service)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {*STOP_SIGNALS, signal.SIGHUP})
+    return status
 
 
 async def _run(service: Drainable) -> int:
     loop = asyncio.get_running_loop()
     signals: asyncio.Queue[int] = asyncio.Queue()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, signals.put_nowait, signal_number)
     reload = getattr(service, "reload", None)
     if reload is not None:
@@ -51,9 +66,9 @@
     await service.start()
     crashed = await _wait_for_end(service, signals)
     draining = asyncio.create_task(service.drain())
-    second_signal = asyncio.create_task(signals.get())
-    await asyncio.wait({draining, second_signal}, return_when=asyncio.FIRST_COMPLETED)
-    second_signal.cancel()
+    interrupted = asyncio.create_task(_wait_for_interrupt(signals))
+    await asyncio.wait({draining, interrupted}, return_when=asyncio.FIRST_COMPLETED)
+    interrupted.cancel()
     if draining.done():
         unfinished = _result_of(draining)
     else:
@@ -65,6 +80,12 @@
     return 1 if unfinished or crashed else 0
 
 
+async def _wait_for_interrupt(signals: asyncio.Queue[int]) -> None:
+    """Wait for SIGINT; log other signals, which change nothing during a drain."""
+    while (signal_number := await signals.get()) != signal.SIGINT:
+        _log.info("signal_repeated", signal=signal.Signals(signal_number).name)
+
+
 def _result_of(draining: asyncio.Task[int]) -> int:
     """Return how much was not finished; a drain that failed must not keep the end."""
     if draining.exception() is None:
