Show that bytes without end from a server are not kept

A health check closes its connection after its time-out at the latest, and a body that is relayed for a host that is cut off stays within the bound of either host, plus what each body may hold in any case. The stand-in sends a field, a refusal and an error without end too, also as the answer to a health check.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -53,9 +53,10 @@
     - ``no-response``: executes the request, then closes the connection.
     - ``silent`` and ``slow``: respond after 30 s and :attr:`work_s`.
     - ``large`` and ``large-truncated``: send :data:`LARGE_BODY`, or half of it.
-    - ``endless-body``, ``endless-chunks``, ``endless-interim``, ``endless-trailer``:
-      send a body without a length, a chunked body, interim responses, or a chunk header
-      without end.
+    - ``endless-body``, ``endless-chunks``, ``endless-interim``, ``endless-trailer``,
+      ``endless-head``, ``endless-refusal``, ``endless-error``: send a body without a
+      length, a chunked body, interim responses, a chunk header, a field, or the body of
+      a refusal or of an error, without end. Health checks get the same.
     - ``refused-twice``: refuses with 503, and again when the next request arrives.
     - ``error-twice``: like ``refused-twice``, without the attempt id.
     - ``invalid-status``: sends :attr:`status_line` as the status line.
@@ -128,6 +129,11 @@
         host, port = self._listener.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self._writers)
+
     async def close(self) -> None:
         """Stop listening and close all connections."""
         self._closed = True
@@ -237,6 +243,8 @@
         if request.target in ("/-/grant", "/-/release"):
             writer.write(self._handle_command(request))
             return True
+        if request.target == HEALTH_PATH and self.fault.startswith("endless"):
+            return await self._respond("", writer)
         if request.target == HEALTH_PATH:
             writer.write(self._check_health(request))
             return True
@@ -436,8 +444,15 @@
     part = b"x" * 65_536
     if fault == "endless-interim":
         return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000
-    lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in fields.items())]
-    if fault == "endless-body":
+    status_line = "HTTP/1.1 200 OK"
+    if fault == "endless-refusal":
+        status_line, fields = "HTTP/1.1 503 Full", {**fields, "X-Not-Executed": "1"}
+    if fault == "endless-error":
+        status_line = "HTTP/1.1 500 Failed"
+    lines = [status_line, *(f"{name}: {value}" for name, value in fields.items())]
+    if fault == "endless-head":
+        return "\r\n".join([*lines, "X-Field: "]).encode(), part
+    if fault in ("endless-body", "endless-refusal", "endless-error"):
         return "\r\n".join([*lines, "", ""]).encode(), part
     head = "\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode()
     if fault == "endless-trailer":
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -7,6 +7,7 @@
 
 from jacinthpath import peer_connections
 from jacinthpath.gateway import relay_client
+from jacinthpath.gateway.body_memory import MAX_HELD_BYTES, PART_BYTES
 from jacinthpath.gateway.clock import boottime_s
 from standins.platform_documents import CONFIGURATION_KEY, configuration
 from standins.platform_server import LARGE_BODY
@@ -95,6 +96,34 @@
         await fleet.send("/read/x", "n1", CUT)
 
 
+@pytest.mark.parametrize("fault", ["endless-body", "endless-chunks", "endless-head"])
+async def test_relayed_bytes_without_end_are_not_kept(fleet, fault):
+    """Guards against bytes without end that either host keeps for a caller that takes
+    nothing (report of issue 52)."""
+    set_fault(fleet, fault)
+    host, _, port = fleet.gateways[CUT].settings.callers_address.rpartition(":")
+    callers = [
+        await asyncio.open_connection(host, int(port), limit=4_096) for _ in range(12)
+    ]
+    for number, (_, writer) in enumerate(callers):
+        fields = f"Host: h.example\r\nX-Attempt-Id: e{number}"
+        writer.write(f"GET /read/x HTTP/1.1\r\n{fields}\r\n\r\n".encode())
+        writer.transport.pause_reading()
+    for _ in range(20):
+        await asyncio.sleep(0.05)
+        for gateway in fleet.gateways:
+            memory = gateway._relay_server._memory
+            # What is held whole and the buffer of its connection come first, for each.
+            least_bytes = len(callers) * (MAX_HELD_BYTES + PART_BYTES)
+            assert memory.held_bytes <= memory.bound_bytes + least_bytes
+    assert sum(server.sent_bytes for server in fleet.servers.values()) > 0
+    for _, writer in callers:
+        writer.transport.abort()
+    async with asyncio.timeout(2):
+        while any(g._relay_server._memory.held_bytes for g in fleet.gateways):
+            await asyncio.sleep(0.02)
+
+
 async def test_order_whose_relaying_host_is_lost_runs_once(fleet):
     """Guards against a second run, or a promise that it has not run, when the path
     between two hosts breaks after the order was sent."""
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -70,6 +70,10 @@
     assert read_notice(CIMultiDict({"Server-Limit": "x"})).limit_unreadable
 
 
+MAX_IN_BUFFERS_BYTES = 16 * 1024 * 1024
+"""The system's buffers at both ends of a loopback connection hold less."""
+
+
 @pytest.fixture
 async def connected():
     """A client, a server, and what the client knows of it."""
@@ -104,6 +108,18 @@
         assert report.notice.warmup_left_s == 0.7
 
 
+@pytest.mark.parametrize("fault", ["body", "chunks", "interim", "trailer", "head"])
+async def test_health_check_does_not_take_bytes_without_end(connected, fault):
+    """Guards against a connection that goes on receiving after the check (issue 52)."""
+    client, server, backend = connected
+    server.fault = f"endless-{fault}"
+    await client.check_health(backend, HEALTH_PATH)
+    async with asyncio.timeout(1.0):
+        while server.open_connections:
+            await asyncio.sleep(0.01)
+    assert server.sent_bytes < MAX_IN_BUFFERS_BYTES
+
+
 async def test_health_check_takes_no_notice_of_another_server(connected):
     """Guards against the load of a server that has taken over an address."""
     client, server, backend = connected
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -112,14 +112,14 @@
     return reader, writer
 
 
-async def send_well_behaved(system, count):
+async def send_well_behaved(system, count, path="/read/x"):
     """Return the time of the slowest of some requests one after the other."""
     loop = asyncio.get_running_loop()
     slowest_s = 0.0
     for number in range(count):
         started_s = loop.time()
         headers = {"Host": "h.example", "X-Attempt-Id": f"w{number}"}
-        url = f"http://{system.address}/read/x"
+        url = f"http://{system.address}{path}"
         async with system.session.get(url, headers=headers) as response:
             assert (response.status, await response.read()) == (
                 200,
@@ -179,6 +179,49 @@
         writer.transport.abort()
 
 
+ENDLESS_FAULTS = [
+    "endless-body",
+    "endless-chunks",
+    "endless-interim",
+    "endless-trailer",
+    "endless-head",
+    "endless-refusal",
+    "endless-error",
+]
+
+
+@pytest.mark.parametrize("fault", ENDLESS_FAULTS)
+async def test_bytes_without_end_do_not_exhaust_the_memory(process, fault):
+    """Guards against a server whose bytes without end are kept until the host has no
+    memory left, which ends the requests of all its callers (report of issue 52)."""
+    system, process_id = process
+    other = await system.add_server("o0", "other")
+    routes = [*ROUTES, DOWNLOAD, route("other", "/other/", "other")]
+    system.store.put(
+        "op/config", configuration(5, routes, services=("plain", "keys", "other"))
+    )
+    await asyncio.sleep(1.0)
+    faulty, good = [one for one in system.servers.values() if one is not other]
+    system.store.put("servers/p1", good.entry("draining"))
+    faulty.fault = fault
+    callers = await asyncio.gather(
+        *(
+            open_caller(system.address, "GET", f"/{path}/x", f"{path}{number}")
+            for number in range(20)
+            for path in ("download", "read", "order")
+        )
+    )
+    # Half of the callers take nothing.
+    for _, writer in callers[::2]:
+        writer.transport.pause_reading()
+    assert await send_well_behaved(system, 100, "/other/x") < 1.0
+    await asyncio.sleep(2.0)
+    assert await send_well_behaved(system, 50, "/other/x") < 1.0
+    assert peak_mb(process_id) < MEMORY_MB
+    for _, writer in callers:
+        writer.transport.abort()
+
+
 async def read_with_pause(system, number, pause_s):
     """Read the beginning of a download, then the rest; return how much came."""
     address = system.gateways[0].settings.callers_address
