Free the body of a request with the request

Cause: UploadReader.end gave the bytes back to BodyMemory, but the body stayed. The execution of a request was part of reference cycles (its ServerChooser held its bound method), so that only a collection of the oldest generation freed it. A connection to a server keeps the context of the task that opened it, and with it the check before sending and the request. The error of a truncated body keeps its traceback, which names the request. Change: the time of a request and whether it was handed over are objects of their own that refer to nothing else of the execution; the check is taken out of the context when it no longer applies; the traceback is dropped.

--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -5,6 +5,7 @@
 __all__ = ["RequestExecution"]
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from .attempt_sender import AttemptSender
@@ -22,12 +23,11 @@
 from .model import Backend, Route, Service
 from .owner_lookup import MOVING_RETRY_S, ServerChoice
 from .request_dependencies import RequestDependencies
+from .request_time import RequestTime
 from .retry_budget import RetryBudget
 from .server_chooser import ServerChooser
 from .waiting import ShutdownTimeout
 
-DEFAULT_TIMEOUT_S = 30.0
-
 INITIAL_BACKOFF_S = 0.02
 """Delay before a request is sent to the same server again; doubles with each attempt. A
 full server needs about this long to free a slot."""
@@ -48,6 +48,22 @@
     result: AttemptResult
 
 
+class _Handover:
+    """Whether the present attempt of a request may have reached a server.
+
+    :param check_caller: see :class:`CallerRequest`.
+    """
+
+    def __init__(self, check_caller: Callable[[], None]) -> None:
+        self.was_sent = False
+        self._check_caller = check_caller
+
+    def check_wanted(self) -> None:
+        """Check whether the caller is still there; the request is sent next."""
+        self._check_caller()
+        self.was_sent = True
+
+
 class RequestExecution:
     """Executes one request.
 
@@ -68,17 +84,11 @@
         self._route = route
         self._service = service
         self._loop = asyncio.get_running_loop()
-        timeout_s = request.timeout_s
-        if timeout_s is None:
-            timeout_s = DEFAULT_TIMEOUT_S
-        self._deadline_s = request.received_s + min(timeout_s, route.timeout_s)
-        # The loop's clock stops while the host is suspended, but the caller's does not.
-        self._boot_deadline_s = boottime_s() + self._deadline_s - self._loop.time()
-        self._window = dependencies.shutdown_window
-        self._was_handed_over = False
+        self._time = RequestTime(request, route, dependencies.shutdown_window)
+        self._handover = _Handover(request.check_wanted)
         self._sender = AttemptSender(
             dependencies,
-            request._replace(check_wanted=self._check_before_sending),
+            request._replace(check_wanted=self._handover.check_wanted),
             service,
         )
         self._results: list[AttemptResult] = []
@@ -86,12 +96,12 @@
         self._fingerprint: int | None = None
         self._kept: _KeptSlot | None = None
         self._chooser = ServerChooser(
-            dependencies, request, route, service, self._remaining_s
+            dependencies, request, route, service, self._time.remaining_s
         )
 
     async def run(self) -> Response:
         """Return the response."""
-        timeout = ShutdownTimeout(self._window)
+        timeout = ShutdownTimeout(self._dependencies.shutdown_window)
         try:
             async with timeout:
                 return await self._run()
@@ -103,7 +113,7 @@
             self._give_back_kept()
 
     async def _run(self) -> Response:
-        if not self._is_taken():
+        if not self._time.is_admitted():
             return self._respond_leaving()
         self._retry_budget.record_request(self._loop.time())
         if self._service.keyed:
@@ -117,7 +127,7 @@
             if blocked_left_s:
                 return self._respond_blocked(blocked_left_s)
             choice = await self._choose()
-            if self._own_remaining_s() < MIN_ATTEMPT_S:
+            if self._time.own_remaining_s() < MIN_ATTEMPT_S:
                 # The wait for an owner, or a suspension, has used up the time.
                 self._chooser.give_back(choice)
                 choice = ServerChoice(None, "too-little-time")
@@ -136,30 +146,14 @@
                 self._retry_budget.record_retry(self._loop.time())
             await self._back_off(result)
 
-    def _is_taken(self) -> bool:
-        """Return whether the request ends before a process that is to stop."""
-        return self._window.admits(
-            self._deadline_s,
-            idempotent=self._route.idempotent,
-            now_s=self._loop.time(),
-        )
-
     def _ends_in_time(self, backend: Backend) -> bool:
         """Return whether a server responds before a process that is to stop ends."""
-        if not self._window.is_open:
+        if not self._dependencies.shutdown_window.is_open:
             return True
-        return self._window.admits_attempt(
-            self._deadline_s,
-            self._dependencies.pool.latency_s(backend, boottime_s()),
-            idempotent=self._route.idempotent,
-            now_s=self._loop.time(),
+        return self._time.admits_attempt(
+            self._dependencies.pool.latency_s(backend, boottime_s())
         )
 
-    def _check_before_sending(self) -> None:
-        """Check whether the caller is still there; the server gets the request then."""
-        self._request.check_wanted()
-        self._was_handed_over = True
-
     def _blocked_left_s(self) -> float:
         """Return for how much longer the request is sent to no server, mostly 0."""
         ledger = self._dependencies.crash_ledger
@@ -185,23 +179,10 @@
 
         An attempt that was cut off has no result.
         """
-        return self._was_handed_over or any(
+        return self._handover.was_sent or any(
             result.outcome not in NOT_EXECUTED_OUTCOMES for result in self._results
         )
 
-    def _remaining_s(self) -> float:
-        """Return the time until a response is due, or can't be sent any more."""
-        return min(
-            self._own_remaining_s(), self._window.last_response_s - self._loop.time()
-        )
-
-    def _own_remaining_s(self) -> float:
-        """Return the time until the caller or the operator gives the request up."""
-        return min(
-            self._deadline_s - self._loop.time(),
-            self._boot_deadline_s - boottime_s(),
-        )
-
     async def _choose(self) -> ServerChoice:
         """Return the server for the next attempt, by a slot that was kept if any."""
         kept, self._kept = self._kept, None
@@ -234,7 +215,7 @@
             result = await self._sender.send(
                 len(self._results) + 1,
                 backend,
-                self._remaining_s(),
+                self._time.remaining_s(),
                 slot.handle_response_start,
             )
         finally:
@@ -244,7 +225,7 @@
                 slot.end(result)
         self._chooser.tried.append(backend.server)
         self._results.append(result)
-        self._was_handed_over = False
+        self._handover.was_sent = False
         if was_received([result]):
             self._receivers.add(backend.server)
         return result
@@ -263,7 +244,7 @@
             self._route,
             self._results,
             servers,
-            self._remaining_s(),
+            self._time.remaining_s(),
             expected_s,
             has_alternative,
             self._retry_budget.allows(self._loop.time(), hosts),
@@ -295,7 +276,7 @@
         """
         if result.outcome is Outcome.NOT_OWNER:
             await self._dependencies.owners.wait_for_update(
-                min(NEW_OWNER_WAIT_S, max(0.0, self._remaining_s()))
+                min(NEW_OWNER_WAIT_S, max(0.0, self._time.remaining_s()))
             )
         owned = self._dependencies.owners.owner_of(
             self._service.name, self._request.key
@@ -316,14 +297,14 @@
             return
         backoff_s = INITIAL_BACKOFF_S * 2 ** (len(self._results) - 1)
         backoff_s *= 0.5 + self._dependencies.random.random()
-        if backoff_s < self._remaining_s():
+        if backoff_s < self._time.remaining_s():
             await asyncio.sleep(backoff_s)
 
     def _respond_without_server(self, choice: ServerChoice) -> Response:
         """Return the response when there is no server for the next attempt."""
         if self._may_have_executed():
             return self._respond_locally(choice.reason, 502)
-        if self._own_remaining_s() < MIN_ATTEMPT_S:
+        if self._time.own_remaining_s() < MIN_ATTEMPT_S:
             return self._respond_locally(choice.reason, 504)
         return self._respond_unavailable(
             choice.reason, choice.wait_s, choice.is_planned
--- a/src/jacinthpath/platform/send_check.py
+++ b/src/jacinthpath/platform/send_check.py
@@ -22,17 +22,31 @@
 Check = Callable[[CIMultiDict[str]], None]
 """Called with the header fields, which it may change; raises to prevent the sending."""
 
-_check: ContextVar[Check | None] = ContextVar("check", default=None)
+
+class _Holder:
+    """Holds the check of a task while it applies.
+
+    A connection that is opened meanwhile keeps the context of the task as long as it
+    lives, and must not keep the request with it.
+    """
+
+    def __init__(self, check: Check) -> None:
+        self.check: Check | None = check
+
+
+_holder: ContextVar[_Holder | None] = ContextVar("holder", default=None)
 
 
 @contextmanager
 def checking_before_sending(check: Check) -> Iterator[None]:
     """Have the requests of this task checked just before their first byte is sent."""
-    token = _check.set(check)
+    holder = _Holder(check)
+    token = _holder.set(holder)
     try:
         yield
     finally:
-        _check.reset(token)
+        holder.check = None
+        _holder.reset(token)
 
 
 class CheckedRequest(aiohttp.ClientRequest):
@@ -53,6 +67,6 @@
         await super().write_bytes(writer, connection, *args)
 
     def _run_check(self) -> None:
-        check = _check.get()
-        if check is not None:
-            check(self.headers)
+        holder = _holder.get()
+        if holder is not None and holder.check is not None:
+            holder.check(self.headers)
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -141,6 +141,8 @@
         except TimeoutError:
             return AttemptResult(Outcome.TIMED_OUT, "no response in time")
         except aiohttp.ClientPayloadError as error:
+            # The body keeps the error, whose traceback would keep the request.
+            error.with_traceback(None)
             return AttemptResult(Outcome.BROKEN, str(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return AttemptResult(
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from jacinthpath.gateway import request_execution
+from jacinthpath.gateway import request_time
 from jacinthpath.gateway.clock import boottime_s
 from jacinthpath.gateway.server_chooser import ServerChooser
 from jacinthpath.gateway.service import LEAVE_ROTATION_S
@@ -294,7 +294,7 @@
 
     async def choose_and_suspend(self, is_retry):
         choice = await choose(self, is_retry)
-        monkeypatch.setattr(request_execution, "boottime_s", lambda: boottime_s() + 5)
+        monkeypatch.setattr(request_time, "boottime_s", lambda: boottime_s() + 5)
         return choice
 
     monkeypatch.setattr(ServerChooser, "choose", choose_and_suspend)
