Hand the body of a request to its connection in parts

Cause: a body was written at once. What the server had not read was in the buffer of the connection too, and while it was handed over in two more copies, head and body joined and what was left of them; BodyMemory allows for two in all. Change: RequestBody writes 64 KiB at a time, each once the connection takes more, so that the body is there once. If a server responds before it has read the whole, the connection is closed instead of used on.

--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -36,6 +36,7 @@
     SIGNATURE,
 )
 from .http import HOP_BY_HOP_FIELDS, open_session
+from .request_body import RequestBody
 from .response_body import ServerBodyStream, read_body
 from .send_check import CheckedRequest, checking_before_sending
 from .server_connections import ServerConnector
@@ -125,7 +126,7 @@
                         request.method,
                         url,
                         headers=headers,
-                        data=request.body or None,
+                        data=RequestBody(request.body) if request.body else None,
                         allow_redirects=False,
                     )
                 result = await self._read_response(
