Parse few heads of a server that sends them without end

Cause: the parser reads all heads in 64 KiB, some 2,600, before the first that is not due is refused. That took 36 ms for one connection, in one pass of the event loop (measured alone), and two seconds for 60. Change: interim responses are counted before they are parsed; up to the end of a head 4 KiB are parsed at a time, and a second final response breaks the exchange.

--- a/src/jacinthpath/platform/response_heads.py
+++ b/src/jacinthpath/platform/response_heads.py
@@ -18,6 +18,9 @@
 
 NO_CONTENT = 204
 
+MAX_INTERIM_RESPONSES = 8
+"""Interim (1xx) responses that are skipped before a final one."""
+
 MAX_NAMED_BYTES = 60
 """Bytes of an invalid line which are named in the log."""
 
@@ -36,18 +39,22 @@
 
 
 class HeadCheck:
-    """Checks the heads of one exchange, the interim ones included."""
+    """Checks the heads of one exchange, the interim ones included.
+
+    :ivar in_head: whether the final head is not complete yet.
+    """
 
     def __init__(self) -> None:
+        self.in_head = True
         self._head: bytes | bytearray = b""
-        self._in_head = True
+        self._interim_responses = 0
 
     def find_fault(self, data: bytes) -> str:
         """Return what is wrong with a head, empty if nothing is up to here.
 
         :param data: the next bytes of the exchange, which may include some of the body.
         """
-        if not self._in_head:
+        if not self.in_head:
             return ""
         known_bytes = len(self._head)
         if known_bytes:
@@ -62,9 +69,12 @@
             if match is None:
                 return _describe_fault(bytes(self._head[start:end]))
             if match[1] != b"1":
-                self._in_head = False
+                self.in_head = False
                 self._head = b""
                 return ""
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                return "interim responses without end"
             start = end
             end = self._head.find(_END, start)
         return self._keep_incomplete(start, known_bytes)
--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -14,15 +14,16 @@
 from .headers import ATTEMPT_ID
 from .response_heads import HeadCheck, find_framing_fault
 
-MAX_INTERIM_RESPONSES = 8
-"""Interim (1xx) responses that are skipped before a final one."""
-
 KEPT_ATTEMPT_IDS = 32
 """Attempt ids that a connection remembers: a retry soon follows its first attempt."""
 
 READ_BYTES = 64 * 1024
 """Bytes read from a connection at a time; asyncio's default is 256 KiB."""
 
+PARSED_BYTES = 4 * 1024
+"""Bytes that are parsed at a time up to the end of a head. The parser reads all heads
+in them before the first is refused."""
+
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
 """Bytes of a response outside of its body, such as chunk headers and trailers, are
@@ -82,8 +83,9 @@
         self._attempt_id = ""
         self._earlier_attempt_ids: deque[str] = deque(maxlen=KEPT_ATTEMPT_IDS)
         self._exchanging = False
-        self._interim_responses = 0
         self._received_bytes = 0
+        self._has_response = False
+        self._is_broken = False
         self._head_check = HeadCheck()
 
     def connection_made(self, transport: Any) -> None:
@@ -99,8 +101,8 @@
         """Expect the response to a request with this attempt id."""
         self._attempt_id = attempt_id
         self._exchanging = True
-        self._interim_responses = 0
         self._received_bytes = 0
+        self._has_response = False
         self._head_check = HeadCheck()
 
     def end_exchange(self) -> None:
@@ -115,10 +117,19 @@
             self._break("bytes without a request")
             return
         # Bytes that arrive before there is a parser are passed here again.
+        in_head = self._parser is not None and self._head_check.in_head
         fault = self._head_check.find_fault(data) if data and self._parser else ""
         if fault:
             self._break(fault)
             return
+        part_bytes = PARSED_BYTES if in_head else len(data)
+        for start in range(0, len(data), part_bytes) if data else (0,):
+            self._parse(data[start : start + part_bytes])
+            if self._is_broken:
+                return
+
+    def _parse(self, data: bytes) -> None:
+        """Pass bytes to the parser, and check that they hold enough of a body."""
         self._received_bytes += len(data)
         super().data_received(data)
         payload = self._payload
@@ -134,14 +145,14 @@
         if fault:
             self._break(fault)
             return
-        if 100 <= head.code < 200:
-            self._interim_responses += 1
-            if self._interim_responses > MAX_INTERIM_RESPONSES:
-                self._break("interim responses without end")
-                return
-        elif not self._is_due(head):
+        is_interim = 100 <= head.code < 200
+        if not is_interim and not self._is_due(head):
             self._break("response to another request")
             return
+        if self._has_response:
+            self._break("response after the whole one")
+            return
+        self._has_response = not is_interim
         super().feed_data(data, size)
 
     def connection_lost(self, error: BaseException | None) -> None:
@@ -170,6 +181,7 @@
 
     def _break(self, detail: str) -> None:
         """Close the connection at once; a response in progress is broken."""
+        self._is_broken = True
         error = aiohttp.ClientPayloadError(detail)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
--- a/tests/test_invalid_heads.py
+++ b/tests/test_invalid_heads.py
@@ -195,6 +195,33 @@
         await server.closed_by_client.wait()
 
 
+SHORT = b"HTTP/1.1 200 E\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+FLOODS = {
+    "interim": b"HTTP/1.1 100 E\r\n\r\n",
+    "whole": SHORT,
+    "others": SHORT.replace(b"Id: a", b"Id: b"),
+}
+
+
+@pytest.mark.parametrize("name", FLOODS)
+async def test_few_heads_of_a_flood_are_parsed(connected, monkeypatch, name):
+    """Guards against an event loop that is held by bytes without end from one server,
+    so that other callers of the host are refused (report of issue 52)."""
+    client, server, backend = connected
+    parsed = []
+    find_fault = server_connections.find_framing_fault
+    monkeypatch.setattr(
+        server_connections,
+        "find_framing_fault",
+        lambda head: parsed.append(head) or find_fault(head),
+    )
+    server.response = FLOODS[name] * (1024 * 1024 // len(FLOODS[name]))
+    await send(client, backend)
+    async with asyncio.timeout(0.5):
+        await server.closed_by_client.wait()
+    assert len(parsed) <= server_connections.PARSED_BYTES // len(FLOODS[name]) + 1
+
+
 @pytest.mark.parametrize("name", [n for n in INVALID if n in INVALID_FIELDS])
 async def test_invalid_field_in_parts_is_a_broken_response(connected, name):
     client, server, backend = connected
