Keep a crash explained when the block of its cause is dropped

Cause: a crash counted as explained only while a block of one of its suspects was kept. The ledger keeps 256; beyond that the newest block drops the oldest, whose crashes then wanted a cause again. Blocking that dropped the next, so that block_causes never ended. Change: a crash remembers that a suspect of it was blocked, from before the blocks are kept. Each pass now explains a crash for good, or prolongs a block, so the loop ends.

--- a/src/jacinthpath/gateway/crash_ledger.py
+++ b/src/jacinthpath/gateway/crash_ledger.py
@@ -72,11 +72,16 @@
 
 
 class _Crash:
-    """The crash of one incarnation of a server."""
+    """The crash of one incarnation of a server.
+
+    :ivar is_explained: whether one of its suspects has been blocked, also if the block
+        is over or was dropped for others.
+    """
 
     def __init__(self, observed_s: float) -> None:
         self.observed_s = observed_s
         self.suspects: set[int] = set()
+        self.is_explained = False
 
 
 class CrashLedger:
@@ -111,6 +116,8 @@
         self._forget_old(now_s)
         newly_blocked = []
         while causes := self._find_causes(now_s):
+            # Before any block: the last ones may drop the first.
+            self._explain_crashes(causes)
             for fingerprint in causes:
                 newly_blocked.append(self._block(fingerprint, now_s))
         return newly_blocked
@@ -159,10 +166,12 @@
         for crash in self._crashes.values():
             if now_s - crash.observed_s < SETTLING_S:
                 continue
-            if crash.suspects.isdisjoint(self._blocked):
-                counts.update(crash.suspects)
-            else:
+            if not crash.suspects.isdisjoint(self._blocked):
+                crash.is_explained = True
+            if crash.is_explained:
                 counts.update(self._returning(crash))
+            else:
+                counts.update(crash.suspects)
         sufficient = {
             fingerprint: count
             for fingerprint, count in counts.items()
@@ -171,6 +180,12 @@
         most = max(sufficient.values(), default=0)
         return [one for one, count in sufficient.items() if count == most]
 
+    def _explain_crashes(self, causes: list[int]) -> None:
+        """Suspect no other request of the crashes at which a cause was there."""
+        for crash in self._crashes.values():
+            if not crash.suspects.isdisjoint(causes):
+                crash.is_explained = True
+
     def _returning(self, crash: _Crash) -> list[int]:
         """Return the suspects that crashed a server after their block was over."""
         return [
--- a/tests/test_crash_ledger.py
+++ b/tests/test_crash_ledger.py
@@ -40,6 +40,20 @@
     assert blocked_by(ledger_with({1, 2}, {1, 3}, {1, 4})) == {1}
 
 
+def test_more_causes_than_are_remembered_are_blocked_once_each():
+    """Guards against an event loop that is held for good: blocks that had been dropped
+    for others were decided again without end (review/8)."""
+    groups = [set(range(first, first + 5)) for first in range(0, 320, 5)]
+    ledger = ledger_with(*(group for group in groups for _ in range(CRASHES_TO_BLOCK)))
+    decided = [one.fingerprint for one in ledger.block_causes(SETTLING_S)]
+    assert sorted(decided) == list(range(320))
+    assert len(ledger.blocked(SETTLING_S)) == MAX_BLOCKED
+    assert ledger.block_causes(2 * SETTLING_S) == []
+    ledger.record(CrashReport(319, "s999", 1, SETTLING_S + BLOCK_S + 1))
+    again = blocked_by(ledger, 3 * SETTLING_S + BLOCK_S + 1)
+    assert again == {319}
+
+
 def test_ends_of_one_incarnation_count_once():
     """Guards against blocking by the reports of many hosts on one end."""
     ledger = CrashLedger()
