Count the grace period from the arrival of the signal

Cause: a drain counted its time from the pass of the event loop in which it began. After a late pass, a host closed its last connections too near its kill, or after it. Change: the drain asks the loop since when the signal may have waited, which lies five passes back at its beginning.

--- a/src/jacinthpath/gateway/loop_delay.py
+++ b/src/jacinthpath/gateway/loop_delay.py
@@ -35,8 +35,9 @@
 MAX_DELAY_S = 0.2
 """After a longer delay, a timeout of the process says nothing about the other end."""
 
-REMEMBERED_PASSES = 4
-"""Passes from reading a request or frame until a task handles it, at most."""
+REMEMBERED_PASSES = 6
+"""Passes from reading a request, a frame or a signal until a task handles it, at most,
+and the one in which it was read."""
 
 
 class LatePass(NamedTuple):
--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -20,6 +20,7 @@
 from .assigner import Assigner
 from .capacity.appointer import CoordinatorAppointer
 from .capacity.slot_service import SlotService
+from .clock import boottime_s
 from .cluster_view import HOSTS_PREFIX, ClusterView
 from .crash_detector import CrashDetector
 from .events import EventLog
@@ -61,6 +62,9 @@
 )
 """Loops without which a host does not learn what is in force."""
 
+PASSES_UNTIL_DRAIN = 5
+"""Passes of the event loop from reading a signal until the drain begins."""
+
 DRAIN_POLL_S = 0.02
 WATCH_CALLERS_INTERVAL_S = 0.1
 LOG_FLUSH_INTERVAL_S = 0.5
@@ -188,7 +192,10 @@
         :return: number of requests that were not finished in time.
         """
         loop = asyncio.get_running_loop()
-        self._shutdown_window.open(loop.time(), self.settings.timing.grace_s)
+        # The grace period began when the signal arrived, not when the loop saw it.
+        age_s = boottime_s() - self._loop_delay.earliest_arrival_s(PASSES_UNTIL_DRAIN)
+        signalled_s = loop.time() - age_s
+        self._shutdown_window.open(signalled_s, self.settings.timing.grace_s)
         self._events.log_process_event("draining", in_flight=self._forwarder.in_flight)
         await self._election.resign()
         await asyncio.sleep(LEAVE_ROTATION_S)
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -1,11 +1,15 @@
 """A planned stop of a gateway: what it takes until its end, and what it refuses."""
 
 import asyncio
+import os
+import signal
+import time
 from typing import NamedTuple
 
 import pytest
 
-from jacinthpath.gateway.shutdown_window import ShutdownWindow
+from jacinthpath import daemon
+from jacinthpath.gateway.shutdown_window import EXIT_MARGIN_S, ShutdownWindow
 from jacinthpath.gateway.waiting import ShutdownTimeout
 from standins.platform_documents import CONFIGURATION_KEY, configuration, route
 
@@ -135,6 +139,43 @@
     assert statuses["/read/a", 0.2] == 200
 
 
+class StartedService:
+    """What a daemon sees of a gateway that a test has started."""
+
+    def __init__(self, gateway):
+        self.drain = gateway.drain
+
+    async def start(self):
+        pass
+
+    async def wait(self):
+        await asyncio.Event().wait()
+
+    async def stop(self):
+        pass
+
+
+async def test_grace_period_counts_from_the_arrival_of_the_signal(system):
+    """Guards against a host that is killed in its drain because its event loop was late
+    when the signal came."""
+    loop = asyncio.get_running_loop()
+    window = system.gateways[0]._shutdown_window
+    running = asyncio.create_task(daemon._run(StartedService(system.gateways[0])))
+    await asyncio.sleep(0.2)
+
+    def hold_loop():
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.8)
+
+    signalled_s = loop.time()
+    loop.call_soon(hold_loop)
+    async with asyncio.timeout(2.0):
+        while not window.is_open:
+            await asyncio.sleep(0.01)
+    assert window.end_s <= signalled_s + GRACE_S - EXIT_MARGIN_S + 0.05
+    assert await running == 0
+
+
 def test_window_takes_what_ends_in_time():
     window = ShutdownWindow()
     assert window.admits(100.0, idempotent=False, now_s=0.0)
