Stop hosts of the soak by a series of signals; test what servers are at work on

Cause: the soak sent one SIGTERM, so that it could not find that a second one ended a process at once. No test had requests in flight whose servers outlast the process. Change: four more follow within 2.6 s. test_stop_answers_requests_whose_servers_are_at_work expects 504 before the end.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -52,6 +52,7 @@
 
 STORE_MODES = ["busy", "silent", "lossy"]
 RESTART_DELAY_S = 0.5
+REPEATED_SIGNAL_PAUSES_S = (0.3, 0.7, 0.05, 1.5)
 MAX_COPY_AGE_S = 3.0
 INTERPRETER_START_S = 0.2
 CONTACT_S = 3.0
@@ -137,6 +138,7 @@
     process = gateway.process
     terminated_s = time.monotonic()
     gateway.send_signal(signal.SIGTERM)
+    repeating = asyncio.create_task(_repeat_signal(process))
     try:
         async with asyncio.timeout(GRACE_PERIOD_S):
             await process.wait()
@@ -145,9 +147,20 @@
         was_paused = gateway.paused_until_s >= terminated_s
         gateway.killed_after_grace = gateway.process is process and not was_paused
         await gateway.kill()
+    finally:
+        repeating.cancel()
     await gateway.restart()
 
 
+async def _repeat_signal(process: asyncio.subprocess.Process) -> None:
+    """Send SIGTERM again while a process stops; that changes nothing."""
+    for pause_s in REPEATED_SIGNAL_PAUSES_S:
+        await asyncio.sleep(pause_s)
+        if process.returncode is not None:
+            return
+        process.send_signal(signal.SIGTERM)
+
+
 @fault("host-terminated-under-uploads")
 async def _terminate_under_uploads(system: System, _duration_s: float) -> None:
     """A host is stopped while uploads arrive slowly, for servers that work for long."""
--- a/tests/test_waits_at_shutdown.py
+++ b/tests/test_waits_at_shutdown.py
@@ -129,6 +129,21 @@
         assert min(refused_s) < 0.5, sorted(refused_s)
 
 
+async def test_stop_answers_requests_whose_servers_are_at_work(fleet):
+    """Guards against connections that a stop closes without a word while a server has
+    the request, so that the caller can't tell it from one that nobody has read."""
+    for server in fleet.servers.values():
+        server.fault = "silent"
+    sent = send_crowd(fleet, 0, 2)
+    await asyncio.sleep(2 * WORK_S)
+    stopped_at_s = time.monotonic()
+    await fleet.gateways[0].drain()
+    await fleet.gateways[0].stop()
+    replies = await asyncio.gather(*sent.values())
+    assert [status for status, _, _ in replies] == [504] * len(sent)
+    assert all(5.0 < ended_s - stopped_at_s < GRACE_S for _, _, ended_s in replies)
+
+
 @pytest.mark.parametrize("rotation_s", [service.LEAVE_ROTATION_S, 0.1])
 async def test_coordinator_that_stops_costs_no_request_of_other_hosts(
     fleet, monkeypatch, rotation_s
