Let Hypothesis read the modules before the first test

Cause: test_what_hosts_refuse_has_an_error failed beside load since its first inputs were too slow. With the first input of a checkout Hypothesis reads all modules for constants, and counts that in its check of speed: 1.43 s and a failure in a fresh checkout, 0.62 s in the next run of the same one, which has them cached (load 14). Change: tests/conftest.py generates one input after the tests were collected. The check of speed stays on for every test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck, given, settings, strategies as st
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
@@ -44,6 +45,21 @@
     config.stash[_RED_KEY] = [item.nodeid for item in red]
 
 
+def pytest_collection_finish():
+    """Have Hypothesis read the modules for constants before the first test.
+
+    It does so with the first input that it generates, once for each checkout, and the
+    time counts in its check of how fast inputs are generated.
+    """
+
+    @settings(max_examples=1, suppress_health_check=[HealthCheck.too_slow])
+    @given(st.integers(), st.text())
+    def generate_first_input(_integer, _text):
+        pass
+
+    generate_first_input()
+
+
 def pytest_terminal_summary(terminalreporter, config):
     for node_id in config.stash.get(_RED_KEY, []):
         terminalreporter.write_line(f"known red, not run: {node_id}")
