Do not report a restarted server as one that leaves

Cause: a host remembered by name which servers had said so, and reported each with the start time that was listed now. The leader took the new incarnation for leaving and told the others, so that each report renewed the next. Change: what a server has said holds for the incarnation that said it. Result: test_server_that_was_started_again_has_not_said_that_it_leaves failed before and passes.

--- a/src/jacinthpath/gateway/directory.py
+++ b/src/jacinthpath/gateway/directory.py
@@ -77,7 +77,7 @@
         self._deferred_until_s = float("-inf")
         self.draining_since_s: dict[str, float] = {}
         self._leaving: dict[str, int] = {}
-        self._observed_leaving: set[str] = set()
+        self._observed_leaving: dict[str, int] = {}
         self._removed: dict[str, _RemovedServer] = {}
         self._outdated_revisions: dict[str, int] = {}
         self.version = 0
@@ -136,7 +136,7 @@
         current = self._present.get(server)
         if current is None or current.started_ms != started_ms:
             return False
-        self._observed_leaving.add(server)
+        self._observed_leaving[server] = started_ms
         if current.draining:
             return False
         _remember(self._leaving, server, started_ms)
@@ -159,8 +159,16 @@
         return backend
 
     def observed_leaving(self) -> list[Backend]:
-        """Return the servers that are listed and have said that they are leaving."""
-        self._observed_leaving &= self._present.keys()
+        """Return the servers that are listed and have said that they are leaving.
+
+        One that was started again under its id has not.
+        """
+        self._observed_leaving = {
+            server: started_ms
+            for server, started_ms in self._observed_leaving.items()
+            if server in self._present
+            and self._present[server].started_ms == started_ms
+        }
         return [self._present[server] for server in self._observed_leaving]
 
     def remove(self, server: str, revision: int, now_s: float) -> None:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -130,6 +130,18 @@
     assert follower.digest() == leader.digest()
 
 
+def test_server_that_was_started_again_has_not_said_that_it_leaves():
+    """Guards against reports that name a new incarnation for what the last one said, so
+    that no host sends it anything (soak seed 52106)."""
+    directory = ServerDirectory()
+    directory.put(backend("s1"), 0.0)
+    assert directory.mark_leaving("s1", 1, 0.0)
+    assert [one.started_ms for one in directory.observed_leaving()] == [1]
+    directory.put(backend("s1", started_ms=2, revision=2), 1.0)
+    assert directory.observed_leaving() == []
+    assert server_states(directory) == {("s1", 2, False)}
+
+
 def test_no_server_delta_from_an_unknown_digest():
     leader = ServerDirectory()
     leader.put(backend("s1"), 0.0)
