Send repeated signals without taking the exit status

Cause: test_repeated_sigterm_changes_nothing failed once in a run beside other load with status 255. Popen.send_signal polls the process first; where that takes the exit status, asyncio does not get it and reports 255. The process had ended by itself. Change: the test and the soak send the signals by os.kill.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import json
+import os
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 from .system import CRASHING_PATH, GRACE_PERIOD_S, Gateway, System
@@ -158,7 +160,9 @@
         await asyncio.sleep(pause_s)
         if process.returncode is not None:
             return
-        process.send_signal(signal.SIGTERM)
+        # Popen.send_signal could take the exit status away from asyncio.
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, signal.SIGTERM)
 
 
 @fault("host-terminated-under-uploads")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,7 +1,9 @@
 """Shutdown of entry processes under load by real signals."""
 
 import asyncio
+import os
 import signal
+from contextlib import suppress
 
 import pytest_asyncio
 
@@ -70,8 +72,10 @@
         await asyncio.sleep(0.1)
     assert (await pending)[0] == 200
     while entry.handle.returncode is None:
-        # Signals may also come while the process ends.
-        entry.signal(signal.SIGTERM)
+        # Signals may also come while the process ends. Popen.send_signal would take its
+        # exit status away from asyncio, which then reports 255.
+        with suppress(ProcessLookupError):
+            os.kill(entry.handle.pid, signal.SIGTERM)
         await asyncio.sleep(0.005)
     assert entry.handle.returncode == 0
     log = entry.output.read_text()
