Name the reason why an entry process gives a sent request up

Change: the error says again that the deadline passed; where the host stopped, it says so, with the reason leaving.

--- a/src/jacinthpath/forwarding.py
+++ b/src/jacinthpath/forwarding.py
@@ -178,12 +178,7 @@
                 return await self._attempt_until_answered(exchange, response, progress)
         except TimeoutError:
             if progress.may_have_reached_endpoint:
-                raise OutcomeUnknown(
-                    "The time ended after the request was sent to an endpoint.",
-                    "Ask for its outcome with the same idempotency key.",
-                    status=504,
-                    kind="deadline-exceeded",
-                ) from None
+                raise self._interrupted_error(exchange) from None
             raise self._out_of_time_error(exchange) from None
 
     async def _attempt_until_answered(
@@ -325,9 +320,20 @@
         self.in_flight += change
         self._metrics.gauge("requests_in_flight", self.in_flight)
 
+    def _interrupted_error(self, exchange: HttpExchange) -> OutcomeUnknown:
+        """Return why a request that may have been sent is given up."""
+        is_leaving = _has_time_left(exchange)
+        return OutcomeUnknown(
+            f"{'This host stopped' if is_leaving else 'The deadline passed'} after the "
+            "request was sent to an endpoint.",
+            "Ask for its outcome with the same idempotency key.",
+            status=504,
+            kind="leaving" if is_leaving else "deadline-exceeded",
+        )
+
     def _out_of_time_error(self, exchange: HttpExchange) -> NotRun:
         """Return why a request that was not sent is given up."""
-        if asyncio.get_running_loop().time() < exchange.deadline_s:
+        if _has_time_left(exchange):
             return self._leaving_error()
         return self._deadline_exceeded_error()
 
@@ -366,6 +372,10 @@
         self.may_have_reached_endpoint = False
 
 
+def _has_time_left(exchange: HttpExchange) -> bool:
+    return asyncio.get_running_loop().time() < exchange.deadline_s
+
+
 def _router_fault_error() -> OutcomeUnknown:
     return OutcomeUnknown(
         "The router failed because of an internal error.",
