--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -14,6 +14,7 @@
 from jacinthpath.gateway.exchange import BodyBroken
 from jacinthpath.platform.caller_connections import ConnectionServer
 from jacinthpath.platform.response_body import ServerBodyStream
+from standins.loopback import address_block
 from standins.platform_documents import SETTINGS, configuration, route
 
 from .gateway_system import ROUTES, GatewaySystem, free_port
@@ -61,8 +62,10 @@
     system.store.put("op/config", CONFIGURATION)
     ports = [free_port() for _ in range(3)]
     path = tmp_path / "gateway.toml"
+    # The metrics port is fixed, and another test run may use it.
+    ip = f"{address_block()}.1"
     text = SETTINGS.format(
-        name="g0", ip="127.0.0.1", store=system.store.address,
+        name="g0", ip=ip, store=system.store.address,
         peer_port=ports[0], front_port=ports[1], ready_port=ports[2],
     )  # fmt: skip
     path.write_text(text + LIMITS)
@@ -71,9 +74,9 @@
         stdout=asyncio.subprocess.DEVNULL,
         env={**os.environ, "PYTHONPATH": str(SOURCES)},
     )  # fmt: skip
-    system.address = f"127.0.0.1:{ports[1]}"
+    system.address = f"{ip}:{ports[1]}"
     try:
-        await wait_until_ready(system.session, f"http://127.0.0.1:{ports[2]}/-/ready")
+        await wait_until_ready(system.session, f"http://{ip}:{ports[2]}/-/ready")
         yield system, child.pid
     finally:
         child.kill()
