--- a/review/rig.py
+++ b/review/rig.py
@@ -12,6 +12,7 @@
     "Answer",
     "Connection",
     "Deployment",
+    "KeyedServer",
     "Reply",
     "Request",
     "Server",
@@ -184,6 +185,98 @@
         return "\r\n".join(lines).encode() + answer.body
 
 
+class Hold(NamedTuple):
+    """Keys that a server has been granted.
+
+    :param until_s: end of the hold on the monotonic clock.
+    """
+
+    first: int
+    last: int
+    fence: int
+    since_s: float
+    until_s: float
+
+
+class KeyedServer(Server):
+    """A server that runs requests for the keys that it has been granted.
+
+    :ivar holds: what it holds or has held. A grant that is renewed is several holds,
+        each of which begins when the one before ends.
+    """
+
+    def __init__(self, name: str, service: str, work_s: float = 0.02) -> None:
+        super().__init__(name, service, work_s)
+        self.holds: list[Hold] = []
+        self._fences: list[tuple[int, int, int]] = []
+
+    def held_at(self, key: int, at_s: float) -> Hold | None:
+        """Return the hold of a key at a time, if there is one."""
+        for hold in self.holds:
+            if hold.first <= key <= hold.last and hold.since_s <= at_s < hold.until_s:
+                return hold
+        return None
+
+    def spans(self, key: int) -> list[tuple[float, float]]:
+        """Return the times in which a key is held, without gaps inside each."""
+        spans: list[tuple[float, float]] = []
+        for hold in sorted(self.holds, key=lambda one: one.since_s):
+            if not hold.first <= key <= hold.last:
+                continue
+            if spans and hold.since_s <= spans[-1][1]:
+                spans[-1] = spans[-1][0], max(spans[-1][1], hold.until_s)
+            else:
+                spans.append((hold.since_s, hold.until_s))
+        return spans
+
+    async def _respond(self, request: Request) -> Answer:
+        expected = request.fields.get("x-expected-instance", self.name)
+        if expected == self.name and request.target in ("/-/grant", "/-/release"):
+            return self._obey(request.target, json.loads(request.body))
+        return await super()._respond(request)
+
+    async def answer(self, request: Request) -> Answer:
+        """Run a request for a key that is held; reject one for another key."""
+        key = int(request.fields["x-shard-key"])
+        if self.held_at(key, time.monotonic()) is None:
+            return Answer(421, executed=False)
+        return await super().answer(request)
+
+    def _obey(self, target: str, command: dict[str, Any]) -> Answer:
+        first, last, fence = command["from"], command["to"], command["fence"]
+        if target == "/-/grant" and self._highest_fence(first, last) > fence:
+            return Answer(409)
+        now_s = time.monotonic()
+        self._end_holds(first, last, now_s)
+        self._fences.append((first, last, fence))
+        if target == "/-/release":
+            return Answer(200, fields=(("X-Handover", f"handover-{self.name}"),))
+        hold_s = float(command["hold_time"].removesuffix("ms")) / 1000
+        self.holds.append(Hold(first, last, fence, now_s, now_s + hold_s))
+        return Answer(200)
+
+    def _highest_fence(self, first: int, last: int) -> int:
+        fences = [one[2] for one in self._fences if one[0] <= last and first <= one[1]]
+        return max(fences, default=0)
+
+    def _end_holds(self, first: int, last: int, now_s: float) -> None:
+        """End what is held of some keys; the other keys of a hold stay held."""
+        kept = []
+        for hold in self.holds:
+            if hold.until_s <= now_s or hold.last < first or last < hold.first:
+                kept.append(hold)
+                continue
+            if hold.first < first:
+                kept.append(hold._replace(last=first - 1))
+            if last < hold.last:
+                kept.append(hold._replace(first=last + 1))
+            middle = hold._replace(
+                first=max(first, hold.first), last=min(last, hold.last), until_s=now_s
+            )
+            kept.append(middle)
+        self.holds = kept
+
+
 class Connection:
     """A client's connection to a gateway."""
 
@@ -238,21 +331,24 @@
         self._ready_address = f"{self.ip}:{ready_port}"
         self._settings = folder / f"{self.name}.toml"
         self._log = folder / f"{self.name}.log"
-        self._settings.write_text(
-            SETTINGS.format(
-                name=self.name,
-                ip=self.ip,
-                front_port=front_port,
-                ready_port=ready_port,
-                peer_port=peer_port,
-                store=store_address,
-            )
-            + LIMITS
+        settings = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            front_port=front_port,
+            ready_port=ready_port,
+            peer_port=peer_port,
+            store=store_address,
         )
+        self._content = settings + LIMITS
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self) -> None:
-        """Start the process by the command of the deploy file."""
+    async def start(self, bootstrap: bool = False) -> None:
+        """Start the process by the command of the deploy file.
+
+        :param bootstrap: whether the whole system starts for the first time.
+        """
+        setting = f"bootstrap = {'true' if bootstrap else 'false'}\n"
+        self._settings.write_text(setting + self._content)
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"][ROLE]["run"].split(" ")
         environment = {
@@ -292,6 +388,7 @@
 
     :param routes: rows of the operator's table of routes.
     :param services: names of the services.
+    :param keyed: those of them that are divided by key.
     """
 
     def __init__(
@@ -300,13 +397,14 @@
         servers: Sequence[Server],
         routes: Sequence[list[Any]],
         services: Sequence[str],
+        keyed: Sequence[str] = (),
         gateways: int = 2,
     ) -> None:
         self.record = record
-        self.servers = servers
+        self.servers = [*servers]
         self.store = PlatformStoreStandIn("127.0.0.1:0")
         self.gateways: list[_Gateway] = []
-        self._routes, self._services = routes, services
+        self._routes, self._services, self._keyed = routes, services, keyed
         self._gateway_count = gateways
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._heartbeats: asyncio.Task[None] | None = None
@@ -314,16 +412,15 @@
     async def __aenter__(self) -> Deployment:
         """Start everything, and wait until all gateways are ready."""
         await self.store.start()
-        content = configuration(2, self._routes, keyed=(), services=self._services)
-        self.store.put(CONFIGURATION_KEY, content)
+        self.put_configuration()
         for server in self.servers:
             await server.start()
-        self._put_entries()
+        self.put_entries()
         self._heartbeats = asyncio.create_task(self._beat())
         for index in range(self._gateway_count):
             gateway = _Gateway(index, Path(self._folder.name), self.store.address)
             self.gateways.append(gateway)
-            await gateway.start()
+            await gateway.start(bootstrap=True)
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not all([await one.is_ready() for one in self.gateways]):
                 await asyncio.sleep(0.1)
@@ -341,14 +438,29 @@
         await self.store.close()
         self._folder.cleanup()
 
-    def _put_entries(self) -> None:
+    async def add_server(self, server: Server) -> None:
+        """Start another server, which writes its entry at once."""
+        await server.start()
+        self.servers.append(server)
+        self.put_entries()
+
+    def put_configuration(self) -> None:
+        """Write the configuration, as the operator does."""
+        content = configuration(
+            2, self._routes, keyed=self._keyed, services=self._services
+        )
+        self.store.put(CONFIGURATION_KEY, content)
+
+    def put_entries(self) -> None:
+        """Write the entries of all servers, as each does at its heartbeat."""
         for server in self.servers:
             self.store.put(f"servers/{server.name}", server.entry())
 
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            self._put_entries()
+            if self.store.mode == "up":
+                self.put_entries()
 
 
 def run_case(
