--- a/review/rig.py
+++ b/review/rig.py
@@ -109,6 +109,7 @@
     """A server without keys: runs requests, answers health checks, writes heartbeats.
 
     :ivar executed: requests that it has begun to work on.
+    :ivar state: what its entry says, "ready" or "draining".
     """
 
     def __init__(self, name: str, service: str, work_s: float = 0.02) -> None:
@@ -117,6 +118,7 @@
         self.work_s = work_s
         self.executed: list[Request] = []
         self.address = ""
+        self.state = "ready"
         self.born_ms = int(time.time() * 1000)
         self._sequence = 0
         self._listener: asyncio.Server | None = None
@@ -139,7 +141,7 @@
         """Return what the server writes to the store at a heartbeat."""
         self._sequence += 1
         info = {"service": self.service, "version": "v1", "zone": "a", "slots": 3}
-        status = {"state": "ready", "sequence": self._sequence, "warmup_left": "0ms"}
+        status = {"state": self.state, "sequence": self._sequence, "warmup_left": "0ms"}
         entry = {"info": info, "status": status}
         entry.update(address=self.address, born=self.born_ms)
         return json.dumps(entry).encode()
@@ -444,6 +446,15 @@
         self.servers.append(server)
         self.put_entries()
 
+    async def drain_server(self, server: Server, drain_s: float) -> None:
+        """Let a server drain, serve on for a time and end."""
+        server.state = "draining"
+        self.store.put(f"servers/{server.name}", server.entry())
+        await asyncio.sleep(drain_s)
+        self.servers.remove(server)
+        self.store.delete(f"servers/{server.name}")
+        await server.close()
+
     def put_configuration(self) -> None:
         """Write the configuration, as the operator does."""
         content = configuration(
@@ -480,7 +491,7 @@
 
         record(f"disruption: {'yes' if is_troubled() else 'no'}")
         try:
-            is_broken = asyncio.run(case(record))
+            is_broken = asyncio.run(_run_until_signal(case(record)))
         except Exception as error:
             record(f"the case could not run: {error!r}")
             sys.exit(EXIT_NOT_RUN)
@@ -488,6 +499,17 @@
     sys.exit(EXIT_BROKEN if is_broken else EXIT_HELD)
 
 
+async def _run_until_signal(case: Awaitable[bool]) -> bool:
+    """Run a case; a signal ends it, and with it the processes that it has started."""
+    task = asyncio.ensure_future(case)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        raise RuntimeError("The case was ended by a signal.") from None
+
+
 async def _read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]] | None:
     try:
         head = await reader.readuntil(b"\r\n\r\n")
