--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,102 +1,125 @@
-"""A server fails orders that it has begun to work on, with a status that promises."""
+"""A drill: all gateways lose power, and the store comes back from an older copy."""
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections import Counter
 from collections.abc import Callable
+from itertools import combinations
 from pathlib import Path
 
 from review.rig import (
-    Answer,
     Connection,
     Deployment,
-    Request,
+    KeyedServer,
     Server,
     is_troubled,
     run_case,
 )
 from standins.platform_documents import route
 
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses by which a client is told that an order has not run and never will."""
+SERVICE = "previews"
+CHECKED_KEYS = range(0, 65_536, 1_021)
+MAX_SHARED_S = 0.5
+"""Two servers may not hold the same keys for longer (RULES.md, OWNER)."""
 
-SERVERS = 8
-"""As the service for orders of the deployment has; one of them is in trouble."""
+SETTLED_S = 5.0
+JOIN_S = 2.6
+"""Time from the copy until another server is added."""
 
-PAUSE_S = 0.05
-TROUBLE_S = 8.0
-FAILING_TURNS = 2
-"""Every second order of the server in trouble fails."""
-
-FAILING_STATUSES = (503, 429)
-
-
-class OrderServer(Server):
-    """Books orders; in trouble, it fails some that it has begun to work on.
-
-    Its health check stays good. It says of none of these orders that it has not run.
-    """
-
-    def __init__(self, name: str, in_trouble: bool) -> None:
-        super().__init__(name, "orders")
-        self._in_trouble = in_trouble
-
-    async def answer(self, request: Request) -> Answer:
-        """Book the order, and fail afterwards if it is the turn of a failure."""
-        answer = await super().answer(request)
-        failure, is_other = divmod(len(self.executed), FAILING_TURNS)
-        if self._in_trouble and not is_other:
-            return Answer(FAILING_STATUSES[failure % len(FAILING_STATUSES)], b"failed")
-        return answer
+AWAY_S = 2.2
+COPY_AGE_S = 5.0
+WRITTEN_AGAIN_S = 0.3
+POWER_BACK_S = 0.1
+WATCHED_S = 9.0
 
 
 async def _case(record: Callable[[str], None]) -> bool:
-    servers = [
-        OrderServer(f"o{index}", in_trouble=is_troubled() and index == 0)
-        for index in range(SERVERS)
-    ]
-    routes = [route("order", "/order/", "orders", kind="non_idempotent")]
-    async with Deployment(record, servers, routes, ["orders"]) as deployment:
-        untrue = number = 0
-        until_s = time.monotonic() + TROUBLE_S
-        while time.monotonic() < until_s:
+    servers = [KeyedServer(f"k{index}", SERVICE) for index in range(3)]
+    routes = [route("preview", "/preview/", SERVICE), route("read", "/read/", "reads")]
+    services, keyed = ["reads", SERVICE], [SERVICE]
+    readers = [Server("r0", "reads"), Server("r1", "reads")]
+    async with Deployment(record, readers, routes, services, keyed, 3) as deployment:
+        await asyncio.sleep(SETTLED_S)
+        copied_s = time.monotonic()
+        copy = deployment.store.copy()
+        record("the copy is made; the first servers with keys start after it")
+        for server in servers:
+            await deployment.add_server(server)
+        clients = asyncio.create_task(_send_requests(deployment))
+        await asyncio.sleep(JOIN_S)
+        servers.append(KeyedServer("k3", SERVICE))
+        await deployment.add_server(servers[-1])
+        record("another server with keys is added")
+        if is_troubled():
+            await _drill(record, deployment, copy, copied_s)
+        await asyncio.sleep(WATCHED_S)
+        clients.cancel()
+    return _report(record, servers)
+
+
+async def _drill(
+    record: Callable[[str], None], deployment: Deployment, copy: object, copied_s: float
+) -> None:
+    """Let the store go away and the gateways lose power; then both come back."""
+    await asyncio.sleep(copied_s + COPY_AGE_S - AWAY_S - time.monotonic())
+    deployment.store.mode = "silent"
+    record("the store is away")
+    await asyncio.sleep(AWAY_S - POWER_BACK_S)
+    for gateway in deployment.gateways:
+        await gateway.kill()
+    record("all gateways have lost power")
+    await asyncio.sleep(POWER_BACK_S)
+    deployment.store.restore(copy)
+    deployment.store.mode = "up"
+    record(f"the store is back from the copy, {time.monotonic() - copied_s:.1f} s old")
+    for gateway in deployment.gateways:
+        await gateway.start()
+    await asyncio.sleep(WRITTEN_AGAIN_S)
+    deployment.put_configuration()
+    deployment.put_entries()
+    record("the operator and the servers have written again")
+
+
+async def _send_requests(deployment: Deployment) -> None:
+    """Send requests for keys all the time, each on a new connection."""
+    number = 0
+    while True:
+        for gateway in deployment.gateways:
             number += 1
-            address = deployment.gateways[number % 2].address
-            untrue += await _send_order(record, servers, address, number)
-            await asyncio.sleep(PAUSE_S)
-    bookings = Counter(one.body for server in servers for one in server.executed)
-    doubled = [body.decode() for body, count in bookings.items() if count > 1]
-    record(f"{untrue} answers promised that an order had not run, though it had")
-    record(f"booked more than once by clients that came back: {', '.join(doubled)}")
-    return untrue > 0
-
-
-async def _send_order(
-    record: Callable[[str], None], servers: list[OrderServer], address: str, number: int
-) -> int:
-    """Send an order, and once more after a promise; return the untrue promises."""
-    untrue = 0
-    for attempt in (f"order-{number}-first", f"order-{number}-again"):
-        connection = Connection(address)
-        body = f"order {number}".encode()
-        reply = await connection.ask("POST", "/order/x", attempt, 1_000, body)
-        await connection.close()
-        ran_at = [
-            server.name
-            for server in servers
-            if any(request.attempt == attempt for request in server.executed)
-        ]
-        is_untrue = reply.status in PROMISES and bool(ran_at)
-        untrue += is_untrue
-        record(
-            f"{attempt}: answered {reply.status}, signed {reply.is_from_server}, "
-            f"run by {ran_at}{'  <- untrue' if is_untrue else ''}"
+            connection = Connection(gateway.address)
+            key = str(CHECKED_KEYS[number % len(CHECKED_KEYS)])
+            await connection.ask(
+                "GET", "/preview/x", f"p{number}", 300, fields=[("X-Shard-Key", key)]
+            )
+            await connection.close()
+        await asyncio.sleep(0.02)
+
+
+def _report(record: Callable[[str], None], servers: list[KeyedServer]) -> bool:
+    """Record what was held; return whether two servers held a key for too long."""
+    for server in servers:
+        for hold in server.holds:
+            record(
+                f"{server.name} held {hold.first} to {hold.last}, fence {hold.fence}, "
+                f"from {hold.since_s:.2f} to {hold.until_s:.2f}"
+            )
+    longest_s = 0.0
+    shared_keys = 0
+    for key in CHECKED_KEYS:
+        shared_s = max(
+            min(ended, other_ended) - max(begun, other_begun)
+            for one, other in combinations(servers, 2)
+            for begun, ended in one.spans(key) or [(0.0, 0.0)]
+            for other_begun, other_ended in other.spans(key) or [(0.0, 0.0)]
         )
-        if reply.status not in PROMISES:
-            break
-    return untrue
+        longest_s = max(longest_s, shared_s)
+        shared_keys += shared_s > MAX_SHARED_S
+    record(
+        f"{shared_keys} of {len(CHECKED_KEYS)} keys were held by two servers for over "
+        f"{MAX_SHARED_S} s, the longest for {longest_s:.2f} s"
+    )
+    return shared_keys > 0
 
 
 if __name__ == "__main__":
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -d target/deps ]
-python3 -m compileall -q standins review/rig.py review/11 review/12 review/14 review/15
+python3 -m compileall -q standins review/rig.py review/11 review/12 review/13 review/15
 PYTHONPATH="target/deps:." python3 -c "import review.rig"
--- a/review/rig.py
+++ b/review/rig.py
@@ -17,6 +17,7 @@
     "Request",
     "Server",
     "is_troubled",
+    "read_request",
     "run_case",
 ]
 
@@ -157,7 +158,7 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            while (request := await _read_request(reader)) is not None:
+            while (request := await read_request(reader)) is not None:
                 writer.write(self._encode(request, await self._respond(request)))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -522,7 +523,8 @@
     return first, {name.lower(): value.strip() for name, _, value in pairs}
 
 
-async def _read_request(reader: asyncio.StreamReader) -> Request | None:
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """Return the next request on a connection, ``None`` at its end."""
     head = await _read_head(reader)
     if head is None:
         return None
