--- a/review/12/case.py
+++ b/review/12/case.py
@@ -46,7 +46,7 @@
         record("the copy is made; the first servers with keys start after it")
         for server in servers:
             await deployment.add_server(server)
-        clients = asyncio.create_task(_send_requests(deployment))
+        clients = asyncio.create_task(_send_requests(record, deployment))
         await asyncio.sleep(JOIN_S)
         servers.append(KeyedServer("k3", SERVICE))
         await deployment.add_server(servers[-1])
@@ -81,7 +81,7 @@
     record("the operator and the servers have written again")
 
 
-async def _send_requests(deployment: Deployment) -> None:
+async def _send_requests(record: Callable[[str], None], deployment: Deployment) -> None:
     """Send requests for keys all the time, each on a new connection."""
     number = 0
     while True:
@@ -89,9 +89,10 @@
             number += 1
             connection = Connection(gateway.address)
             key = str(CHECKED_KEYS[number % len(CHECKED_KEYS)])
-            await connection.ask(
+            reply = await connection.ask(
                 "GET", "/preview/x", f"p{number}", 300, fields=[("X-Shard-Key", key)]
             )
+            record(f"p{number}: key {key}, answered {reply.status or 'nothing'}")
             await connection.close()
         await asyncio.sleep(0.02)
 
@@ -99,6 +100,7 @@
 def _report(record: Callable[[str], None], servers: list[KeyedServer]) -> bool:
     """Record what was held; return whether two servers held a key for too long."""
     for server in servers:
+        record(f"{server.name} has run {len(server.executed)} requests")
         for hold in server.holds:
             record(
                 f"{server.name} held {hold.first} to {hold.last}, fence {hold.fence}, "
