Let keys be free only when no lost grant can be valid

Cause: a new leader took what the restored store did not contain for what was never written. Without an assignment it gave out all keys at once.

Change: StoreEras keeps which eras a process has heard of and since when. Keys of a service without owners are free once no grant of an earlier era can be valid (16.7 s after this process first heard of the era), or their servers have released them to a leader that knows all earlier grants (EarlierGrants). The assignment records it (settledEra), so that later leaders don't wait again. A system that starts for the first time waits for nothing, in any era.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -11,7 +11,7 @@
 
 from ..errors import StoreError
 from ..metrics import Metrics
-from .assignment import Assignment, LeaderProcess
+from .assignment import EMPTY_ASSIGNMENT, Assignment, LeaderProcess
 from .assignment_record import AssignmentRecord
 from .authority import (
     LeaderAuthority,
@@ -24,6 +24,7 @@
 from .events import EventLog
 from .fence_sweep import FenceSweep
 from .leader_election import LeaderElection
+from .leader_state import LeaderState
 from .loads import LoadAggregator
 from .loops import LoopSupervisor
 from .model import Timing
@@ -35,6 +36,7 @@
 from .revisions import era_of_revision, minimum_fence
 from .server_commands import CommandSender
 from .store import ConflictingWrite, Store
+from .store_eras import StoreEras
 from .waiting import wait_for_event
 
 TICK_S = 0.1
@@ -45,37 +47,13 @@
 """Interval at which moves are planned by load."""
 
 
-class _LeaderState:
-    """State of one leadership of this host, from its start to its end.
-
-    :ivar sweep: sweep in progress after a restore of the store.
-    """
-
-    def __init__(
-        self,
-        authority: LeaderAuthority,
-        ownership: Ownership,
-        record: AssignmentRecord,
-        planner: MovePlanner,
-        previous_leaders: PreviousLeaders,
-        sweep: FenceSweep | None,
-    ) -> None:
-        self.authority = authority
-        self.ownership = ownership
-        self.record = record
-        self.planner = planner
-        self.previous_leaders = previous_leaders
-        self.sweep = sweep
-        self.has_unwritten_changes = False
-        self.last_planned_s = float("-inf")
-
-
 class Assigner(Service):
     """Grants the keys of all keyed services while this host leads.
 
     :param own_process: identity of this process, stored for successors.
     :param has_stopped_leading: returns whether a previous leader is known to have
         stopped leading.
+    :param eras: eras of the store that this process has seen.
     :param clock: boot clock.
     """
 
@@ -92,6 +70,7 @@
         metrics: Metrics,
         own_process: LeaderProcess,
         has_stopped_leading: Callable[[LeaderProcess], Awaitable[bool]],
+        eras: StoreEras,
         loops: LoopSupervisor,
         clock: Callable[[], float] = boottime_s,
     ) -> None:
@@ -104,9 +83,10 @@
         self._events = events
         self._own_process = own_process
         self._has_stopped_leading = has_stopped_leading
+        self._eras = eras
         self._loops = loops
         self._clock = clock
-        self._leader_state: _LeaderState | None = None
+        self._leader_state: LeaderState | None = None
         self._command_runner = CommandRunner(
             commands, view, reach, events, metrics, self._handle_fenced, loops, clock
         )
@@ -171,7 +151,7 @@
                 leader_state.ownership, authority, max_hold_s
             )
 
-    async def _adopt_assignment(self, authority: LeaderAuthority) -> _LeaderState:
+    async def _adopt_assignment(self, authority: LeaderAuthority) -> LeaderState:
         """Adopt the stored owners and moves with a higher fence; no move begins."""
         era = self._era()
         record = AssignmentRecord(
@@ -179,10 +159,14 @@
         )
         stored = await record.read()
         now_s = self._clock()
-        if stored is None:
-            initial = Assignment(minimum_fence(era), {}, (self._own_process,), era)
+        lost_grants_expiry_s = self._lost_grants_expiry_s(stored, authority)
+        if stored is None and now_s >= lost_grants_expiry_s:
+            initial = Assignment(minimum_fence(era), {}, (self._own_process,), era, era)
             ownership = Ownership(initial, now_s, {})
-            return self._make_leader_state(authority, ownership, record, now_s, None)
+            return self._make_leader_state(
+                authority, ownership, record, now_s, None, lost_grants_expiry_s
+            )
+        stored = stored or EMPTY_ASSIGNMENT
         if stored.confirmed_era < era:
             stored = await self._ask_previous_leaders(stored)
         previous_expiry_s = last_expiry_if_running_s(now_s, authority.ttl_s)
@@ -194,15 +178,21 @@
         await record.write(ownership.to_assignment())
         sweep = None
         if stored.confirmed_era < era:
-            knows_servers = self._view.saw_earlier_era()
-            sweep = FenceSweep(stored.ranges, now_s, knows_servers, previous_expiry_s)
+            sweep = FenceSweep(
+                stored.ranges,
+                now_s,
+                self._view.knows_earlier_grants,
+                lost_grants_expiry_s,
+            )
         leader_state = self._make_leader_state(
-            authority, ownership, record, previous_expiry_s, sweep
+            authority,
+            ownership,
+            record,
+            previous_expiry_s,
+            sweep,
+            lost_grants_expiry_s,
         )
-        if leader_state.previous_leaders.have_all_stopped():
-            # Only this process led before, and it sends no grants of its earlier
-            # leadership any more.
-            self._record_previous_leaders_stopped(leader_state)
+        self._check_previous_leaders(leader_state)
         self._events.log_state_change(
             "assignment_adopted",
             revision=record.revision,
@@ -211,6 +201,24 @@
         )
         return leader_state
 
+    def _lost_grants_expiry_s(
+        self, stored: Assignment | None, authority: LeaderAuthority
+    ) -> float:
+        """Return from when on no grant can be valid whose record may be lost.
+
+        Leaders of earlier eras had confirmed their leases before this process heard of
+        the new one.
+
+        :param stored: the stored assignment, ``None`` if there is none.
+        """
+        if stored is None:
+            is_settled = not self._eras.may_have_lost_writes()
+        else:
+            is_settled = stored.settled_era == self._era()
+        if is_settled:
+            return float("-inf")
+        return last_expiry_if_running_s(self._eras.since_s, authority.ttl_s)
+
     async def _ask_previous_leaders(self, stored: Assignment) -> Assignment:
         """Return the newest assignment that the previous leaders still know.
 
@@ -226,12 +234,18 @@
         """Return the era in which this host became leader."""
         return era_of_revision(self._election.record_revision)
 
-    def _continue_sweep(self, leader_state: _LeaderState, sweep: FenceSweep) -> None:
+    def _continue_sweep(self, leader_state: LeaderState, sweep: FenceSweep) -> None:
         """Send the releases of a sweep, and end it once nothing is left to release."""
         now_s = self._clock()
-        backends = self._view.directory.listed_or_removed(now_s)
+        services = self._keyed_services() | leader_state.ownership.range_states.keys()
+        backends = [
+            backend
+            for backend in self._view.directory.listed_or_removed(now_s)
+            if backend.service in services
+        ]
         if sweep.is_complete(backends, now_s):
             leader_state.sweep = None
+            leader_state.swept_services = frozenset(services)
             leader_state.ownership.confirmed_era = self._era()
             leader_state.has_unwritten_changes = True
             self._events.log_state_change(
@@ -242,6 +256,11 @@
             sweep, backends, leader_state.ownership.fence
         )
 
+    def _keyed_services(self) -> set[str]:
+        routes = self._view.routes
+        services = routes.table.services.values() if routes else ()
+        return {service.name for service in services if service.keyed}
+
     def _make_leader_state(
         self,
         authority: LeaderAuthority,
@@ -249,29 +268,38 @@
         record: AssignmentRecord,
         previous_expiry_s: float,
         sweep: FenceSweep | None,
-    ) -> _LeaderState:
+        lost_grants_expiry_s: float,
+    ) -> LeaderState:
         others = [leader for leader in ownership.leaders if leader != self._own_process]
         previous_leaders = PreviousLeaders(
             others, previous_expiry_s, self._has_stopped_leading
         )
         planner = MovePlanner(ownership, self._view, self._loads)
-        return _LeaderState(
-            authority, ownership, record, planner, previous_leaders, sweep
+        return LeaderState(
+            authority,
+            ownership,
+            record,
+            planner,
+            previous_leaders,
+            sweep,
+            lost_grants_expiry_s,
         )
 
-    def _check_previous_leaders(self, leader_state: _LeaderState) -> None:
+    def _check_previous_leaders(self, leader_state: LeaderState) -> None:
         """Check whether previous leaders have stopped, until their grants expire."""
         now_s = self._clock()
         if now_s >= leader_state.previous_leaders.last_expiry_s:
             # The next write leaves out the leaders whose grants have expired.
             leader_state.ownership.leaders = (self._own_process,)
+        elif leader_state.previous_leaders.have_all_stopped():
+            self._record_previous_leaders_stopped(leader_state)
         elif leader_state.previous_leaders.is_check_due(now_s):
             self._command_runner.start_task(
                 self._poll_previous_leaders(leader_state, now_s)
             )
 
     async def _poll_previous_leaders(
-        self, leader_state: _LeaderState, now_s: float
+        self, leader_state: LeaderState, now_s: float
     ) -> None:
         await leader_state.previous_leaders.check(now_s)
         if leader_state.previous_leaders.have_all_stopped():
@@ -280,19 +308,31 @@
                 "former_leaders_ended", fence=leader_state.ownership.fence
             )
 
-    def _record_previous_leaders_stopped(self, leader_state: _LeaderState) -> None:
+    def _record_previous_leaders_stopped(self, leader_state: LeaderState) -> None:
+        """Record that no previous leader sends grants any more.
+
+        Those that led when the store lost their writes are in no list.
+        """
+        if leader_state.previous_leaders_stopped or (
+            leader_state.sweep is not None and not self._view.knows_earlier_grants()
+        ):
+            return
+        leader_state.previous_leaders_stopped = True
         now_s = self._clock()
         leader_state.ownership.record_previous_leaders_stopped(now_s)
         if leader_state.sweep is not None:
             expiry_s = last_expiry_if_stopped_s(now_s)
-            leader_state.sweep.record_previous_leaders_stopped(now_s, expiry_s)
+            leader_state.sweep.record_previous_leaders_stopped(expiry_s)
+            if self._view.earlier_grants.were_servers_recent():
+                leader_state.sweep.record_all_registered(now_s)
 
-    async def _update_owners(self, leader_state: _LeaderState) -> None:
+    async def _update_owners(self, leader_state: LeaderState) -> None:
         """Write the changes of owners that are due, then release moving ranges."""
         now_s = self._clock()
         ownership = leader_state.ownership
         backends = self._view.directory.all()
-        changed = self._assign_initial_owners(leader_state, now_s)
+        changed = self._settle(leader_state, now_s)
+        changed |= self._assign_initial_owners(leader_state, now_s)
         changed |= ownership.update_incarnations(backends)
         finished = ownership.finish_moves(now_s, backends)
         changed |= bool(finished)
@@ -305,7 +345,7 @@
             self._log_moved(service, state)
         self._command_runner.send_due_releases(ownership)
 
-    async def _write(self, leader_state: _LeaderState) -> None:
+    async def _write(self, leader_state: LeaderState) -> None:
         """Write the assignment; ranges are granted only after they were written.
 
         :raises StoreError: it was not written.
@@ -317,14 +357,25 @@
             raise
         leader_state.has_unwritten_changes = False
 
-    def _assign_initial_owners(self, leader_state: _LeaderState, now_s: float) -> bool:
-        """Assign initial owners to the services that have none."""
-        initial_owners = leader_state.planner.initial_owners(now_s)
-        for service, ranges in initial_owners.items():
-            leader_state.ownership.add_service(service, ranges)
-        return bool(initial_owners)
+    def _assign_initial_owners(self, leader_state: LeaderState, now_s: float) -> bool:
+        """Assign initial owners to the services that have none and are free."""
+        changed = False
+        for service, ranges in leader_state.planner.initial_owners(now_s).items():
+            if leader_state.is_free(service, now_s):
+                leader_state.ownership.add_service(service, ranges)
+                changed = True
+        return changed
+
+    def _settle(self, leader_state: LeaderState, now_s: float) -> bool:
+        """Record it for successors when no grant of an earlier era can be valid."""
+        era = self._era()
+        ownership = leader_state.ownership
+        if ownership.settled_era == era or now_s < leader_state.lost_grants_expiry_s:
+            return False
+        ownership.settled_era = era
+        return True
 
-    def _begin_moves(self, leader_state: _LeaderState, now_s: float) -> bool:
+    def _begin_moves(self, leader_state: LeaderState, now_s: float) -> bool:
         """Mark the ranges that should move, to be written with the assignment."""
         due = now_s - leader_state.last_planned_s >= PLANNING_INTERVAL_S
         if not due and not leader_state.planner.needs_evacuation():
--- a/src/jacinthpath/gateway/assignment.py
+++ b/src/jacinthpath/gateway/assignment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 __all__ = [
+    "EMPTY_ASSIGNMENT",
     "Assignment",
     "LeaderProcess",
     "OwnedRange",
@@ -90,12 +91,15 @@
         leader that wrote this assignment.
     :param confirmed_era: era of the store in which no other server can hold the keys
         of a range; in a later one, lost writes may have given them to another.
+    :param settled_era: era in which no grant from before it can be valid, so that the
+        keys of a service without ranges are free.
     """
 
     fence: int
     ranges: dict[str, tuple[OwnedRange, ...]]
     leaders: tuple[LeaderProcess, ...] = ()
     confirmed_era: int = 0
+    settled_era: int = 0
 
 
 EMPTY_ASSIGNMENT = Assignment(0, {})
@@ -138,6 +142,7 @@
         "fence": assignment.fence,
         "leaders": assignment.leaders,
         "era": assignment.confirmed_era,
+        "settledEra": assignment.settled_era,
         "lives": incarnations,
         "ranges": rows,
     }
@@ -181,6 +186,7 @@
             ranges,
             decode_leaders(document["leaders"]),
             int(document.get("era", 0)),
+            int(document.get("settledEra", 0)),
         )
         for owned in ranges.values():
             check_order(owned)
--- a/src/jacinthpath/gateway/assignment_delta.py
+++ b/src/jacinthpath/gateway/assignment_delta.py
@@ -72,6 +72,7 @@
         "fence": newer.fence,
         "leaders": newer.leaders,
         "era": newer.confirmed_era,
+        "settledEra": newer.settled_era,
         "lives": incarnations,
         "removed": removed,
         "ranges": rows,
@@ -95,13 +96,14 @@
         leaders = decode_leaders(document["leaders"])
         fence = check_integer(document["fence"], 0, MAX_FENCE)
         confirmed_era = int(document.get("era", 0))
+        settled_era = int(document.get("settledEra", 0))
     except UNREADABLE as error:
         raise JacinthpathError(
             f"The assignment delta cannot be applied: {describe(error)}.",
             "The whole assignment is requested next.",
         ) from error
     non_empty = {service: owned for service, owned in ranges.items() if owned}
-    return Assignment(fence, non_empty, leaders, confirmed_era)
+    return Assignment(fence, non_empty, leaders, confirmed_era, settled_era)
 
 
 def _merge_ranges(
--- a/src/jacinthpath/gateway/assignment_record.py
+++ b/src/jacinthpath/gateway/assignment_record.py
@@ -24,7 +24,7 @@
         self._leader_revision = leader_revision
 
     async def read(self) -> Assignment | None:
-        """Return the stored assignment, or ``None`` if there never was one.
+        """Return the stored assignment, or ``None`` if there is none.
 
         A store that came back from an older copy may lack writes that this host has
         seen. The newest known assignment is returned then.
--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -40,6 +40,7 @@
 from .server_entries import ServerEntries, ServersNotApplied
 from .server_limits import LimitObservation, ServerLimits
 from .store import Item
+from .store_eras import EarlierGrants
 
 MAX_REMEMBERED_REFUSALS = 1_000
 """Unreadable documents that are remembered so that each is logged only once."""
@@ -100,7 +101,7 @@
         )
         self.servers_known = False
         self.live_servers_known = False
-        self._first_servers_era: int | None = None
+        self.earlier_grants = EarlierGrants()
         self.assignment: Assignment = EMPTY_ASSIGNMENT
         self.assignment_revision = 0
         self.owners: dict[str, OwnerIndex] = {}
@@ -440,11 +441,10 @@
         self._entries.apply_delta(delta, revision)
         self._record_servers_known()
 
-    def saw_earlier_era(self) -> bool:
-        """Return whether this host had a list of servers before the last restore."""
-        first_era = self._first_servers_era
-        current_era = era_of_revision(self.directory.revision)
-        return first_era is not None and first_era < current_era
+    def knows_earlier_grants(self) -> bool:
+        """Return whether this host knows all grants from before the last restore."""
+        known = self.assignment if self.assignment_revision else None
+        return self.earlier_grants.are_known(known)
 
     def expire_servers(self) -> None:
         """Drop the servers whose pending removal is due."""
@@ -462,8 +462,9 @@
 
     def _record_servers_known(self) -> None:
         self.servers_known = self.live_servers_known = True
-        if self._first_servers_era is None:
-            self._first_servers_era = era_of_revision(self.directory.revision)
+        # Its contact has not been recorded yet, so this is the age of the list before.
+        era = era_of_revision(self.directory.revision)
+        self.earlier_grants.record_servers(era, self.servers_age_s())
         self.notify()
 
     def record_refused(self, document: str, revision: int, error: Exception) -> None:
--- a/src/jacinthpath/gateway/fence_sweep.py
+++ b/src/jacinthpath/gateway/fence_sweep.py
@@ -3,14 +3,15 @@
 A store that comes back from an older copy may have lost the writes by which keys moved,
 so another server than the recorded owner may hold a key. Before a leader grants by an
 assignment of an earlier era, each server has to release, at a fence of the new era, all
-keys that are not recorded as its own. It refuses older grants from then on.
+keys that are not recorded as its own. It refuses older grants from then on. Servers of
+a keyed service that is not recorded at all release all keys: the record may be lost.
 """
 
 from __future__ import annotations
 
 __all__ = ["FenceSweep", "SweepRelease"]
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from .assignment import OwnedRange
@@ -46,17 +47,17 @@
 
     :param ranges: owners of the keys of each keyed service, by the known assignment.
     :param begin_s: start of the sweep.
-    :param knows_servers: whether this host knows the servers of the earlier era. One
-        that does not waits until all grants have expired, since a server that is cut
-        off from the store may hold keys unseen.
-    :param last_expiry_s: from then on no grant of an earlier leader is valid.
+    :param knows_servers: returns whether this host knows all servers that were granted
+        keys. One that does not waits until all grants have expired, since a server that
+        is cut off from the store may hold keys unseen.
+    :param last_expiry_s: from then on no grant of an earlier era is valid.
     """
 
     def __init__(
         self,
         ranges: Mapping[str, Collection[OwnedRange]],
         begin_s: float,
-        knows_servers: bool,
+        knows_servers: Callable[[], bool],
         last_expiry_s: float,
     ) -> None:
         self._ranges = ranges
@@ -66,22 +67,26 @@
         self._sent_s: dict[SweepRelease, float] = {}
         self._released: set[SweepRelease] = set()
 
-    def record_previous_leaders_stopped(self, now_s: float, expiry_s: float) -> None:
-        """Record that all previous leaders have stopped, after their documents.
+    def record_previous_leaders_stopped(self, expiry_s: float) -> None:
+        """Record that all previous leaders have stopped.
 
         :param expiry_s: from then on none of their grants is valid.
         """
-        self._settled_s = min(self._settled_s, now_s)
         self._last_expiry_s = min(self._last_expiry_s, expiry_s)
 
+    def record_all_registered(self, now_s: float) -> None:
+        """Record that no server will register that may hold keys."""
+        self._settled_s = min(self._settled_s, now_s)
+
     def is_complete(self, backends: Iterable[Backend], now_s: float) -> bool:
         """Return whether no server can hold a key that is not recorded as its own.
 
-        :param backends: servers that are listed or were removed lately.
+        :param backends: servers of keyed services that are listed or were removed
+            lately.
         """
         if now_s >= self._last_expiry_s:
             return True
-        if not self._knows_servers or now_s < self._settled_s:
+        if not self._knows_servers() or now_s < self._settled_s:
             return False
         return not self._unreleased(backends)
 
@@ -112,9 +117,7 @@
     def _recipients(self, backends: Iterable[Backend]) -> set[_Recipient]:
         """Return the servers that may hold keys: known ones and recorded owners."""
         known = {
-            _Recipient(b.service, b.server, b.address, b.started_ms)
-            for b in backends
-            if b.service in self._ranges
+            _Recipient(b.service, b.server, b.address, b.started_ms) for b in backends
         }
         servers = {recipient.server for recipient in known}
         recorded = {
@@ -129,7 +132,7 @@
         """Return releases of all keys that are not recorded as the server's."""
         releases = []
         first = 0
-        for owned in self._ranges[recipient.service]:
+        for owned in self._ranges.get(recipient.service, ()):
             if owned.server != recipient.server:
                 continue
             if first < owned.first:
--- a/src/jacinthpath/gateway/ownership.py
+++ b/src/jacinthpath/gateway/ownership.py
@@ -46,6 +46,7 @@
         self.fence = assignment.fence
         self.leaders = assignment.leaders
         self.confirmed_era = assignment.confirmed_era
+        self.settled_era = assignment.settled_era
         self.evidence = CommandEvidence()
         self.range_states: dict[str, list[RangeState]] = {
             service: [RangeState(owned, previous_expiry_s) for owned in ranges]
@@ -68,7 +69,9 @@
             service: tuple(state.owned for state in range_states)
             for service, range_states in self.range_states.items()
         }
-        return Assignment(self.fence, ranges, self.leaders, self.confirmed_era)
+        return Assignment(
+            self.fence, ranges, self.leaders, self.confirmed_era, self.settled_era
+        )
 
     def record_previous_leaders_stopped(self, now_s: float) -> None:
         """Record that all previous leaders have stopped sending grants."""
@@ -212,7 +215,7 @@
         for service, owned in assignment.ranges.items()
     }
     others = tuple(one for one in assignment.leaders if one != leader)
-    return Assignment(fence, ranges, (*others, leader), assignment.confirmed_era)
+    return assignment._replace(fence=fence, ranges=ranges, leaders=(*others, leader))
 
 
 def _split(state: RangeState, first: int, last: int) -> list[RangeState]:
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -38,6 +38,7 @@
 from .gateway.request_dependencies import RequestDependencies
 from .gateway.service import GatewayService
 from .gateway.shutdown_window import ShutdownWindow
+from .gateway.store_eras import StoreEras
 from .gateway.store_watcher import StoreWatcher, WatchedKeys
 from .keyring import SharedKey
 from .metrics import Metrics
@@ -64,7 +65,8 @@
     events = EventLog(settings.host, count=metrics.count)
     events.capture_library_logs()
     loops = LoopSupervisor(metrics, events, random)
-    store = PlatformStore(settings.store_address)
+    eras = StoreEras(settings.first_start)
+    store = PlatformStore(settings.store_address, eras)
     commands = CommandClient()
     memory = BodyMemory(settings.memory_bytes)
     shutdown_window = ShutdownWindow()
@@ -211,6 +213,7 @@
         metrics,
         LeaderProcess(process_id, settings.peer_address),
         peering.has_stopped_leading,
+        eras,
         loops,
     )
     forwarder = Forwarder(dependencies, settings.timing)
--- a/src/jacinthpath/platform/store.py
+++ b/src/jacinthpath/platform/store.py
@@ -31,6 +31,7 @@
     Listing,
     Write,
 )
+from ..gateway.store_eras import StoreEras
 from ..gateway.store_watcher import WatchedKeys
 from .headers import STORE_ERA
 from .http import open_session
@@ -73,16 +74,22 @@
     from; a call with one of another era fails like a call with an outdated one.
 
     :param address: ``IP:port`` of the store.
+    :param eras: is told the era of each response.
     """
 
-    def __init__(self, address: str) -> None:
-        self.era = 0
+    def __init__(self, address: str, eras: StoreEras | None = None) -> None:
+        self._eras = eras or StoreEras(is_first_start=False)
         self.malformed_eras = 0
         self.calls: dict[str, int] = defaultdict(int)
         self.failures: dict[CallFailure, int] = defaultdict(int)
         self._base = f"http://{address}"
         self._session: aiohttp.ClientSession | None = None
 
+    @property
+    def era(self) -> int:
+        """Highest era that a response had."""
+        return self._eras.newest
+
     async def start(self) -> None:
         """Open the HTTP session."""
         self._session = open_session(
@@ -283,12 +290,14 @@
         taken as a response of the current one.
         """
         if value is None:
-            return self.era
-        if not (_ERA.fullmatch(value) and int(value) <= MAX_ERA):
+            era = self.era
+        elif _ERA.fullmatch(value) and int(value) <= MAX_ERA:
+            era = int(value)
+        else:
             self.malformed_eras += 1
-            return self.era
-        self.era = max(self.era, int(value))
-        return int(value)
+            era = self.era
+        self._eras.record(era)
+        return era
 
 
 def _max_value_bytes(prefix: str) -> int:
--- a/tests/gateway_simulation.py
+++ b/tests/gateway_simulation.py
@@ -33,9 +33,13 @@
 from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
 from jacinthpath.gateway.server_limits import ServerLimits
 from jacinthpath.gateway.store import ConflictingWrite, Item
+from jacinthpath.gateway.store_eras import EarlierGrants, StoreEras
 
 SERVICE = "preview"
+OTHER_SERVICE = "render"
 TTL_S = 1.2
+REGISTRATION_S = 2.0
+"""Servers that registered since the copy was made register again within this time."""
 DRIFT = 1.02
 TIMING = Timing(2.0, 6.0, 10.0, 10.0, 0.2, 58)
 
@@ -60,7 +64,7 @@
     def keep_copy(self):
         """Keep a copy of the content, and the copies of the last seconds."""
         self.copies.append((self.revision, dict(self.items)))
-        del self.copies[:-40]
+        del self.copies[:-80]
 
     def restore(self, age_steps):
         """Come back from the copy made ``age_steps`` steps ago."""
@@ -123,8 +127,11 @@
 class ServerProcess:
     """One incarnation of a server, with its grants and the highest fences by key."""
 
-    def __init__(self, simulation, server, started_ms):
+    def __init__(self, simulation, server, started_ms, service):
         self.simulation, self.server, self.started_ms = simulation, server, started_ms
+        self.service = service
+        self.registered_step = simulation.steps
+        self.listed_since_s = float("-inf")
         self.up = True
         self.grant_ends_s = {}
         self.highest_fences = {}
@@ -200,14 +207,21 @@
 
 
 class Directory:
-    def __init__(self, simulation):
+    """The servers that a leader knows; after a restore some register later.
+
+    :param first_era: era of the store in which the leader first had a list of servers.
+    """
+
+    def __init__(self, simulation, first_era):
         self.simulation = simulation
+        self.first_era = first_era
+        self.frozen_step = None
 
     def all(self):
         return {
             server: Backend(
                 server,
-                SERVICE,
+                process.service,
                 f"{server}:1",
                 "a",
                 3,
@@ -217,14 +231,25 @@
                 1,
             )
             for server, process in self.simulation.servers.items()
-            if process.up and server in self.simulation.listed_servers
+            if process.up
+            and server in self.simulation.listed_servers
+            and self._knows(process)
         }
 
+    def _knows(self, process):
+        """Return whether the leader knew the server before, or it has registered."""
+        missed = self.frozen_step is not None and (
+            process.registered_step > self.frozen_step
+        )
+        if self.first_era < self.simulation.store.era and not missed:
+            return True
+        return self.simulation.now_s >= process.listed_since_s
+
     def find(self, server):
         return self.all().get(server)
 
-    def servers_of(self, _service):
-        return [*self.all().values()]
+    def servers_of(self, service):
+        return [one for one in self.all().values() if one.service == service]
 
     def listed_or_removed(self, _now_s):
         """Return all servers: those of the last seconds are remembered."""
@@ -242,9 +267,7 @@
     def __init__(self, simulation, first_era):
         from jacinthpath.gateway.assignment import EMPTY_ASSIGNMENT
 
-        service = Service(SERVICE, True, 100, "/health", 3.0)
-        self.routes = RouteIndex(RouteTable(1, (), {SERVICE: service}, None))
-        self.directory = Directory(simulation)
+        self.directory = Directory(simulation, first_era)
         self.limits = ServerLimits()
         self.evacuated = Evacuations(5.0)
         self.peer_addresses = {}
@@ -252,14 +275,28 @@
         self.assignment_revision = 0
         self.moving_since_s = {}
         self.simulation = simulation
-        self.first_era = first_era
+        self.earlier_grants = EarlierGrants()
+        self.earlier_grants.record_servers(first_era, 0.0)
+
+    @property
+    def routes(self):
+        services = {
+            name: Service(name, True, 100, "/health", 3.0)
+            for name in self.simulation.keyed_services
+        }
+        return RouteIndex(RouteTable(1, (), services, None))
 
     def cold_rate_per_s(self, _backend, _now_s):
         """No server of the simulation is ever cold."""
         return 0.0
 
-    def saw_earlier_era(self):
-        return self.first_era < self.simulation.store.era
+    def knows_earlier_grants(self):
+        age_s = 0.0
+        if self.directory.frozen_step is not None:
+            age_s = 0.1 * (self.simulation.steps - self.directory.frozen_step)
+        self.earlier_grants.record_servers(self.simulation.store.era, age_s)
+        known = self.assignment if self.assignment_revision else None
+        return self.earlier_grants.are_known(known)
 
     def apply_assignment(self, content, revision, _source):
         from jacinthpath.gateway.assignment import decode_assignment
@@ -298,10 +335,12 @@
         self.simulation, self.name = simulation, name
         self.cut_off = False
         self.silent = False
+        self.frozen = False
         self.lease_until_s = 0.0
         self.process_end_s = 0.0
         self.election = SimulatedElection()
         self.view = LeaderView(simulation, first_era)
+        self.eras = StoreEras(is_first_start=False, clock=lambda: simulation.now_s)
         loops = LoopSupervisor(NullEventLog(), NullEventLog(), simulation.random)
         self.assigner = Assigner(
             LeaderStore(simulation, self),
@@ -324,6 +363,7 @@
             NullEventLog(),
             LeaderProcess(name, name),
             self.has_stopped_leading,
+            self.eras,
             loops,
             lambda: simulation.now_s,
         )
@@ -356,6 +396,8 @@
         self.lost_write_rate = lost_write_rate
         self.lost_grant_rate = 0.0
         self.sampled_keys = [*range(0, KEY_COUNT, 2_731), KEY_COUNT - 1]
+        self.keyed_services = [SERVICE]
+        self.steps = 0
         self.store = SimulatedStore(self)
         self.servers = {}
         self.listed_servers = set()
@@ -369,9 +411,9 @@
             self.start_server(f"s{index}")
         self.leaders = [Leader(self, f"l{index}") for index in range(3)]
 
-    def start_server(self, server):
+    def start_server(self, server, service=SERVICE):
         self.started_ms += 1
-        self.servers[server] = ServerProcess(self, server, self.started_ms)
+        self.servers[server] = ServerProcess(self, server, self.started_ms, service)
         self.listed_servers.add(server)
 
     def stop_server(self, server):
@@ -379,31 +421,45 @@
 
     def check_fence(self, key, process, fence):
         """A key may go to another server only with a higher fence than any before."""
-        highest, holder = self.latest_grants.get(key, (0, None))
+        owned_key = process.service, key
+        highest, holder = self.latest_grants.get(owned_key, (0, None))
         if holder is not process and fence <= highest and holder is not None:
             if holder.server != process.server:
                 self.violations.append(f"key {key}: fence {fence} after {highest}")
         if fence >= highest:
-            self.latest_grants[key] = (fence, process)
+            self.latest_grants[owned_key] = (fence, process)
 
     def check_owners(self):
-        for key in self.sampled_keys:
-            holders = [s.server for s in self.servers.values() if s.holds_key(key)]
-            if len(holders) > 1:
-                self.violations.append(f"key {key} at {self.now_s:.2f}: {holders}")
+        for service in (SERVICE, OTHER_SERVICE):
+            for key in self.sampled_keys:
+                holders = [s.server for s in self.holders(key, service)]
+                if len(holders) > 1:
+                    self.violations.append(f"key {key} at {self.now_s:.2f}: {holders}")
+
+    def holders(self, key, service):
+        return [
+            one
+            for one in self.servers.values()
+            if one.service == service and one.holds_key(key)
+        ]
 
-    def holder(self, key):
-        return next((s for s in self.servers.values() if s.holds_key(key)), None)
+    def holder(self, key, service=SERVICE):
+        return next(iter(self.holders(key, service)), None)
 
     async def advance(self, duration_s=0.1):
         """Advance the clock and run every leader once."""
         self.now_s += duration_s
+        self.steps += 1
         self.store.keep_copy()
         self._deliver_late_commands()
         self._run_leases()
         self.check_owners()
         item = self.store.items.get(ASSIGNMENT_KEY)
         for leader in self.leaders:
+            if leader.frozen:
+                continue
+            if not leader.cut_off:
+                leader.eras.record(self.store.era)
             if item is not None and not leader.cut_off:
                 leader.view.apply_assignment(item.value, item.revision, "store")
             try:
@@ -485,12 +541,23 @@
         """Restore the store from the copy made ``age_steps`` steps ago."""
         self.store.restore(age_steps)
         self.restored_s = self.now_s
+        for process in self.servers.values():
+            if process.registered_step > self.steps - age_steps:
+                process.listed_since_s = self.now_s + REGISTRATION_S
 
     def restart_leader(self, leader):
         """Replace a leader's process by one that first sees the store restored."""
         index = self.leaders.index(leader)
         self.leaders[index] = Leader(self, f"{leader.name}'", self.store.era + 1)
 
+    def freeze(self, leader):
+        """Let a leader's process stand still."""
+        leader.frozen = leader.cut_off = leader.silent = True
+        leader.view.directory.frozen_step = self.steps
+
+    def thaw(self, leader):
+        leader.frozen = leader.cut_off = leader.silent = False
+
     def resign(self, leader, grace_s=5.5):
         """Resign the leadership; the process ends after ``grace_s``."""
         if leader.election.authority is not None:
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -11,8 +11,15 @@
 from jacinthpath.gateway.model import KEY_COUNT
 from jacinthpath.gateway.range_state import RangeState
 from jacinthpath.gateway.server_commands import CommandResponse, CommandResult
+from jacinthpath.gateway.store_eras import StoreEras
 
-from .gateway_simulation import SERVICE, TTL_S, LeaderCommands, Simulation
+from .gateway_simulation import (
+    OTHER_SERVICE,
+    SERVICE,
+    TTL_S,
+    LeaderCommands,
+    Simulation,
+)
 
 SEEDS = range(12)
 
@@ -210,11 +217,13 @@
 async def run_with_restores(simulation, rounds=6):
     """Advance with random faults, and restore the store after each round.
 
-    Before it, none, one or all of the leaders' processes restart.
+    Before it, none, one or all of the leaders' processes restart. Some rounds are long
+    enough for all earlier grants to expire.
     """
     random = simulation.random
     for _ in range(rounds):
-        await run_with_faults(simulation, random.uniform(1.0, 9.0))
+        longest_s = random.choice([9.0, 30.0])
+        await run_with_faults(simulation, random.uniform(1.0, longest_s))
         for leader in random.sample(simulation.leaders, random.choice([0, 1, 3])):
             simulation.restart_leader(leader)
         simulation.restore_store(random.randint(1, 40))
@@ -244,13 +253,14 @@
 
 
 async def find_violations_with_restores(seeds=range(60)):
-    violations = []
+    """Return the violations of the first seed that has any."""
     for seed in seeds:
         simulation = Simulation(seed, late_command_rate=0.1, lost_write_rate=0.1)
         await run_for(simulation)
         await run_with_restores(simulation)
-        violations += simulation.violations
-    return violations
+        if simulation.violations:
+            return simulation.violations
+    return []
 
 
 async def test_check_fails_if_a_restored_assignment_is_adopted_as_it_is(monkeypatch):
@@ -296,6 +306,180 @@
     assert violations
 
 
+async def lose_first_assignment(seed, service, restarted):
+    """Restore the store from a copy that is older than the first owners of a service.
+
+    Another server joins meanwhile. Before the restore, so many leaders restart.
+    """
+    simulation = Simulation(seed, late_command_rate=0.1)
+    if service == SERVICE:
+        simulation.servers.clear()
+    await run_for(simulation)
+    steps = simulation.steps
+    simulation.keyed_services = [*dict.fromkeys([SERVICE, service])]
+    for index in range(4):
+        simulation.start_server(f"t{index}", service)
+    await run_for(simulation, simulation.random.uniform(1.0, 2.0))
+    simulation.start_server("t4", service)
+    await run_for(simulation, simulation.random.uniform(0.1, 1.0))
+    for leader in simulation.leaders:
+        leader.cut_off = True
+    await run_for(simulation, 2.2)
+    for leader in simulation.random.sample(simulation.leaders, restarted):
+        simulation.restart_leader(leader)
+    for leader in simulation.leaders:
+        leader.cut_off = False
+    simulation.restore_store(simulation.steps - steps + 1)
+    return simulation
+
+
+@pytest.mark.parametrize("restarted", [0, 1, 3])
+@pytest.mark.parametrize("service", [SERVICE, OTHER_SERVICE])
+@pytest.mark.parametrize("seed", range(4))
+async def test_lost_first_assignment_gives_no_key_two_owners(seed, service, restarted):
+    """Guards against a leader that takes keys for free because the restored store has
+    no assignment of them (review/12)."""
+    simulation = await lose_first_assignment(seed, service, restarted)
+    await run_for(simulation, 18.0)
+    simulation.late_command_rate = 0.0
+    await run_for(simulation, 8.0)
+    assert simulation.violations == []
+    assert all(simulation.holder(key, service) for key in simulation.sampled_keys)
+
+
+async def find_violations_of_lost_assignments(service):
+    for seed in range(8):
+        simulation = await lose_first_assignment(seed, service, restarted=3)
+        await run_for(simulation, 8.0)
+        if simulation.violations:
+            return simulation.violations
+    return []
+
+
+async def test_check_fails_if_a_missing_assignment_is_taken_for_none(monkeypatch):
+    """Guards against a simulation that cannot fail: no wait for an assignment that the
+    store may have lost."""
+    monkeypatch.setattr(StoreEras, "may_have_lost_writes", lambda _eras: False)
+    assert await find_violations_of_lost_assignments(SERVICE)
+
+
+async def test_check_fails_if_a_missing_service_is_taken_for_free(monkeypatch):
+    """Guards against a simulation that cannot fail: a sweep of recorded services that
+    ends early, and no wait for the others."""
+    monkeypatch.setattr(FenceSweep, "is_complete", lambda *_args: True)
+    assert await find_violations_of_lost_assignments(OTHER_SERVICE)
+
+
+@pytest.mark.parametrize("restarted", [0, 1])
+async def test_service_with_a_lost_assignment_is_served_again_soon(restarted):
+    """Guards against a wait of a leader that knows all servers.
+
+    Their releases show that the keys are free."""
+    simulation = await lose_first_assignment(2, OTHER_SERVICE, restarted)
+    simulation.late_command_rate = 0.0
+    for leader in [one for one in simulation.leaders if one.name.endswith("'")]:
+        leader.cut_off = True
+    await run_for(simulation, 4.5)
+    for service in (SERVICE, OTHER_SERVICE):
+        assert all(simulation.holder(key, service) for key in simulation.sampled_keys)
+    assert simulation.violations == []
+
+
+@pytest.mark.parametrize("recorded", [False, True])
+@pytest.mark.parametrize("seed", range(4))
+async def test_leader_of_the_lost_seconds_is_waited_for(seed, recorded):
+    """Guards against two owners: a leader that the copy does not know renews its grants
+    while it is cut off, and its successor took all leaders for ended."""
+    simulation = Simulation(seed)
+    if not recorded:
+        simulation.servers.clear()
+    await run_for(simulation)
+    steps = simulation.steps
+    first = next(one for one in simulation.leaders if one.election.authority)
+    first.cut_off = True
+    await run_for(simulation, 2.0)
+    if not recorded:
+        for index in range(4):
+            simulation.start_server(f"s{index}")
+    await run_for(simulation, 1.0)
+    others = [one for one in simulation.leaders if one is not first]
+    lost = next(one for one in others if one.election.authority)
+    lost.cut_off = lost.silent = True
+    for leader in [*simulation.leaders]:
+        if leader is not lost:
+            simulation.restart_leader(leader)
+            simulation.blocked_paths.add((f"{leader.name}'", "s0"))
+    simulation.restore_store(simulation.steps - steps)
+    await run_for(simulation, 25.0)
+    assert simulation.violations == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_host_that_stood_still_gives_no_key_a_second_owner(seed):
+    """Guards against a sweep by a host that has missed the servers of the last seconds,
+    which ended before they had registered again."""
+    simulation = Simulation(seed)
+    await run_for(simulation)
+    frozen, *others = simulation.random.sample(simulation.leaders, 3)
+    simulation.freeze(frozen)
+    steps = simulation.steps
+    simulation.keyed_services = [SERVICE, OTHER_SERVICE]
+    await run_for(simulation, 1.5)
+    for index in range(4):
+        simulation.start_server(f"t{index}", OTHER_SERVICE)
+    await run_for(simulation, 1.5)
+    for leader in others:
+        leader.cut_off = True
+    await run_for(simulation, 2.2)
+    for leader in others:
+        simulation.restart_leader(leader)
+    for leader in simulation.leaders:
+        leader.cut_off = leader is not frozen
+    simulation.restore_store(simulation.steps - steps)
+    simulation.thaw(frozen)
+    await run_for(simulation, 1.0)
+    simulation.start_server("t4", OTHER_SERVICE)
+    await run_for(simulation, 19.0)
+    assert simulation.violations == []
+    assert frozen.election.authority
+    for service in (SERVICE, OTHER_SERVICE):
+        assert all(simulation.holder(key, service) for key in simulation.sampled_keys)
+
+
+async def test_host_that_started_between_two_restores_waits():
+    """Guards against two owners: such a host took itself for one that knows all servers
+    that the leaders of the first era had granted keys."""
+    simulation = Simulation(3)
+    await run_for(simulation)
+    for leader in [*simulation.leaders]:
+        simulation.restart_leader(leader)
+    simulation.restore_store(1)
+    await run_for(simulation, 2.0)
+    simulation.restore_store(1)
+    leader = simulation.leaders[0]
+    assert leader.view.assignment_revision
+    assert not leader.view.knows_earlier_grants()
+    await run_for(simulation, 18.0)
+    assert leader.view.assignment.confirmed_era == 2
+    simulation.restore_store(1)
+    assert leader.view.knows_earlier_grants()
+
+
+async def test_new_service_gets_owners_at_once_when_earlier_grants_have_expired():
+    """Guards against a wait of each later leader, also of one that has just started."""
+    simulation = Simulation(3)
+    await run_for(simulation)
+    simulation.restore_store(1)
+    await run_for(simulation, 20.0)
+    for leader in [*simulation.leaders]:
+        simulation.restart_leader(leader)
+    await run_for(simulation, 3.0)
+    simulation.keyed_services.append(OTHER_SERVICE)
+    simulation.start_server("t0", OTHER_SERVICE)
+    await run_for(simulation, 1.0)
+    assert simulation.holder(0, OTHER_SERVICE)
+
+
 async def split_ranges(simulation, parts=24):
     """Move every second part of the keys, so that each server holds several ranges."""
     leader = next(one for one in simulation.leaders if one.election.authority)
