Promise an order's caller only what its server has said

Cause: a server's final response was passed on whatever its status. The gateway knew that the order might have run (no X-Not-Executed) and didn't retry it, but never asked whether the status tells the caller to. Responses through another host, streamed bodies, keyed orders and servers with a limit took the same path.

Change: final_step decides about a server's final response in one place, at the host that the caller asked. If the request must not run twice and the status is 408, 421, 429 or 503, the caller gets an unsigned 502 without Retry-After. Other requests and statuses, and what the gateway learns about the server, are as before.

--- a/src/jacinthpath/gateway/attempts.py
+++ b/src/jacinthpath/gateway/attempts.py
@@ -6,6 +6,7 @@
     "MAX_RETRY_AFTER_S",
     "Step",
     "StepKind",
+    "final_step",
     "jittered_retry_after_s",
     "next_step",
     "was_received",
@@ -33,6 +34,10 @@
 MAX_PLANNED_JITTER = 0.25
 """A time that was planned for one caller already differs from those of others."""
 
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+"""Callers take them for the promise that the request has not run and never will, and
+send it once more."""
+
 
 class StepKind(enum.Enum):
     """What to do next with a request."""
@@ -76,7 +81,7 @@
     """
     last = results[-1]
     if last.outcome is Outcome.ANSWERED:
-        return Step(StepKind.RESPOND, "")
+        return final_step(route, last)
     may_have_executed = any(
         result.outcome not in NOT_EXECUTED_OUTCOMES for result in results
     )
@@ -93,7 +98,7 @@
     if not reason:
         return Step(StepKind.RETRY, last.outcome.value)
     if last.outcome is Outcome.FAILED:
-        return Step(StepKind.RESPOND, reason)
+        return final_step(route, last, reason)
     if not may_have_executed:
         return Step(StepKind.REFUSE, f"{last.outcome.value}, {reason}")
     if last.outcome is Outcome.TIMED_OUT:
@@ -101,6 +106,20 @@
     return Step(StepKind.GIVE_UP, f"{last.outcome.value}, {reason}")
 
 
+def final_step(route: Route, result: AttemptResult, reason: str = "") -> Step:
+    """Return the step for a server's response that is not retried.
+
+    A status by which callers conclude that a request has not run is not passed on if
+    the server did not say so and the request must not run twice.
+
+    :param reason: why it is not retried.
+    """
+    response = result.response
+    if route.idempotent or response.status not in NOT_EXECUTED_STATUSES:
+        return Step(StepKind.RESPOND, reason)
+    return Step(StepKind.GIVE_UP, f"may-have-run, status {response.status}")
+
+
 def was_received(results: Iterable[AttemptResult]) -> bool:
     """Return whether a server has received one of the attempts.
 
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from .attempt_sender import AttemptSender
-from .attempts import Step, StepKind, next_step, was_received
+from .attempts import Step, StepKind, final_step, next_step, was_received
 from .capacity.attempt_slots import AttemptSlot
 from .clock import boottime_s
 from .exchange import (
@@ -232,7 +232,7 @@
 
     async def _decide_next_step(self, result: AttemptResult) -> Step:
         if result.outcome is Outcome.ANSWERED:
-            return Step(StepKind.RESPOND, "")
+            return final_step(self._route, result)
         if self._service.keyed:
             servers, expected_s, has_alternative = await self._assess_retry_on_owner(
                 result
--- a/tests/test_relayed_requests.py
+++ b/tests/test_relayed_requests.py
@@ -71,6 +71,26 @@
     assert 0 < server.received_deadlines_ms[-1] <= 800
 
 
+@pytest.mark.parametrize("padding_bytes", [0, 3_000_000])
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_relayed_order_that_ran_is_not_promised_to_have_not_run(
+    fleet, status, padding_bytes
+):
+    """Guards against an order that is booked twice, as without a relay (review/13)."""
+    set_fault(fleet, "invalid-status")
+    for server in fleet.servers.values():
+        server.status_line = f"HTTP/1.1 {status} Failed".encode()
+        server.padding_bytes = padding_bytes
+    found, headers, _ = await fleet.send("/order/x", "n1", CUT, "POST", data=b"order")
+    assert found == 502
+    assert "X-Server-Signature" not in headers
+    assert "Retry-After" not in headers
+    assert executed(fleet) == ["n1"]
+    found, headers, _ = await fleet.send("/read/x", "n2", CUT)
+    assert found == status
+    assert headers["X-Server-Signature"].startswith("sig.p")
+
+
 async def test_both_hosts_log_a_relayed_request_under_its_id(fleet, capfd):
     """Guards against a request that cannot be explained from the logs."""
     capfd.readouterr()
