Be ready while keys have no owners for long

Cause: a starting host isn't ready until each keyed service with servers has owners, without a bound.

Change: it waits 5 s from its start. Requests for keys without an owner get 503 with Retry-After, as before.

--- a/src/jacinthpath/gateway/service.py
+++ b/src/jacinthpath/gateway/service.py
@@ -43,6 +43,9 @@
 REJOIN_JITTER_S = 3.0
 """Hosts check their records in a restored store spread over this time."""
 
+MAX_WAIT_FOR_OWNERS_S = 5.0
+"""After a restore of the store, keys may have no owners for longer. A host that has run
+for this time serves the other services meanwhile."""
 
 LEAVE_ROTATION_S = 2.6
 """Two failed readiness checks, a second apart, take a host out of the rotation
@@ -146,6 +149,7 @@
         self._events = events
         self._read_settings = read_settings
         self._was_ready = False
+        self._started_s = boottime_s()
         self._peer_secret = b""
         self._random = random
         self._loops = loops
@@ -281,13 +285,16 @@
             return "failing-loop"
         if self._was_ready:
             return ""
-        return "no-owners" if self._lacks_owners() else ""
+        return "no-owners" if self._waits_for_owners() else ""
 
-    def _lacks_owners(self) -> bool:
-        """Return whether a keyed service that has servers has no owners yet.
+    def _waits_for_owners(self) -> bool:
+        """Return whether to wait for the owners of a service that has servers.
 
-        A service without servers must not keep the host from serving the others.
+        Neither a service without servers nor one whose keys stay without owners may
+        keep the host from serving the others.
         """
+        if boottime_s() - self._started_s >= MAX_WAIT_FOR_OWNERS_S:
+            return False
         view = self._view
         return any(
             service.keyed
--- a/src/jacinthpath/gateway/store_eras.py
+++ b/src/jacinthpath/gateway/store_eras.py
@@ -21,7 +21,6 @@
 """Outages of the store last up to nine seconds. A host whose list of servers was older
 when it heard of a restore may have missed servers and leaders."""
 
-
 RECENT_S = 2.0
 """A host whose list of servers was not older when it heard of a restore has been told
 of all servers that could hold keys."""
--- a/tests/test_lost_assignment.py
+++ b/tests/test_lost_assignment.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from random import Random
 
+import aiohttp
 import pytest
 
 from soak.system import System
@@ -16,6 +18,7 @@
 """Long enough for the leader to grant keys for the time of an outage."""
 
 MAX_WAIT_S = 20.0
+MAX_UNREADY_S = 10.0
 
 
 def holders(system, key):
@@ -28,6 +31,18 @@
             await asyncio.sleep(0.05)
 
 
+async def wait_until_ready(system, timeout_s):
+    async with asyncio.timeout(timeout_s), aiohttp.ClientSession() as session:
+        for gateway in system.gateways:
+            url = f"http://{gateway.ip}:{gateway.ready_port}/-/ready"
+            while True:
+                with suppress(aiohttp.ClientError):
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            break
+                await asyncio.sleep(0.05)
+
+
 @pytest.fixture
 async def system(tmp_path):
     """Yield three real gateways without servers."""
@@ -37,9 +52,8 @@
     await system.close()
 
 
-async def test_keys_of_a_lost_first_assignment_get_no_second_owner(system):
-    """Guards against a leader that gives out keys anew while servers still hold them,
-    since all gateways and the record of the owners are lost."""
+async def lose_first_assignment(system):
+    """Kill all hosts while the store loses all that it knows of the servers."""
     async with asyncio.timeout(10.0):
         while system.leader() is None:
             await asyncio.sleep(0.05)
@@ -58,6 +72,12 @@
         await gateway.start()
     await asyncio.sleep(0.3)
     system.write_again()
+
+
+async def test_keys_of_a_lost_first_assignment_get_no_second_owner(system):
+    """Guards against a leader that gives out keys anew while servers still hold them,
+    since all gateways and the record of the owners are lost."""
+    await lose_first_assignment(system)
     shared = []
     end_s = time.monotonic() + MAX_WAIT_S
     while time.monotonic() < end_s:
@@ -67,6 +87,15 @@
     assert all(holders(system, key) for key in KEYS)
 
 
+async def test_hosts_are_ready_while_keys_have_no_owners(system):
+    """Guards against hosts that serve nothing while the keys of one service wait."""
+    await lose_first_assignment(system)
+    started_s = time.monotonic()
+    await wait_until_ready(system, MAX_UNREADY_S)
+    assert not any(holders(system, key) for key in KEYS)
+    assert time.monotonic() - started_s < MAX_UNREADY_S
+
+
 async def test_first_start_in_a_later_era_waits_for_no_grants(tmp_path, monkeypatch):
     """Guards against keys without an owner while a system that has never run before
     waits for the grants of earlier leaders."""
