Keep an evacuation that a restored store lacks until it can be back

What callers would see: after a restore of the store, requests to a data centre that the operator has evacuated, until the operator has written the key again.

The first list of a restored store was taken as a fact, so a missing key ended the evacuation, and its servers were taken for cold.

Change: an evacuation that is missing in the first list of a new era is kept for the 2.5 s after which servers that are missing are removed, unless the operator takes it back before. Each host decides this for itself: peers are told only what is listed.

Measured: test_evacuation_lost_by_a_restored_store_goes_on and six cases in tests/test_evacuations.py are new. On the sources before, the former failed with requests to the evacuated servers; it passes now, like the other tests of evacuations.

--- a/src/jacinthpath/gateway/cluster_view.py
+++ b/src/jacinthpath/gateway/cluster_view.py
@@ -447,7 +447,8 @@
         return self.earlier_grants.are_known(known)
 
     def expire_servers(self) -> None:
-        """Drop the servers whose pending removal is due."""
+        """Drop the servers and evacuations whose pending removal is due."""
+        self.evacuations.expire()
         version = self.directory.version
         self.directory.expire(boottime_s())
         if self.directory.version != version:
--- a/src/jacinthpath/gateway/evacuation_messages.py
+++ b/src/jacinthpath/gateway/evacuation_messages.py
@@ -31,7 +31,7 @@
     if not has_newer_evacuations(view, wanted):
         return
     now_s = boottime_s()
-    evacuated = view.evacuated.all()
+    evacuated = view.evacuated.listed()
     entries = content.init("evacuated", len(evacuated))
     for entry, (name, since_s) in zip(entries, evacuated.items(), strict=True):
         entry.dataCentre = name
--- a/src/jacinthpath/gateway/evacuation_state.py
+++ b/src/jacinthpath/gateway/evacuation_state.py
@@ -45,9 +45,10 @@
         if change.revision < self._evacuated.revision:
             return
         name = change.key.removeprefix(prefix)
-        since_s = self._evacuated.all()
+        since_s = self._evacuated.listed()
         if change.value is None:
             since_s.pop(name, None)
+            self._evacuated.confirm_end(name)
         elif self._is_readable(name, Item(*change)):
             since_s.setdefault(name, boottime_s())
         self._replace(since_s, change.revision, "store")
@@ -58,12 +59,11 @@
         A key whose value cannot be read changes nothing.
         """
         now_s = boottime_s()
-        known = self._evacuated.all()
         items = {item.key.removeprefix(prefix): item for item in listing.items}
         since_s = {
-            name: known.get(name, now_s)
+            name: now_s
             for name, item in items.items()
-            if self._is_readable(name, item) or name in known
+            if self._is_readable(name, item) or name in self._evacuated
         }
         self._replace(since_s, listing.revision, "store")
 
@@ -80,6 +80,11 @@
         since_s = {check_text(name): now_s - age_s for name, age_s in ages_s.items()}
         self._replace(since_s, revision, source)
 
+    def expire(self) -> None:
+        """End the evacuations that nobody has written again to a restored store."""
+        ended = self._evacuated.expire(boottime_s())
+        self._record_ended(ended, self._evacuated.revision, "restored store")
+
     def _is_readable(self, name: str, item: Item) -> bool:
         try:
             check_text(name)
@@ -94,7 +99,7 @@
     def _replace(
         self, since_s: Mapping[str, float], revision: int, source: str
     ) -> None:
-        begun, ended = self._evacuated.replace(since_s, revision)
+        begun, ended = self._evacuated.replace(since_s, revision, boottime_s())
         for name in begun:
             servers = self._count_servers(name)
             self._events.log_state_change(
@@ -105,11 +110,16 @@
                 revision=revision,
                 source=source,
             )
+        if begun:
+            self._handle_change([])
+        self._record_ended(ended, revision, source)
+
+    def _record_ended(self, ended: list[str], revision: int, source: str) -> None:
         for name in ended:
             self._events.log_state_change(
                 "evacuation_ended", data_centre=name, revision=revision, source=source
             )
-        if begun or ended:
+        if ended:
             self._handle_change(ended)
 
     def _count_servers(self, data_centre: str) -> int:
--- a/tests/test_evacuated_data_centre.py
+++ b/tests/test_evacuated_data_centre.py
@@ -97,6 +97,24 @@
     assert arrivals_between(fleet, EVACUATED, closed_s, float("inf")) == 0
 
 
+async def test_evacuation_lost_by_a_restored_store_goes_on(fleet):
+    """Guards against requests to an evacuated data centre until the operator has
+    written its key again."""
+    copy = fleet.store.copy()
+    fleet.store.put(KEY, b"{}")
+    await asyncio.sleep(EVACUATION_S)
+    restored_s = time.monotonic()
+    fleet.store.restore(copy)
+    calls = asyncio.create_task(call_steadily(fleet, 5.0))
+    await asyncio.sleep(1.5)
+    for name, server in fleet.servers.items():
+        fleet.store.put(f"servers/{name}", server.entry())
+    fleet.store.put(KEY, b"{}")
+    replies = await calls
+    assert arrivals_between(fleet, EVACUATED, restored_s, float("inf")) == 0
+    assert [status for _, status, _ in replies].count(200) >= 0.97 * len(replies)
+
+
 async def test_service_without_other_servers_is_refused_at_once(fleet):
     """Guards against requests that wait for servers which are not to be used."""
     fleet.store.put("op/evacuate/b", b"{}")
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -16,6 +16,7 @@
 from jacinthpath.gateway.model import Backend
 from jacinthpath.gateway.move_planning import MovePlanner
 from jacinthpath.gateway.ownership import Ownership
+from jacinthpath.gateway.revisions import make_revision
 from jacinthpath.gateway.store import Change, Item, Listing
 from jacinthpath.platform import decode_backend, decode_route_table
 from standins.platform_documents import configuration, route
@@ -94,7 +95,55 @@
     view.evacuations.replace_by_peer({"a": 1.0}, 11, "peer")
     assert not view.evacuated
     view.evacuations.replace(Listing((Item("e/b", b"{}", 5),), 20), PREFIX)
-    assert view.evacuated.all() == {"b": clock.now_s}
+    assert view.evacuated.listed() == {"b": clock.now_s}
+
+
+@pytest.fixture(params=["store", "peer"])
+def restored_view(request, clock):
+    """Return a view of a restored store whose first list contains no evacuation."""
+    view = make_view()
+    put(view, "a", make_revision(1, 90))
+    clock.now_s += 4.0
+    if request.param == "store":
+        view.evacuations.replace(Listing((), make_revision(2, 50)), PREFIX)
+    else:
+        view.evacuations.replace_by_peer({}, make_revision(2, 50), "peer")
+    return view
+
+
+def test_evacuation_that_a_restored_store_lacks_goes_on(restored_view, clock):
+    """Guards against requests to an evacuated data centre, whose key the operator has
+    not written again yet."""
+    view = restored_view
+    assert [one.server for one in view.open_servers("keys")] == ["b0", "b1"]
+    assert view.evacuated.is_closed("a", clock.now_s)
+    assert not view.evacuated.listed()
+    clock.now_s += 1.0
+    put(view, "c", make_revision(2, 60))
+    assert "a" in view.evacuated
+    put(view, "a", make_revision(2, 61))
+    clock.now_s += 3.0
+    view.evacuations.expire()
+    assert view.evacuated.is_closed("a", clock.now_s)
+    assert set(view.evacuated.listed()) == {"a", "c"}
+    assert "evacuation_ended" not in view.log.names
+
+
+def test_evacuation_that_nobody_writes_again_ends(restored_view, clock):
+    """Guards against a data centre that gets no requests for ever."""
+    view = restored_view
+    clock.now_s += 2.4
+    view.evacuations.expire()
+    assert "a" in view.evacuated
+    clock.now_s += 0.2
+    view.evacuations.expire()
+    assert not view.evacuated
+    assert view.log.names.count("evacuation_ended") == 1
+
+
+def test_evacuation_that_is_taken_back_after_a_restore_ends_at_once(restored_view):
+    put(restored_view, "a", make_revision(2, 60), None)
+    assert not restored_view.evacuated
 
 
 @pytest.mark.parametrize("value", [b"", b"[]", b"{", b"\xff", b"7"])
