Prefer leaders that need not wait for lost grants

What callers would see: after a restore of the store, keys without owners for up to 17 s if a host that has just started wins the election, though another host knows all earlier grants and could have the servers release them within about two seconds.

Change: a host that may have missed grants becomes a candidate 0.4 s later. It is one that does not know the grants from before the restore, while no assignment was confirmed in the new era.

--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -151,6 +151,14 @@
                 leader_state.ownership, authority, max_hold_s
             )
 
+    def may_have_missed_grants(self) -> bool:
+        """Return whether this host, as leader, would have to wait for lost grants."""
+        if self._view.knows_earlier_grants():
+            return False
+        if not self._view.assignment_revision:
+            return self._eras.may_have_lost_writes()
+        return self._view.assignment.confirmed_era < self._eras.newest
+
     async def _adopt_assignment(self, authority: LeaderAuthority) -> LeaderState:
         """Adopt the stored owners and moves with a higher fence; no move begins."""
         era = self._era()
--- a/src/jacinthpath/gateway/leader_election.py
+++ b/src/jacinthpath/gateway/leader_election.py
@@ -37,6 +37,10 @@
 others this much time: it could grant nothing. It leads if they do not, since a leader
 has other duties too."""
 
+MISSED_GRANTS_CANDIDACY_DELAY_S = 0.4
+"""After a restore of the store, a host that may have missed grants leaves those that
+know all of them this much time: as leader, it would wait until the grants expire."""
+
 ASSIGNER_LOOP = "assigner"
 
 POLL_INTERVAL_S = 0.1
@@ -52,6 +56,8 @@
     :param reach: knows whether this host reaches the servers.
     :param link_bytes_per_s: what the link of this host carries.
     :ivar knows_better_host: returns whether another host has lately reached servers.
+    :ivar may_have_missed_grants: returns whether this host, as leader, would have to
+        wait for grants that the store may have lost.
     :ivar gained: set when this host becomes leader, and then replaced.
     """
 
@@ -73,6 +79,7 @@
         self.authority: LeaderAuthority | None = None
         self.record_revision = 0
         self.knows_better_host: Callable[[], bool] = lambda: False
+        self.may_have_missed_grants: Callable[[], bool] = lambda: False
         self.gained = asyncio.Event()
         self._store = store
         self._view = view
@@ -216,6 +223,8 @@
         delay_s = MAX_CANDIDACY_DELAY_S * self._random.random()
         if self._has_weak_link:
             delay_s += WEAK_LINK_CANDIDACY_DELAY_S
+        if self.may_have_missed_grants():
+            delay_s += MISSED_GRANTS_CANDIDACY_DELAY_S
         if self._reach.is_cut_off() or self._loops.is_failing(ASSIGNER_LOOP):
             return delay_s + CUT_OFF_CANDIDACY_DELAY_S
         if self._reach.has_failures():
--- a/src/jacinthpath/gateway_composition.py
+++ b/src/jacinthpath/gateway_composition.py
@@ -216,6 +216,7 @@
         eras,
         loops,
     )
+    election.may_have_missed_grants = assigner.may_have_missed_grants
     forwarder = Forwarder(dependencies, settings.timing)
     gateway = GatewayService(
         settings,
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -374,7 +374,8 @@
 async def test_service_with_a_lost_assignment_is_served_again_soon(restarted):
     """Guards against a wait of a leader that knows all servers.
 
-    Their releases show that the keys are free."""
+    Their releases show that the keys are free.
+    """
     simulation = await lose_first_assignment(2, OTHER_SERVICE, restarted)
     simulation.late_command_rate = 0.0
     for leader in [one for one in simulation.leaders if one.name.endswith("'")]:
@@ -385,6 +386,15 @@
     assert simulation.violations == []
 
 
+async def test_only_a_restarted_host_may_have_missed_grants():
+    """Guards against a leader that waits for 17 s while another host need not."""
+    simulation = await lose_first_assignment(2, OTHER_SERVICE, restarted=1)
+    for leader in simulation.leaders:
+        leader.eras.record(simulation.store.era)
+        missed = leader.assigner.may_have_missed_grants()
+        assert missed is leader.name.endswith("'")
+
+
 @pytest.mark.parametrize("recorded", [False, True])
 @pytest.mark.parametrize("seed", range(4))
 async def test_leader_of_the_lost_seconds_is_waited_for(seed, recorded):
--- a/tests/test_leader_candidacy.py
+++ b/tests/test_leader_candidacy.py
@@ -33,3 +33,12 @@
     weak, strong = new_election(WEAK_BYTES_PER_S), new_election(STRONG_BYTES_PER_S)
     for _ in range(200):
         assert weak._candidacy_delay_s() > strong._candidacy_delay_s()
+
+
+def test_host_that_may_have_missed_grants_leaves_the_others_time(new_election):
+    """Guards against keys without owners for 17 s after a restore of the store, while
+    another host could have the servers release them."""
+    late, known = new_election(STRONG_BYTES_PER_S), new_election(WEAK_BYTES_PER_S)
+    late.may_have_missed_grants = lambda: True
+    for _ in range(200):
+        assert late._candidacy_delay_s() >= known._candidacy_delay_s()
