Buffer no more of a body than is counted

Cause: a body that waits for room counts 128 KiB, for what its connection has received meanwhile. aiohttp stops reading only at twice its buffer size, 512 KiB by default, and one read beyond.

Change: the buffer size of connections to servers is chosen so that it stays within what is counted.

--- a/src/jacinthpath/platform/server_connections.py
+++ b/src/jacinthpath/platform/server_connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["ServerConnector"]
+__all__ = ["READ_BYTES", "ServerConnector"]
 
 from collections import deque
 from functools import partial
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -12,7 +12,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..gateway.body_memory import BodyMemory
+from ..gateway.body_memory import PART_BYTES, BodyMemory
 from ..gateway.clock import boottime_s
 from ..gateway.exchange import (
     AttemptResult,
@@ -39,7 +39,7 @@
 from .request_body import RequestBody
 from .response_body import ServerBodyStream, read_body
 from .send_check import CheckedRequest, checking_before_sending
-from .server_connections import ServerConnector
+from .server_connections import READ_BYTES, ServerConnector
 from .server_notice import read_notice
 
 CONNECT_TIMEOUT_S = 0.3
@@ -52,6 +52,10 @@
 
 MAX_HEADER_BYTES = 32_768
 
+READ_BUFFER_BYTES = (PART_BYTES - READ_BYTES) // 2
+"""aiohttp lets twice as much arrive before it stops reading, and one read beyond; as
+much is counted of a body that waits for room."""
+
 PROBE_TIMEOUT_S = 0.4
 MAX_PROBE_BYTES = 4_096
 
@@ -84,6 +88,7 @@
             CONNECT_TIMEOUT_S,
             request_class=CheckedRequest,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
