Send nothing again to a server that has got an owner's address

What callers saw: requests for keys of servers that had ended were sent up to four times to the server at their address, which belonged to another service, and failed.

Cause: a 421 counted as a sign that the keys had moved, also when its X-Instance-Id was of another server. While the owner is the same, a retry goes to the same address.

Change: such a response is marked, also through a relay, and the request is sent again only if its owner has changed.

The new test counted four arrivals before, one now.

--- a/src/jacinthpath/gateway/exchange.py
+++ b/src/jacinthpath/gateway/exchange.py
@@ -173,6 +173,8 @@
     :param warmup_left_s: for how much longer it is cold, ``None`` if it does not say
         so.
     :param limit_unreadable: whether it names a limit that cannot be read.
+    :param of_another_server: whether another server has responded at the address, so
+        that the rest does not tell of the one that was meant.
     """
 
     leaving: bool = False
@@ -183,6 +185,7 @@
     load: ServerLoad | None = None
     warmup_left_s: float | None = None
     limit_unreadable: bool = False
+    of_another_server: bool = False
 
 
 NO_NOTICE = ServerNotice()
--- a/src/jacinthpath/gateway/relay_messages.py
+++ b/src/jacinthpath/gateway/relay_messages.py
@@ -206,6 +206,7 @@
     content.pauseMs = min(MAX_PAUSE_MS, int(1000 * notice.pause_s))
     content.limited = notice.limit_per_s is not None
     content.limitPerS = notice.limit_per_s or 0.0
+    content.ofAnotherServer = notice.of_another_server
     if notice.load is not None:
         content.loadStated = True
         content.running, content.waiting = notice.load.running, notice.load.waiting
@@ -228,6 +229,7 @@
         received_s=received_s,
         load=load,
         warmup_left_s=content.warmupLeftMs / 1000 if content.warmupStated else None,
+        of_another_server=content.ofAnotherServer,
     )
 
 
--- a/src/jacinthpath/gateway/request_execution.py
+++ b/src/jacinthpath/gateway/request_execution.py
@@ -288,7 +288,10 @@
         if backend and self._dependencies.pool.pause_left_s(backend, boottime_s()):
             return servers, 0.0, False
         moved = bool(owned.target) or owned.server != self._chooser.tried[-1]
-        return servers, 0.0, moved or result.outcome is not Outcome.TIMED_OUT
+        may_help = result.outcome is not Outcome.TIMED_OUT and (
+            not result.notice.of_another_server
+        )
+        return servers, 0.0, moved or may_help
 
     async def _back_off(self, result: AttemptResult) -> None:
         """Wait before a keyed request is sent again to an owner that is full."""
--- a/src/jacinthpath/peer.capnp
+++ b/src/jacinthpath/peer.capnp
@@ -343,6 +343,7 @@
   slowness @19 :Float32;      # 1 is as usual.
   warmupStated @20 :Bool;     # Whether the server stated for how long it is cold.
   warmupLeftMs @21 :UInt32;
+  ofAnotherServer @22 :Bool;  # Whether another server has responded at the address.
 }
 
 struct RelayedPart {
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -246,7 +246,7 @@
     """
     notice = read_notice(response.headers)._replace(received_s=boottime_s())
     if _is_of_another_server(response, backend):
-        return notice._replace(load=None, warmup_left_s=None)
+        return notice._replace(load=None, warmup_left_s=None, of_another_server=True)
     return notice
 
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -315,3 +315,16 @@
         status, _, _ = await system.send("/read/x", f"n{number}")
         assert status == 200
     assert len(spare.executed_attempts) == 6
+
+
+async def test_request_is_not_sent_again_to_another_server_at_the_address(system):
+    """Guards against retries that only cost the server which has got the address of an
+    owner (review/14)."""
+    server = system.servers["k1"]
+    key = next(key for key in range(65_536) if server.holds_key(key))
+    server.server = "another"
+    arrivals = len(server.arrivals_s)
+    status, headers, _ = await system.send("/keyed/x", "n1", key=key)
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert len(server.arrivals_s) == arrivals + 1
--- a/tests/test_server_load.py
+++ b/tests/test_server_load.py
@@ -137,7 +137,17 @@
 def test_relayed_response_keeps_load_and_cold_time(load, warmup_left_s):
     """Guards against a host without a path that takes a full server for an idle one."""
     notice = ServerNotice(load=load, warmup_left_s=warmup_left_s, received_s=5.0)
-    frame = new_frame()
-    content = frame.body.init("relayed")
+    assert relay(notice) == notice
+
+
+def test_relayed_response_tells_of_another_server_at_the_address():
+    """Guards against retries that only cost the server which has got the address."""
+    notice = ServerNotice(of_another_server=True, received_s=5.0)
+    assert relay(notice) == notice
+
+
+def relay(notice):
+    """Return the notice of a response after a relay."""
+    content = new_frame().body.init("relayed")
     write_relayed(content, AttemptResult(Outcome.REFUSED, "", notice=notice), True)
-    assert read_relayed(content, "g1", 5.0).result.notice == notice
+    return read_relayed(content, "g1", 5.0).result.notice
