Send targets byte for byte

Cause: the target became part of a URL, whose empty query the HTTP library leaves out when it writes the request line; it left out a fragment, too. The library's own endpoints did the same.

Change: request_url gives the whole target to the URL as its encoded path, which nothing takes apart. A target with "#", which HTTP does not allow, gets 400.

--- a/src/jacinthpath/endpoints.py
+++ b/src/jacinthpath/endpoints.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from multidict import CIMultiDict
-from yarl import URL
 
 from .exchange import Attempt, AttemptOutcome, HttpExchange
 from .headers import (
@@ -22,7 +21,7 @@
     TRACEPARENT,
     forwarded_fields,
 )
-from .http_sessions import disable_retries
+from .http_sessions import disable_retries, request_url
 
 MAX_BUFFERED_BODY_BYTES = 65_536
 """Longest response body that is buffered before anything is sent to the caller, so
@@ -92,7 +91,7 @@
         if epoch:
             headers[EPOCH] = str(epoch)
         data = exchange.body if exchange.stream is None else exchange.stream
-        url = URL(f"http://{address}{exchange.path}", encoded=True)
+        url = request_url(address, exchange.path)
         try:
             async with self._session.request(
                 exchange.method,
--- a/src/jacinthpath/platform/callers.py
+++ b/src/jacinthpath/platform/callers.py
@@ -251,6 +251,8 @@
             key = _parse_key(request)
         except ValueError as error:
             return local_response(400, f"malformed-field: {error}")
+        if "#" in request._message.path:
+            return local_response(400, "malformed-target: it contains #")
         end_s = received_s + (timeout_s or DEFAULT_BODY_TIMEOUT_S)
         max_bytes = self._limits().max_body_bytes
         body: bytes | Response = b""
--- a/src/jacinthpath/platform/servers.py
+++ b/src/jacinthpath/platform/servers.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from multidict import CIMultiDict
-from yarl import URL
 
 from ..gateway.body_memory import PART_BYTES, BodyMemory
 from ..gateway.clock import boottime_s
@@ -27,6 +26,7 @@
 from ..gateway.model import Backend
 from ..gateway.sockets import OpenSocket, open_reset_on_close_socket
 from ..headers import forwarded_fields
+from ..http_sessions import request_url
 from ..json_documents import describe
 from .headers import (
     DEADLINE_MS,
@@ -110,7 +110,7 @@
         headers = request.headers.copy()
         headers[EXPECTED_SERVER] = backend.server
         try:
-            url = URL(f"http://{backend.address}{request.target}", encoded=True)
+            url = request_url(backend.address, request.target)
         except ValueError as error:
             return AttemptResult(Outcome.UNREACHABLE, describe(error))
         # A response to a request without an id cannot be told from an earlier one.
@@ -195,7 +195,7 @@
 
         Another server at its address says nothing of it.
         """
-        url = URL(f"http://{backend.address}{health_path}", encoded=True)
+        url = request_url(backend.address, health_path)
         fields = {EXPECTED_SERVER: backend.server}
         try:
             async with (
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -17,6 +17,7 @@
     def __init__(self, *responses):
         self.responses = list(responses)
         self.requests = 0
+        self.last_head = b""
         self.server = None
 
     async def __aenter__(self):
@@ -31,7 +32,7 @@
     async def serve(self, reader, writer):
         while True:
             try:
-                await reader.readuntil(b"\r\n\r\n")
+                self.last_head = await reader.readuntil(b"\r\n\r\n")
             except asyncio.IncompleteReadError:
                 break
             self.requests += 1
@@ -94,6 +95,15 @@
         assert endpoint.requests == 2
 
 
+async def test_empty_query_is_kept(client):
+    """Guards against a target that is changed on its way."""
+    exchange = make_exchange()
+    exchange.path = "/work?"
+    async with ScriptedEndpoint(OK) as endpoint:
+        await client.attempt(exchange, "s1", endpoint.address, 0, "", fail_on_stream)
+        assert endpoint.last_head.startswith(b"GET /work? HTTP/1.1\r\n")
+
+
 async def test_refused_connection_has_outcome_not_run(client):
     async with ScriptedEndpoint() as endpoint:
         address = endpoint.address
