--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -243,8 +243,13 @@
         return era_of_revision(self._election.record_revision)
 
     def _continue_sweep(self, leader_state: LeaderState, sweep: FenceSweep) -> None:
-        """Send the releases of a sweep, and end it once nothing is left to release."""
+        """Send the releases of a sweep, and end it once nothing is left to release.
+
+        The servers are watched meanwhile, so that services without owners get them as
+        soon as their keys are free.
+        """
         now_s = self._clock()
+        leader_state.planner.watch_servers(now_s)
         services = self._keyed_services() | leader_state.ownership.range_states.keys()
         backends = [
             backend
--- a/src/jacinthpath/gateway/move_planning.py
+++ b/src/jacinthpath/gateway/move_planning.py
@@ -36,6 +36,10 @@
         self._loads = loads
         self._servers_since: dict[str, tuple[frozenset[str], float]] = {}
 
+    def watch_servers(self, now_s: float) -> None:
+        """Record since when the servers of services without owners are the same."""
+        self.initial_owners(now_s)
+
     def initial_owners(self, now_s: float) -> dict[str, list[tuple[int, int, Backend]]]:
         """Return the initial ranges of the keyed services that have no owners."""
         routes = self._view.routes
--- a/tests/test_gateway_ownership.py
+++ b/tests/test_gateway_ownership.py
@@ -347,6 +347,19 @@
     assert all(simulation.holder(key, service) for key in simulation.sampled_keys)
 
 
+async def test_free_keys_get_owners_at_once_after_a_sweep(monkeypatch):
+    """Guards against keys without owners while servers are watched that have been the
+    same for long."""
+    monkeypatch.setattr(move_planning, "INITIAL_OWNERS_DELAY_S", 1.5)
+    simulation = await lose_first_assignment(0, SERVICE, restarted=3)
+    simulation.late_command_rate = 0.0
+    states = [leader.assigner for leader in simulation.leaders]
+    while not any(s._leader_state and s._leader_state.swept_services for s in states):
+        await run_for(simulation, 0.1)
+    await run_for(simulation, 0.5)
+    assert all(simulation.holder(key) for key in simulation.sampled_keys)
+
+
 async def find_violations_of_lost_assignments(service):
     for seed in range(8):
         simulation = await lose_first_assignment(seed, service, restarted=3)
