--- a/src/jacinthpath/gateway/assigner.py
+++ b/src/jacinthpath/gateway/assigner.py
@@ -167,7 +167,9 @@
         )
         stored = await record.read()
         now_s = self._clock()
-        lost_grants_expiry_s = self._lost_grants_expiry_s(stored, authority)
+        lost_grants_expiry_s = self._eras.lost_grants_expiry_s(
+            stored, era, authority.ttl_s
+        )
         if stored is None and now_s >= lost_grants_expiry_s:
             initial = Assignment(minimum_fence(era), {}, (self._own_process,), era, era)
             ownership = Ownership(initial, now_s, {})
@@ -209,24 +211,6 @@
         )
         return leader_state
 
-    def _lost_grants_expiry_s(
-        self, stored: Assignment | None, authority: LeaderAuthority
-    ) -> float:
-        """Return from when on no grant can be valid whose record may be lost.
-
-        Leaders of earlier eras had confirmed their leases before this process heard of
-        the new one.
-
-        :param stored: the stored assignment, ``None`` if there is none.
-        """
-        if stored is None:
-            is_settled = not self._eras.may_have_lost_writes()
-        else:
-            is_settled = stored.settled_era == self._era()
-        if is_settled:
-            return float("-inf")
-        return last_expiry_if_running_s(self._eras.since_s, authority.ttl_s)
-
     async def _ask_previous_leaders(self, stored: Assignment) -> Assignment:
         """Return the newest assignment that the previous leaders still know.
 
--- a/src/jacinthpath/gateway/fence_sweep.py
+++ b/src/jacinthpath/gateway/fence_sweep.py
@@ -47,9 +47,9 @@
 
     :param ranges: owners of the keys of each keyed service, by the known assignment.
     :param begin_s: start of the sweep.
-    :param knows_servers: returns whether this host knows all servers that were granted
-        keys. One that does not waits until all grants have expired, since a server that
-        is cut off from the store may hold keys unseen.
+    :param knows_earlier_grants: returns whether this host knows all servers that were
+        granted keys. One that does not waits until all grants have expired, since a
+        server that is cut off from the store may hold keys unseen.
     :param last_expiry_s: from then on no grant of an earlier era is valid.
     """
 
@@ -57,11 +57,11 @@
         self,
         ranges: Mapping[str, Collection[OwnedRange]],
         begin_s: float,
-        knows_servers: Callable[[], bool],
+        knows_earlier_grants: Callable[[], bool],
         last_expiry_s: float,
     ) -> None:
         self._ranges = ranges
-        self._knows_servers = knows_servers
+        self._knows_earlier_grants = knows_earlier_grants
         self._settled_s = begin_s + SETTLING_S
         self._last_expiry_s = last_expiry_s
         self._sent_s: dict[SweepRelease, float] = {}
@@ -86,7 +86,7 @@
         """
         if now_s >= self._last_expiry_s:
             return True
-        if not self._knows_servers() or now_s < self._settled_s:
+        if not self._knows_earlier_grants() or now_s < self._settled_s:
             return False
         return not self._unreleased(backends)
 
--- a/src/jacinthpath/gateway/store_eras.py
+++ b/src/jacinthpath/gateway/store_eras.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from .assignment import Assignment
+from .authority import last_expiry_if_running_s
 from .clock import boottime_s
 
 FIRST_GRANT_DELAY_S = 1.5
@@ -65,6 +66,26 @@
             return False
         return self.newest > 0
 
+    def lost_grants_expiry_s(
+        self, stored: Assignment | None, era: int, ttl_s: float
+    ) -> float:
+        """Return from when on no grant can be valid whose record may be lost.
+
+        Leaders of earlier eras had confirmed their leases before this process heard of
+        the new one.
+
+        :param stored: the stored assignment, ``None`` if there is none.
+        :param era: era in which this host became leader.
+        :param ttl_s: time to live of a leader's lease.
+        """
+        if stored is None:
+            is_settled = not self.may_have_lost_writes()
+        else:
+            is_settled = stored.settled_era == era
+        if is_settled:
+            return float("-inf")
+        return last_expiry_if_running_s(self.since_s, ttl_s)
+
 
 class EarlierGrants:
     """Whether this host knows all that was granted before the newest restore.
